--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,37 @@
+Feature: The whole path, through separate processes
+  A job submitted over HTTP is claimed, placed, started once and answered whole.
+
+  Background:
+    Given a system of 2 entries and 3 runners
+
+  Scenario: A job is answered whole, and the same from every entry
+    When the job "flag-1" of 5 tasks of 50 ms is submitted to entry 0
+    Then the answer is complete
+    When the job "flag-1" of 5 tasks of 50 ms is submitted to entry 1
+    Then the answer is complete
+    And the job "flag-1" can be fetched from entry 1
+    And every task started exactly once
+
+  Scenario: The same key with another body is a conflict
+    When the job "flag-2" of 1 tasks of 50 ms is submitted to entry 0
+    And the job "flag-2" of 2 tasks of 50 ms is submitted to entry 1
+    Then the call fails with status 409 and code "key_conflict"
+
+  Scenario: Bad input is refused with every finding and its place
+    When a malformed job is submitted
+    Then the call fails with status 400 and code "invalid_input"
+    And the findings name the places "$.team, $.upstream, $.tasks[1].payload"
+
+  Scenario: An upstream that nobody announced is refused as not run
+    When the job "flag-3" for upstream "nowhere" is submitted
+    Then the call fails with status 404 and code "upstream_unknown"
+    And the refusal says "not_run"
+
+  Scenario: Why a task was placed can be asked at any entry
+    When the job "flag-4" of 2 tasks of 50 ms is submitted to entry 0
+    Then entry 1 explains "flag-4" with the codes "claimed, placed, answered"
+
+  Scenario: A replayed trace reaches its stated outcome
+    When the trace "short.jsonl" is replayed
+    Then its stated outcome holds
+    And every task started exactly once
--- /dev/null
+++ b/src/gapdrum/agents.py
@@ -0,0 +1,281 @@
+"""The agent process: stands beside one runner and starts its tasks."""
+
+import asyncio
+import signal
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from loguru import logger
+
+from gapdrum import ledger as ledgers
+from gapdrum.config import AgentConfig, load_config
+from gapdrum.conversion import structure
+from gapdrum.credentials import RUNNER, Credentials
+from gapdrum.entrylinks import EntryLink, EntryLinks
+from gapdrum.exceptions import GapdrumError, InvalidInputError
+from gapdrum.http import HttpServer, Request, Response, Router
+from gapdrum.ledger import HeldTask, Ledger
+from gapdrum.logs import set_up_logs
+from gapdrum.messages import (
+    Fence,
+    Inquire,
+    PlaceTasks,
+    RunnerLoad,
+    SettingsPush,
+    TaskReport,
+    TaskRow,
+    Withdraw,
+)
+from gapdrum.metrics import Metrics
+from gapdrum.models import MAX_DEADLINE_MS
+from gapdrum.probes import add_probe_routes
+from gapdrum.runners import MAX_SLOTS, Announcement, Runner, RunnerClient, RunOutcome
+from gapdrum.settings import SettingsHolder, load_tree
+from gapdrum.states import load_chart
+from gapdrum.store import StoreClient
+from gapdrum.timers import Timers
+
+LOAD_INTERVAL_MS = 10
+HEARTBEAT_INTERVAL_MS = 1_000
+FORGET_INTERVAL_MS = 1_000
+RETENTION_MS = MAX_DEADLINE_MS + 30_000
+HTTP_THREADS = 4
+DRAIN_POLL_S = 0.05
+LOAD_CHANGE_PERCENT = 25
+PROCESS_CHART = load_chart("process")
+
+
+class Agent:
+    """Holds the ledger, the runner and the links to the entries of one agent process."""
+
+    def __init__(self, config: AgentConfig, timers: Timers) -> None:
+        self.config = config
+        self.timers = timers
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.metrics = Metrics()
+        self.settings = SettingsHolder()
+        self.runner = Runner()
+        self.ledger = Ledger(self.settings.root.agent_queue_limit_tasks, RETENTION_MS)
+        self.links = EntryLinks(self, StoreClient(config.store_url))
+        self.state = PROCESS_CHART.initial
+        self.running = 0
+        self._client = RunnerClient()
+        self._threads = ThreadPoolExecutor(MAX_SLOTS, "run")
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def free_slots(self) -> int:
+        """Return the slots of the runner that are free now."""
+        return max(0, self.runner.slots - self.running)
+
+    # -- messages of entries ------------------------------------------------
+
+    def take(self, link: EntryLink, message: object) -> None:
+        """Act on one message of an entry."""
+        now_ms = self.timers.now_ms()
+        if isinstance(message, PlaceTasks):
+            link.received += len(message.tasks)
+            self.links.own(message.job_id, link)
+            rows = self.ledger.place(message, now_ms)
+            self._report_rows(message.job_id, message.epoch, rows)
+            self._start_next()
+        elif isinstance(message, Withdraw):
+            rows = self.ledger.withdraw(message)
+            self._report_rows(message.job_id, message.epoch, rows)
+        elif isinstance(message, Fence):
+            self.links.own(message.job_id, link)
+            link.send(self.ledger.fence(message, now_ms))
+        elif isinstance(message, Inquire):
+            self.links.own(message.job_id, link)
+            link.send(self.ledger.inquire(message, now_ms))
+        elif isinstance(message, SettingsPush):
+            self._take_settings(message)
+
+    def load_for(self, link: EntryLink) -> RunnerLoad:
+        """Return the load message for an entry, as of now."""
+        now_ms = self.timers.now_ms()
+        announcement = self.runner.announcement
+        state = "leaving" if self.state == "draining" else self.runner.state(now_ms)
+        return RunnerLoad(
+            announcement.upstream if announcement else "",
+            state,
+            self.runner.slots,
+            announcement.accelerators if announcement else 0,
+            self.free_slots,
+            self.ledger.queued,
+            link.received,
+            now_ms,
+            self.settings.version,
+        )
+
+    # -- starting tasks -------------------------------------------------------
+
+    def _start_next(self) -> None:
+        """Start queued tasks while slots are free."""
+        while self.free_slots > 0:
+            now_ms = self.timers.now_ms()
+            task, lapsed = self.ledger.next_start(now_ms)
+            for declined in lapsed:
+                self._report(declined)
+            if task is None:
+                return
+            self.running += 1
+            self.metrics.starts.inc()
+            self._spawn(self._run(task))
+
+    async def _run(self, task: HeldTask) -> None:
+        """Call the runner for one task in a thread and report what came of it."""
+        loop = asyncio.get_running_loop()
+        started_ms = self.timers.now_ms()
+        outcome = await loop.run_in_executor(self._threads, self._call_runner, task)
+        self.running -= 1
+        run_ms = self.timers.now_ms() - started_ms
+        self.ledger.finish(task, outcome.event, outcome.reason, outcome.result, run_ms)
+        self._report(task)
+        self._start_next()
+
+    def _call_runner(self, task: HeldTask) -> RunOutcome:
+        """Check the limit directly before the call; a process may have been paused."""
+        if not self.ledger.may_start(task, self.timers.now_ms()):
+            return RunOutcome("not_sent", ledgers.REASON_LAPSED, "")
+        address = self.runner.announcement.address
+        return self._client.run(address, task.job_id, task.key.index, task.payload)
+
+    def _report(self, task: HeldTask) -> None:
+        self._report_rows(task.job_id, self.ledger.epoch_of(task.job_id), [task.row()])
+
+    def _report_rows(self, job_id: str, epoch: int, rows: list[TaskRow]) -> None:
+        """Tell the job's owner; if its stream is gone it will inquire or fence later."""
+        link = self.links.owner_of(job_id)
+        if link is None:
+            return
+        for row in rows:
+            link.send_report(
+                TaskReport(
+                    job_id,
+                    epoch,
+                    (row,),
+                    self.free_slots,
+                    self.ledger.queued,
+                    link.received,
+                    self.timers.now_ms(),
+                )
+            )
+
+    # -- the runner's announcements (called from HTTP threads, run on the loop) ----
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take a runner's announcement."""
+        known = self.runner.announcement
+        self.runner.announce(announcement, self.timers.now_ms())
+        if known != announcement:
+            logger.info("runner announced {}", announcement)
+            self.links.push_loads()
+        self.ledger.leaving = False
+        self._start_next()
+
+    def leave(self) -> None:
+        """Tell the entries at once that the runner leaves, and hand back the queue."""
+        self.runner.leaving = True
+        self.ledger.leaving = True
+        logger.info("runner leaving")
+        self.links.push_loads()
+        for task in self.ledger.decline_queue():
+            self._report(task)
+
+    async def drain(self) -> None:
+        """Shut down gracefully: take nothing new, finish what runs, report it."""
+        self.state = PROCESS_CHART.next_state(self.state, "drain")
+        self.leave()
+        deadline_ms = self.timers.now_ms() + self.config.drain_timeout_ms
+        while self.running and self.timers.now_ms() < deadline_ms:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self.links.close()
+        self.state = PROCESS_CHART.next_state(self.state, "stop")
+
+    def forget(self) -> None:
+        """Drop records past their retention."""
+        self.ledger.forget(self.timers.now_ms())
+        self.links.forget_owners(self.ledger)
+
+    def _take_settings(self, message: SettingsPush) -> None:
+        if message.version <= self.settings.version:
+            return
+        try:
+            tree = load_tree(message.version, message.document)
+        except InvalidInputError as error:
+            logger.error("settings refused: {}", error.message)
+            return
+        self.settings.offer(tree)
+        self.ledger.queue_limit = self.settings.root.agent_queue_limit_tasks
+        self.metrics.settings_version.set(tree.version)
+        self.links.push_loads()
+
+    def _spawn(self, steps) -> None:
+        task = asyncio.get_running_loop().create_task(steps)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def build_router(agent: Agent, loop: asyncio.AbstractEventLoop) -> Router:
+    """Return the routes that the runner and the platform call."""
+    router = Router()
+    credentials = Credentials(agent.config.credentials)
+
+    @router.route("POST", "/v1/announce")
+    def announce(request: Request) -> Response:
+        credentials.require(request.token, RUNNER)
+        announcement = structure(request.json(), Announcement)
+        loop.call_soon_threadsafe(agent.announce, announcement)
+        return Response({"accepted": True})
+
+    @router.route("POST", "/v1/leave")
+    def leave(request: Request) -> Response:
+        credentials.require(request.token, RUNNER)
+        loop.call_soon_threadsafe(agent.leave)
+        return Response({"accepted": True})
+
+    add_probe_routes(router, agent.metrics, lambda: agent.state == "serving")
+    return router
+
+
+async def run_agent(config: AgentConfig) -> None:
+    """Run an agent until SIGTERM or SIGINT, then drain it."""
+    loop = asyncio.get_running_loop()
+    agent = Agent(config, Timers())
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    server = HttpServer(config.http, build_router(agent, loop), HTTP_THREADS)
+    port = server.start()
+    agent.state = PROCESS_CHART.next_state(agent.state, "serve")
+    logger.info("agent {} serves on port {}", config.agent_id, port)
+    agent.links.start()
+    agent.timers.subscribe(LOAD_INTERVAL_MS, agent.links.push_changed_loads)
+    agent.timers.subscribe(HEARTBEAT_INTERVAL_MS, agent.links.push_loads)
+    agent.timers.subscribe(FORGET_INTERVAL_MS, agent.forget)
+    await stopping.wait()
+    await agent.drain()
+    agent.timers.stop()
+    server.stop()
+    logger.info("agent {} stopped", config.agent_id)
+
+
+def main() -> None:
+    """Run the command ``gapdrum-agent``."""
+    typer.run(start)
+
+
+def start(settings: Annotated[Path, typer.Option(help="The agent's settings file.")]) -> None:
+    """Start the agent process beside one runner."""
+    try:
+        config = load_config(settings, AgentConfig)
+    except GapdrumError as error:
+        for finding in error.findings:
+            typer.echo(f"{finding.place}: {finding.message}", err=True)
+        raise typer.Exit(2) from error
+    set_up_logs(config.log_json)
+    asyncio.run(run_agent(config))
--- /dev/null
+++ b/src/gapdrum/configurations.py
@@ -0,0 +1,173 @@
+"""The settings tree in the platform's table: read, changed by compare-and-set, audited."""
+
+import asyncio
+import uuid
+
+import attrs
+
+from gapdrum.commits import Committer
+from gapdrum.conversion import structure, unstructure
+from gapdrum.exceptions import (
+    InvalidInputError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    VersionConflictError,
+)
+from gapdrum.settings import SettingsHolder, SettingsTree, check_tree
+from gapdrum.store import ABSENT, ConditionFailedError, Row, TableWrite
+from gapdrum.timers import MS_PER_S, Timers
+
+TREE_KEY = "config/tree"
+AUDIT_PREFIX = "config/audit/"
+POLL_INTERVAL_MS = 1_000
+SETTLE_TRIES = 20
+SETTLE_PAUSE_MS = 200
+
+
+@attrs.frozen
+class ValueChange:
+    """One value of one node, before and after; None where the node does not set it."""
+
+    path: str
+    name: str
+    before: int | str | None
+    after: int | str | None
+
+
+@attrs.frozen
+class AuditRecord:
+    """Who changed the settings, when, why and what."""
+
+    version: int
+    change_id: str
+    operator: str
+    reason: str
+    time_wall_ms: int
+    changes: list[ValueChange]
+
+
+@attrs.frozen
+class StoredTree:
+    """The row of the tree; ``change_id`` lets a writer recognise its own write."""
+
+    change_id: str
+    nodes: dict[str, dict[str, int | str]]
+
+
+class Configurations:
+    """Brings accepted settings into force in this process, and makes changes."""
+
+    def __init__(self, committer: Committer, settings: SettingsHolder, timers: Timers) -> None:
+        self._committer = committer
+        self._settings = settings
+        self._timers = timers
+        self.known = False
+
+    async def refresh(self) -> bool:
+        """Read the tree; return whether a newer one came into force."""
+        try:
+            row = (await self._committer.read([TREE_KEY]))[TREE_KEY]
+        except StoreError:
+            return False
+        self.known = True
+        return row is not None and self.take(row.version, row)
+
+    def take(self, version: int, row: Row) -> bool:
+        """Bring a row into force if it is newer and valid."""
+        if version <= self._settings.version:
+            return False
+        try:
+            stored = structure(row.value, StoredTree)
+            tree = SettingsTree(version, check_tree(stored.nodes))
+        except InvalidInputError:
+            return False
+        return self._settings.offer(tree)
+
+    async def change(
+        self,
+        base_version: int,
+        changes: list[tuple[str, str, int | str | None]],
+        operator: str,
+        reason: str,
+    ) -> AuditRecord:
+        """Apply changes on top of ``base_version``; returns once they are accepted.
+
+        Raises VersionConflictError if another change came first,
+        InvalidInputError with all findings if the result is not valid, and
+        StoreError if the store did not take the change.
+        """
+        tree = await self._read_tree()
+        if tree.version != base_version:
+            raise VersionConflictError(
+                f"the settings are at version {tree.version}, not {base_version}"
+            )
+        listed, nodes = apply_changes(tree, changes)
+        check_tree(nodes)
+        record = AuditRecord(
+            base_version + 1,
+            uuid.uuid4().hex,
+            operator,
+            reason,
+            self._timers.wall_ms(),
+            listed,
+        )
+        await self._write(record, nodes)
+        self._settings.offer(SettingsTree(record.version, nodes))
+        return record
+
+    async def history(self) -> list[AuditRecord]:
+        """Return the audit trail, oldest first; raises StoreError."""
+        rows = await self._committer.call(self._committer.client.scan, AUDIT_PREFIX)
+        return [structure(row.value, AuditRecord) for row in rows]
+
+    async def _read_tree(self) -> SettingsTree:
+        row = (await self._committer.read([TREE_KEY]))[TREE_KEY]
+        if row is None:
+            return SettingsTree()
+        return SettingsTree(row.version, structure(row.value, StoredTree).nodes)
+
+    async def _write(self, record: AuditRecord, nodes: dict[str, dict[str, int | str]]) -> None:
+        """Write tree and audit row in one transaction; settle a lost answer by reading."""
+        stored = StoredTree(record.change_id, nodes)
+        audit_key = f"{AUDIT_PREFIX}{record.version:010d}"
+        writes = [
+            TableWrite(TREE_KEY, record.version - 1, unstructure(stored)),
+            TableWrite(audit_key, ABSENT, unstructure(record)),
+        ]
+        for _ in range(SETTLE_TRIES):
+            try:
+                await self._committer.call(self._committer.client.transact, writes)
+                return
+            except ConditionFailedError:
+                if await self._is_written(record, audit_key):
+                    return
+                raise VersionConflictError("another change came first") from None
+            except StoreOutcomeUnknownError:
+                await asyncio.sleep(SETTLE_PAUSE_MS / MS_PER_S)
+        raise StoreOutcomeUnknownError("the change may or may not have been accepted")
+
+    async def _is_written(self, record: AuditRecord, audit_key: str) -> bool:
+        """Tell whether the audit row of this version is the change's own."""
+        for _ in range(SETTLE_TRIES):
+            try:
+                row = (await self._committer.read([audit_key]))[audit_key]
+                return row is not None and row.value["change_id"] == record.change_id
+            except StoreError:
+                await asyncio.sleep(SETTLE_PAUSE_MS / MS_PER_S)
+        raise StoreOutcomeUnknownError("the change may or may not have been accepted")
+
+
+def apply_changes(
+    tree: SettingsTree, changes: list[tuple[str, str, int | str | None]]
+) -> tuple[list[ValueChange], dict[str, dict[str, int | str]]]:
+    """Return the changes with their values before, and the nodes after them."""
+    nodes = {path: dict(values) for path, values in tree.nodes.items()}
+    listed = []
+    for path, name, after in changes:
+        values = nodes.setdefault(path, {})
+        listed.append(ValueChange(path, name, values.get(name), after))
+        if after is None:
+            values.pop(name, None)
+        else:
+            values[name] = after
+    return listed, {path: values for path, values in nodes.items() if values}
--- /dev/null
+++ b/src/gapdrum/conversion.py
@@ -0,0 +1,71 @@
+"""Turns plain JSON data into attrs classes and back, collecting every finding with its place."""
+
+from typing import Any, TypeVar
+
+import cattrs
+from cattrs.errors import ClassValidationError, IterableValidationError
+
+from gapdrum.exceptions import Finding, InvalidInputError
+
+T = TypeVar("T")
+MAX_FINDINGS = 50
+
+
+def structure(data: Any, target: type[T], root: str = "$") -> T:
+    """Return ``data`` as a ``target``; raises InvalidInputError with all findings."""
+    try:
+        return _converter.structure(data, target)
+    except (ClassValidationError, IterableValidationError) as error:
+        raise InvalidInputError(
+            "the input has findings", findings=_list_findings(error, root)
+        ) from error
+    except (TypeError, ValueError) as error:
+        finding = Finding(root, str(error))
+        raise InvalidInputError("the input has findings", findings=(finding,)) from error
+
+
+def unstructure(instance: Any) -> Any:
+    """Return an attrs instance as plain JSON data."""
+    return _converter.unstructure(instance)
+
+
+def _list_findings(error: Exception, root: str) -> tuple[Finding, ...]:
+    lines = cattrs.transform_error(error, path=root, format_exception=_describe)
+    findings = []
+    for line in lines[:MAX_FINDINGS]:
+        message, _, place = line.rpartition(" @ ")
+        findings.append(Finding(place, message))
+    return tuple(findings)
+
+
+def _describe(error: BaseException, _type: type | None) -> str:
+    if isinstance(error, KeyError):
+        return f"the field {error.args[0]} is missing"
+    if isinstance(error, cattrs.errors.ForbiddenExtraKeysError):
+        return f"unknown fields: {', '.join(sorted(error.extra_fields))}"
+    if isinstance(error, TypeError) and "not iterable" in str(error):
+        return "expected a list"
+    if isinstance(error, TypeError | ValueError) and error.args:
+        return str(error.args[0])
+    return f"not accepted ({type(error).__name__})"
+
+
+def _build_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    for primitive in (int, float, bool, str):
+        converter.register_structure_hook(primitive, _build_strict_hook(primitive))
+    return converter
+
+
+def _build_strict_hook(primitive: type):
+    accepted = (int, float) if primitive is float else (primitive,)
+
+    def hook(value: Any, _type: type) -> Any:
+        if type(value) not in accepted:
+            raise TypeError(f"expected {primitive.__name__}, got {type(value).__name__}")
+        return value
+
+    return hook
+
+
+_converter = _build_converter()
--- /dev/null
+++ b/src/gapdrum/decisions.py
@@ -0,0 +1,81 @@
+"""The record of decisions: each with a reason code and the figures it was made on."""
+
+from collections import OrderedDict
+
+import attrs
+
+MAX_JOBS = 20_000
+MAX_PER_JOB = 2_000
+NO_TASK = -1
+
+
+@attrs.frozen
+class Figure:
+    """A named number that a decision was made on; the unit is part of the name."""
+
+    name: str
+    value: int
+
+
+@attrs.frozen
+class Decision:
+    """One decision: what was decided about which subject, why, when, on what figures."""
+
+    time_wall_ms: int
+    job_id: str
+    task: int
+    code: str
+    subject: str
+    settings_version: int
+    entry_id: str
+    figures: tuple[Figure, ...] = ()
+
+
+class DecisionLog:
+    """Recent decisions by job, in memory, and those not yet written to the journal."""
+
+    def __init__(self, entry_id: str) -> None:
+        self._entry_id = entry_id
+        self._by_job: OrderedDict[str, list[Decision]] = OrderedDict()
+        self._unwritten: list[Decision] = []
+        self.dropped = 0
+
+    def record(
+        self,
+        wall_ms: int,
+        job_id: str,
+        code: str,
+        settings_version: int,
+        task: int = NO_TASK,
+        subject: str = "",
+        **figures: int,
+    ) -> None:
+        """Record a decision; the keyword arguments are its figures."""
+        listed = tuple(Figure(name, value) for name, value in figures.items())
+        decision = Decision(
+            wall_ms, job_id, task, code, subject, settings_version, self._entry_id, listed
+        )
+        self._unwritten.append(decision)
+        kept = self._by_job.get(job_id)
+        if kept is None:
+            kept = self._by_job[job_id] = []
+            if len(self._by_job) > MAX_JOBS:
+                self._by_job.popitem(last=False)
+        if len(kept) < MAX_PER_JOB:
+            kept.append(decision)
+        else:
+            self.dropped += 1
+
+    def list_for(self, job_id: str) -> list[Decision]:
+        """Return the decisions on a job that are still in memory, oldest first."""
+        return list(self._by_job.get(job_id, ()))
+
+    def take_unwritten(self) -> list[Decision]:
+        """Return the decisions since the last call, for the journal."""
+        taken = self._unwritten
+        self._unwritten = []
+        return taken
+
+    def put_back(self, decisions: list[Decision]) -> None:
+        """Keep decisions whose journal write failed, for the next one."""
+        self._unwritten = decisions + self._unwritten
--- /dev/null
+++ b/src/gapdrum/jobs.py
@@ -0,0 +1,257 @@
+"""A job at its owning entry: which of its tasks may be placed, and what became of each.
+
+Pure decision code without I/O.  The rule that bounds starts lives in
+``Task.may_place``: an attempt counts as a start from the moment it is sent
+until its agent has proven that it never started.
+"""
+
+import enum
+
+import attrs
+
+from gapdrum import ledger, reasons
+from gapdrum.messages import TaskRow
+from gapdrum.models import Answer, Progress, Submission, TaskOutcome, summarize_outcome
+from gapdrum.states import load_chart
+
+CHART = load_chart("task")
+WAITING = "waiting"
+PLACED = "placed"
+
+OUT = "out"
+LOST = "lost"
+
+# Failures after which nobody can tell whether the runner did the work.
+AMBIGUOUS_REASONS = frozenset({reasons.CONNECTION_LOST})
+
+
+class ReportEffect(enum.Enum):
+    """What an agent's row changed: nothing, an awaited attempt, or one given up before."""
+
+    NOTHING = "nothing"
+    ENDED = "ended"
+    LATE = "late"
+
+
+@attrs.frozen
+class AgentKey:
+    """One life of an agent: a restarted agent remembers nothing, so it is another one."""
+
+    agent_id: str
+    incarnation: str
+
+
+@attrs.define
+class Attempt:
+    """One order to start a task, and what is known of it."""
+
+    number: int
+    agent: AgentKey
+    placed_at_ms: int
+    state: str = OUT
+    reason: str = ""
+
+    @property
+    def may_have_started(self) -> bool:
+        """Tell whether this attempt counts against the starts allowed."""
+        return self.state != ledger.NEVER_STARTED
+
+
+@attrs.define
+class Task:
+    """One task of the job with all its attempts."""
+
+    index: int
+    payload: str
+    starts_allowed: int
+    state: str = CHART.initial
+    attempts: list[Attempt] = attrs.Factory(list)
+    reason: str = ""
+    result: str = ""
+
+    @property
+    def starts(self) -> int:
+        """Return how often the task may have started."""
+        return sum(attempt.may_have_started for attempt in self.attempts)
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the task has its fate."""
+        return self.state in CHART.final
+
+    def may_place(self) -> bool:
+        """Tell whether one more start can't exceed what the submission allows."""
+        return not self.is_final and self.starts < self.starts_allowed
+
+    def apply(self, event: str, reason: str = "") -> None:
+        """Move along the chart, noting the reason."""
+        self.state = CHART.next_state(self.state, event)
+        self.reason = reason or self.reason
+
+    def out_attempts(self) -> list[Attempt]:
+        """Return the attempts whose outcome is still awaited."""
+        return [attempt for attempt in self.attempts if attempt.state == OUT]
+
+    def find_attempt(self, agent: AgentKey, number: int) -> Attempt | None:
+        """Return the attempt of this number at this agent."""
+        for attempt in self.attempts:
+            if attempt.number == number and attempt.agent == agent:
+                return attempt
+        return None
+
+
+class Job:
+    """All tasks of one claimed submission under one epoch.
+
+    The dispatcher places waiting tasks and feeds back what agents report::
+
+        number = job.place(0, agent, now_ms)
+        job.report(agent, row)
+        if job.is_settled: answer = job.answer(now_ms)
+    """
+
+    def __init__(self, submission: Submission, epoch: int, now_ms: int) -> None:
+        self.submission = submission
+        self.job_id = submission.job_id
+        self.epoch = epoch
+        self.created_at_ms = now_ms
+        self.deadline_at_ms = now_ms + submission.deadline_ms
+        self.reason = ""
+        self.closed_to_placement = ""
+        allowed = submission.starts_allowed
+        self.tasks = [Task(i, spec.payload, allowed) for i, spec in enumerate(submission.tasks)]
+        self.unsettled = len(self.tasks)
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether every task has its fate."""
+        return self.unsettled == 0
+
+    def place(self, index: int, agent: AgentKey, now_ms: int) -> int:
+        """Note that a start order goes out; return the number of the attempt."""
+        task = self.tasks[index]
+        if not task.may_place():
+            raise AssertionError(f"task {index} of {self.job_id} has no start left")
+        number = len(task.attempts) + 1
+        task.attempts.append(Attempt(number, agent, now_ms))
+        task.apply("place")
+        return number
+
+    def report(self, agent: AgentKey, row: TaskRow) -> ReportEffect:
+        """Take an agent's row; a duplicate changes nothing."""
+        task = self.tasks[row.index] if row.index < len(self.tasks) else None
+        attempt = task.find_attempt(agent, row.attempt) if task else None
+        if attempt is None or attempt.state not in (OUT, LOST):
+            return ReportEffect.NOTHING
+        if row.state in (ledger.QUEUED, ledger.STARTED):
+            return ReportEffect.NOTHING
+        effect = ReportEffect.ENDED if attempt.state == OUT else ReportEffect.LATE
+        attempt.reason = row.reason
+        attempt.state = LOST if row.reason in AMBIGUOUS_REASONS else row.state
+        if not task.is_final:
+            self._advance(task, row)
+        return effect
+
+    def lose_agent(self, agent: AgentKey, reason: str) -> list[Task]:
+        """Give up on all attempts out at an agent; return the tasks concerned."""
+        concerned = []
+        for task in self.tasks:
+            for attempt in task.out_attempts():
+                if attempt.agent == agent:
+                    attempt.state = LOST
+                    attempt.reason = reason
+                    concerned.append(task)
+                    self._reconsider(task, reason)
+        return concerned
+
+    def out_at(self, agent: AgentKey) -> list[tuple[int, int]]:
+        """Return index and number of each attempt awaited from an agent."""
+        return [
+            (task.index, attempt.number)
+            for task in self.tasks
+            for attempt in task.out_attempts()
+            if attempt.agent == agent
+        ]
+
+    def agents_out(self) -> set[AgentKey]:
+        """Return the agents that still hold attempts of the job."""
+        return {attempt.agent for task in self.tasks for attempt in task.out_attempts()}
+
+    def stop_placing(self, reason: str) -> None:
+        """Give every waiting task its fate; what is out is still awaited."""
+        self.closed_to_placement = reason
+        for task in self.tasks:
+            if task.state == WAITING:
+                self.settle(task, reason)
+
+    def give_up(self, reason: str) -> None:
+        """Give every task its fate now: what is out is unknown from here on."""
+        self.stop_placing(reason)
+        for task in self.tasks:
+            if not task.is_final:
+                self._finish(task, "lose", reason)
+
+    def settle(self, task: Task, reason: str) -> None:
+        """Give a task that will not be placed again the fate that its attempts prove."""
+        states = [attempt.state for attempt in task.attempts if attempt.may_have_started]
+        if not states:
+            self._finish(task, "give_up", reason)
+        elif LOST in states or OUT in states:
+            self._finish(task, "lose", task.reason or reason)
+        else:
+            self._finish(task, "fail", task.reason or reason)
+
+    def answer(self, now_ms: int) -> Answer:
+        """Return the whole answer; only for a settled job."""
+        outcomes = [
+            TaskOutcome(task.index, task.state, task.reason, task.result, task.starts)
+            for task in self.tasks
+        ]
+        submission = self.submission
+        return Answer(
+            self.job_id,
+            submission.team,
+            submission.key,
+            summarize_outcome(outcomes),
+            self.reason,
+            self.epoch,
+            now_ms - self.created_at_ms,
+            outcomes,
+        )
+
+    def progress(self) -> Progress:
+        """Return the counts of tasks by state."""
+        counts = dict.fromkeys(("waiting", "placed", "done", "failed", "not_run", "unknown"), 0)
+        for task in self.tasks:
+            counts[task.state] += 1
+        state = "settled" if self.is_settled else "open"
+        return Progress(self.job_id, self.submission.team, state, **counts)
+
+    def _advance(self, task: Task, row: TaskRow) -> None:
+        if row.state == ledger.DONE:
+            task.result = row.result
+            self._finish(task, "finish", "")
+        elif row.state == ledger.NEVER_STARTED:
+            self._reconsider(task, row.reason)
+        else:
+            task.result = row.result
+            self._reconsider(task, row.reason)
+
+    def _reconsider(self, task: Task, reason: str) -> None:
+        """After an attempt ended without success: wait for others, retry, or settle."""
+        if task.is_final:
+            return
+        task.reason = reason
+        if task.out_attempts():
+            return
+        if task.may_place() and not self.closed_to_placement:
+            task.apply("return", reason)
+            return
+        self.settle(task, self.closed_to_placement or reason)
+
+    def _finish(self, task: Task, event: str, reason: str) -> None:
+        task.apply(event, reason)
+        if event == "finish":
+            task.reason = ""
+        task.payload = ""
+        self.unsettled -= 1
--- /dev/null
+++ b/src/gapdrum/leases.py
@@ -0,0 +1,102 @@
+"""Leases of the entries: one row each in the table, judged alive on the reader's own clock.
+
+A lease has lapsed when its row has not changed for ``LEASE_TTL_MS`` of time
+in which this process could read the table.  No two wall clocks are compared,
+and an outage of the store does not make anybody look dead.
+"""
+
+import attrs
+
+from gapdrum.claims import Owner
+from gapdrum.conversion import structure, unstructure
+from gapdrum.exceptions import InvalidInputError
+from gapdrum.store import ANY_VERSION, Row, TableWrite
+
+KEY_PREFIX = "entry/"
+RENEW_INTERVAL_MS = 1_000
+LEASE_TTL_MS = 4_000
+ROW_TTL_MS = 60_000
+MAX_COUNTED_GAP_MS = 2 * RENEW_INTERVAL_MS
+
+
+@attrs.frozen
+class EntryRecord:
+    """What an entry states in its lease row."""
+
+    entry_id: str
+    incarnation: str
+    zone: str
+    host: str
+    stream_port: int
+    renewal: int
+    leaving: bool
+    settings_version: int
+    agents_settings_version: int
+    demand: dict[str, int]
+
+    @property
+    def owner(self) -> Owner:
+        """Return the identity that claims carry."""
+        return Owner(self.entry_id, self.incarnation)
+
+
+def build_renewal(record: EntryRecord) -> TableWrite:
+    """Return the write that renews a lease; the last one wins, as the row is one entry's own."""
+    return TableWrite(KEY_PREFIX + record.entry_id, ANY_VERSION, unstructure(record), ROW_TTL_MS)
+
+
+@attrs.define
+class ObservedLease:
+    """A lease row with how long it has been seen not to change."""
+
+    record: EntryRecord
+    version: int
+    unchanged_ms: int = 0
+
+
+class LeaseTable:
+    """The leases of all entries as last read."""
+
+    def __init__(self) -> None:
+        self._leases: dict[str, ObservedLease] = {}
+        self._read_at_ms: int | None = None
+
+    def observe(self, rows: list[Row], now_ms: int) -> None:
+        """Take a successful scan of the lease rows."""
+        elapsed_ms = 0 if self._read_at_ms is None else now_ms - self._read_at_ms
+        counted_ms = min(elapsed_ms, MAX_COUNTED_GAP_MS)
+        self._read_at_ms = now_ms
+        seen = {}
+        for row in rows:
+            record = _read_record(row)
+            if record is not None:
+                seen[record.entry_id] = self._advance(record, row.version, counted_ms)
+        self._leases = seen
+
+    def alive(self) -> list[EntryRecord]:
+        """Return the entries whose lease stands and that are not leaving."""
+        return [
+            lease.record
+            for lease in self._leases.values()
+            if lease.unchanged_ms < LEASE_TTL_MS and not lease.record.leaving
+        ]
+
+    def find_alive(self, owner: Owner) -> EntryRecord | None:
+        """Return the record of exactly this life of an entry if its lease stands."""
+        lease = self._leases.get(owner.entry_id)
+        if lease is None or lease.unchanged_ms >= LEASE_TTL_MS:
+            return None
+        return lease.record if lease.record.owner == owner else None
+
+    def _advance(self, record: EntryRecord, version: int, counted_ms: int) -> ObservedLease:
+        known = self._leases.get(record.entry_id)
+        if known is None or known.version != version:
+            return ObservedLease(record, version)
+        return ObservedLease(record, version, known.unchanged_ms + counted_ms)
+
+
+def _read_record(row: Row) -> EntryRecord | None:
+    try:
+        return structure(row.value, EntryRecord)
+    except InvalidInputError:
+        return None
--- /dev/null
+++ b/src/gapdrum/ledger.py
@@ -0,0 +1,239 @@
+"""The agent's record of task attempts: what may start, what started, what never will.
+
+Pure decision code: it does no I/O and is given the time.  Its rules are what
+keeps a task from starting too often:
+
+* an attempt starts only under the highest epoch seen for its job and only
+  before its ``start_by_ms`` on this agent's clock;
+* an attempt that is declined is kept as ``never_started`` and can't be
+  queued again under the same number;
+* records outlive the last moment at which an order for them could start.
+"""
+
+from collections import deque
+
+import attrs
+
+from gapdrum.messages import Fence, Inquire, JobHoldings, PlaceTasks, TaskKey, TaskRow, Withdraw
+from gapdrum.states import load_chart
+
+CHART = load_chart("held_task")
+QUEUED = "queued"
+STARTED = "started"
+DONE = "done"
+FAILED = "failed"
+NEVER_STARTED = "never_started"
+
+REASON_LAPSED = "start_by_passed"
+REASON_FENCED = "fenced"
+REASON_WITHDRAWN = "withdrawn"
+REASON_QUEUE_FULL = "queue_full"
+REASON_LEAVING = "runner_leaving"
+REASON_NEVER_RECEIVED = "never_received"
+
+
+@attrs.define
+class HeldTask:
+    """One attempt that this agent was told of, and what became of it."""
+
+    job_id: str
+    key: TaskKey
+    payload: str
+    state: str = CHART.initial
+    reason: str = ""
+    result: str = ""
+    run_ms: int = 0
+
+    def apply(self, event: str) -> None:
+        """Move along the chart; raises ChartError on an event that can't be."""
+        self.state = CHART.next_state(self.state, event)
+
+    def row(self) -> TaskRow:
+        """Return the attempt as it goes over the wire."""
+        return TaskRow(
+            self.key.index, self.key.attempt, self.state, self.reason, self.result, self.run_ms
+        )
+
+
+@attrs.define
+class HeldJob:
+    """All attempts of one job, under the highest epoch seen for it."""
+
+    job_id: str
+    epoch: int
+    start_by_ms: int
+    keep_until_ms: int
+    tasks: dict[TaskKey, HeldTask] = attrs.Factory(dict)
+
+    def holdings(self) -> JobHoldings:
+        """Return all rows of the job as one message."""
+        return JobHoldings(self.job_id, self.epoch, [task.row() for task in self.tasks.values()])
+
+
+class Ledger:
+    """Decides which attempts start; every answer it gives stays true.
+
+    ``retention_ms`` must be at least the longest deadline of a job: an order
+    delayed by the network must still meet the record that forbids it.  The
+    agent asks ``next_start`` whenever a slot is free, and tells the
+    outcome with ``finish``::
+
+        ledger.place(order, now_ms)
+        task = ledger.next_start(now_ms)
+        ledger.finish(task, DONE, "", result, run_ms)
+    """
+
+    def __init__(self, queue_limit: int, retention_ms: int) -> None:
+        self.queue_limit = queue_limit
+        self.retention_ms = retention_ms
+        self.leaving = False
+        self._jobs: dict[str, HeldJob] = {}
+        self._queue: deque[HeldTask] = deque()
+        self._queued = 0
+
+    @property
+    def queued(self) -> int:
+        """Return how many attempts wait for a slot."""
+        return self._queued
+
+    @property
+    def job_count(self) -> int:
+        """Return how many jobs are on record."""
+        return len(self._jobs)
+
+    def epoch_of(self, job_id: str) -> int:
+        """Return the highest epoch seen for the job, 0 if none."""
+        job = self._jobs.get(job_id)
+        return job.epoch if job else 0
+
+    def place(self, order: PlaceTasks, now_ms: int) -> list[TaskRow]:
+        """Take start orders; return rows for those that end at once or were known already."""
+        job = self._job_for(order.job_id, order.epoch, order.start_by_ms, now_ms)
+        rows = []
+        for placed in order.tasks:
+            key = TaskKey(placed.index, placed.attempt)
+            known = job.tasks.get(key)
+            if known is None:
+                known = HeldTask(order.job_id, key, placed.payload)
+                self._admit(job, known, order, now_ms)
+            if known.state != QUEUED:
+                rows.append(known.row())
+        return rows
+
+    def next_start(self, now_ms: int) -> tuple[HeldTask | None, list[HeldTask]]:
+        """Return the next attempt to start, marked as started, and those that lapsed."""
+        lapsed = []
+        while self._queue:
+            task = self._queue.popleft()
+            if task.state != QUEUED:
+                continue
+            self._queued -= 1
+            if now_ms > self._jobs[task.job_id].start_by_ms:
+                self._end(task, REASON_LAPSED)
+                lapsed.append(task)
+                continue
+            task.apply("start")
+            return task, lapsed
+        return None, lapsed
+
+    def may_start(self, task: HeldTask, now_ms: int) -> bool:
+        """Check once more, directly before the runner is called."""
+        return now_ms <= self._jobs[task.job_id].start_by_ms
+
+    def finish(self, task: HeldTask, event: str, reason: str, result: str, run_ms: int) -> TaskRow:
+        """Record the outcome of a started attempt and return its row."""
+        task.apply(event)
+        task.reason = reason
+        task.result = result
+        task.run_ms = run_ms
+        task.payload = ""
+        return task.row()
+
+    def withdraw(self, order: Withdraw) -> list[TaskRow]:
+        """Decline what is still queued; return the rows that changed."""
+        job = self._jobs.get(order.job_id)
+        if job is None or order.epoch < job.epoch:
+            return []
+        keys = order.tasks or tuple(job.tasks)
+        return self._decline(job, keys, REASON_WITHDRAWN)
+
+    def fence(self, order: Fence, now_ms: int) -> JobHoldings:
+        """Raise the epoch, decline what is queued under lower ones, tell all that is known."""
+        job = self._job_for(order.job_id, order.epoch, 0, now_ms)
+        if order.epoch == job.epoch:
+            self._decline(job, tuple(job.tasks), REASON_FENCED)
+        return job.holdings()
+
+    def inquire(self, order: Inquire, now_ms: int) -> JobHoldings:
+        """Tell what is known of the attempts; those never received are declined for good."""
+        job = self._job_for(order.job_id, order.epoch, 0, now_ms)
+        for key in order.tasks:
+            if key not in job.tasks:
+                task = HeldTask(order.job_id, key, "")
+                job.tasks[key] = task
+                self._end(task, REASON_NEVER_RECEIVED)
+        return job.holdings()
+
+    def decline_queue(self) -> list[HeldTask]:
+        """Decline all that waits, as the runner is leaving; return what was declined."""
+        waiting = [task for task in self._queue if task.state == QUEUED]
+        for task in waiting:
+            self._end(task, REASON_LEAVING)
+        self._queue.clear()
+        self._queued = 0
+        return waiting
+
+    def forget(self, now_ms: int) -> int:
+        """Drop jobs past retention; return how many were dropped."""
+        expired = [job for job in self._jobs.values() if self._is_expired(job, now_ms)]
+        for job in expired:
+            del self._jobs[job.job_id]
+        return len(expired)
+
+    def _job_for(self, job_id: str, epoch: int, start_by_ms: int, now_ms: int) -> HeldJob:
+        """Return the job's record, with epoch and limits raised to those given."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            job = HeldJob(job_id, epoch, start_by_ms, 0)
+            self._jobs[job_id] = job
+        if epoch > job.epoch:
+            self._decline(job, tuple(job.tasks), REASON_FENCED)
+            job.epoch = epoch
+        job.start_by_ms = max(job.start_by_ms, start_by_ms)
+        job.keep_until_ms = max(job.start_by_ms, now_ms) + self.retention_ms
+        return job
+
+    def _admit(self, job: HeldJob, task: HeldTask, order: PlaceTasks, now_ms: int) -> None:
+        job.tasks[task.key] = task
+        if order.epoch < job.epoch:
+            self._end(task, REASON_FENCED)
+        elif self.leaving:
+            self._end(task, REASON_LEAVING)
+        elif now_ms > order.start_by_ms:
+            self._end(task, REASON_LAPSED)
+        elif self._queued >= self.queue_limit:
+            self._end(task, REASON_QUEUE_FULL)
+        else:
+            self._queue.append(task)
+            self._queued += 1
+
+    def _decline(self, job: HeldJob, keys: tuple[TaskKey, ...], reason: str) -> list[TaskRow]:
+        rows = []
+        for key in keys:
+            task = job.tasks.get(key)
+            if task is not None and task.state == QUEUED:
+                self._end(task, reason)
+                self._queued -= 1
+                rows.append(task.row())
+        return rows
+
+    @staticmethod
+    def _end(task: HeldTask, reason: str) -> None:
+        task.apply("decline")
+        task.reason = reason
+        task.payload = ""
+
+    def _is_expired(self, job: HeldJob, now_ms: int) -> bool:
+        if now_ms <= job.keep_until_ms:
+            return False
+        return all(task.state in CHART.final for task in job.tasks.values())
--- /dev/null
+++ b/src/gapdrum/members.py
@@ -0,0 +1,154 @@
+"""Which runners an entry knows, by what their agents' streams tell."""
+
+import attrs
+
+from gapdrum.jobs import AgentKey
+from gapdrum.messages import AgentHello, RunnerLoad
+from gapdrum.states import load_chart
+
+CHART = load_chart("runner")
+READY = "ready"
+PROBATION = "probation"
+EJECTED = "ejected"
+SILENT = "silent"
+LEAVING = "leaving"
+TAKES_WORK = frozenset({READY, PROBATION})
+
+
+@attrs.define(eq=False)
+class RunnerView:
+    """A runner as this entry sees it.
+
+    ``free_slots`` is the agent's last statement; ``pending`` are the orders
+    sent since then that the statement does not include yet.
+    """
+
+    agent: AgentKey
+    zone: str
+    worker: str
+    upstream: str = ""
+    state: str = CHART.initial
+    slots: int = 0
+    accelerators: int = 0
+    reported_free: int = 0
+    queued: int = 0
+    sent: int = 0
+    received: int = 0
+    outstanding: int = 0
+    failures_in_row: int = 0
+    settings_version: int = 0
+    agent_time_ms: int = 0
+    heard_at_ms: int = 0
+    ejected_at_ms: int = 0
+
+    @property
+    def free_slots(self) -> int:
+        """Return the slots that are free as far as this entry can know."""
+        return self.reported_free - self.queued - (self.sent - self.received)
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether new work may be placed here."""
+        if self.state == PROBATION:
+            return self.outstanding == 0
+        return self.state in TAKES_WORK
+
+    def apply(self, event: str) -> bool:
+        """Move along the chart; return whether the state changed."""
+        before = self.state
+        self.state = CHART.next_state(before, event)
+        return self.state != before
+
+    def note_load(self, free: int, queued: int, received: int, time_ms: int, now_ms: int) -> None:
+        """Take the agent's statement of its load and its clock."""
+        self.reported_free = free
+        self.queued = queued
+        self.received = max(self.received, received)
+        self.note_clock(time_ms, now_ms)
+
+    def note_clock(self, agent_time_ms: int, now_ms: int) -> None:
+        """Take the agent's statement of its clock."""
+        self.agent_time_ms = agent_time_ms
+        self.heard_at_ms = now_ms
+
+    def agent_clock_ms(self, now_ms: int) -> int:
+        """Return a lower bound of the agent's clock now.
+
+        The agent stated its clock at some time before this entry heard it, so
+        a limit worked out from this bound can only lapse too early.
+        """
+        return self.agent_time_ms + (now_ms - self.heard_at_ms)
+
+
+class Members:
+    """All runners by agent, with the lives of each agent kept apart."""
+
+    def __init__(self) -> None:
+        self._views: dict[str, RunnerView] = {}
+        self._by_upstream: dict[str, list[RunnerView]] = {}
+
+    def __iter__(self):
+        return iter(self._views.values())
+
+    def find(self, agent_id: str) -> RunnerView | None:
+        """Return the view of an agent's present or last life."""
+        return self._views.get(agent_id)
+
+    def find_life(self, agent: AgentKey) -> RunnerView | None:
+        """Return the view of exactly this life of an agent."""
+        view = self._views.get(agent.agent_id)
+        return view if view is not None and view.agent == agent else None
+
+    def join(self, hello: AgentHello, now_ms: int) -> tuple[RunnerView, RunnerView | None]:
+        """Take an agent's hello; return its view and the view of a life that is over."""
+        agent = AgentKey(hello.agent_id, hello.incarnation)
+        known = self._views.get(hello.agent_id)
+        if known is not None and known.agent == agent:
+            if known.state == SILENT:
+                known.apply("return")
+            known.note_clock(hello.agent_time_ms, now_ms)
+            known.sent = known.received = 0
+            return known, None
+        view = RunnerView(agent, hello.zone, hello.worker)
+        view.note_clock(hello.agent_time_ms, now_ms)
+        self._views[hello.agent_id] = view
+        if known is not None:
+            self._drop_from_upstream(known)
+        return view, known
+
+    def note_load(self, view: RunnerView, load: RunnerLoad, now_ms: int) -> bool:
+        """Take a runner's load message; return whether its state changed."""
+        if load.upstream != view.upstream:
+            self._drop_from_upstream(view)
+            view.upstream = load.upstream
+            self._by_upstream.setdefault(load.upstream, []).append(view)
+        view.slots = load.slots
+        view.accelerators = load.accelerators
+        view.settings_version = load.settings_version
+        view.note_load(load.free_slots, load.queued, load.received, load.agent_time_ms, now_ms)
+        events = {"ready": "ready", "leaving": "leave", "absent": "absent"}
+        event = events.get(load.state, "absent")
+        return CHART.allows(view.state, event) and view.apply(event)
+
+    def forget(self, view: RunnerView) -> None:
+        """Drop a runner that is gone for good."""
+        if self._views.get(view.agent.agent_id) is view:
+            del self._views[view.agent.agent_id]
+        self._drop_from_upstream(view)
+
+    def of_upstream(self, upstream: str) -> list[RunnerView]:
+        """Return all runners that announced this upstream, whatever their state."""
+        return self._by_upstream.get(upstream, [])
+
+    def taking_work(self, upstream: str, accelerators: int = 0) -> list[RunnerView]:
+        """Return the runners that may be given new work."""
+        return [
+            view
+            for view in self.of_upstream(upstream)
+            if view.takes_work and view.accelerators >= accelerators
+        ]
+
+    def _drop_from_upstream(self, view: RunnerView) -> None:
+        views = self._by_upstream.get(view.upstream, [])
+        if view in views:
+            views.remove(view)
--- /dev/null
+++ b/src/gapdrum/messages.py
@@ -0,0 +1,216 @@
+"""The messages of the internal streams, one attrs class each.
+
+Times named ``agent_time_ms`` and ``start_by_ms`` are on the agent's own
+monotonic clock: an agent states its clock in its messages, and the entry
+derives limits from the last statement, so no two clocks are ever compared.
+"""
+
+import attrs
+
+from gapdrum.codec import message
+from gapdrum.structures import count_field, rows_field, text_field
+
+MAX_TASKS_PER_JOB = 1_000
+MAX_PAYLOAD_LENGTH = 64 * 1024
+MAX_SETTINGS_LENGTH = 4 * 1024 * 1024
+MAX_ANSWER_LENGTH = 6 * 1024 * 1024
+
+STATE_READY = "ready"
+STATE_ABSENT = "absent"
+STATE_LEAVING = "leaving"
+
+
+@attrs.frozen
+class PlacedTask:
+    """One start order: the attempt of a task of a job, with what the runner is to get."""
+
+    index: int = count_field(MAX_TASKS_PER_JOB)
+    attempt: int = count_field(1_000)
+    payload: str = text_field(MAX_PAYLOAD_LENGTH)
+
+
+@attrs.frozen
+class TaskRow:
+    """What an agent knows of one attempt: a state of the chart ``held_task``."""
+
+    index: int = count_field(MAX_TASKS_PER_JOB)
+    attempt: int = count_field(1_000)
+    state: str = text_field()
+    reason: str = text_field()
+    result: str = text_field(MAX_PAYLOAD_LENGTH)
+    run_ms: int = count_field()
+
+
+@attrs.frozen
+class TaskKey:
+    """Names one attempt of one task within its job."""
+
+    index: int = count_field(MAX_TASKS_PER_JOB)
+    attempt: int = count_field(1_000)
+
+
+@message(1)
+@attrs.frozen
+class AgentHello:
+    """The first message of an agent: who it is and which runner it stands beside."""
+
+    agent_id: str = text_field()
+    incarnation: str = text_field()
+    zone: str = text_field()
+    worker: str = text_field()
+    token: str = text_field(repr=False)
+    agent_time_ms: int = count_field()
+
+
+@message(2)
+@attrs.frozen
+class RunnerLoad:
+    """The agent's view of its runner, also the heartbeat of the stream.
+
+    ``received`` counts the start orders taken from this entry on this stream,
+    so that the entry can tell which of its orders the figures include.
+    """
+
+    upstream: str = text_field()
+    state: str = text_field()
+    slots: int = count_field()
+    accelerators: int = count_field()
+    free_slots: int = count_field()
+    queued: int = count_field()
+    received: int = count_field()
+    agent_time_ms: int = count_field()
+    settings_version: int = count_field()
+
+
+@message(3)
+@attrs.frozen
+class TaskReport:
+    """What became of one attempt, with the load of the runner after it."""
+
+    job_id: str = text_field()
+    epoch: int = count_field()
+    task: tuple[TaskRow, ...] = rows_field(TaskRow, 1)
+    free_slots: int = count_field()
+    queued: int = count_field()
+    received: int = count_field()
+    agent_time_ms: int = count_field()
+
+
+@message(4)
+@attrs.frozen
+class JobHoldings:
+    """All attempts of a job that an agent knows: its answer to Fence and Inquire.
+
+    ``epoch`` is the highest epoch that the agent has seen for the job; an
+    entry that asked with a lower one has lost the job.
+    """
+
+    job_id: str = text_field()
+    epoch: int = count_field()
+    tasks: tuple[TaskRow, ...] = rows_field(TaskRow, 4 * MAX_TASKS_PER_JOB)
+
+
+@message(10)
+@attrs.frozen
+class EntryHello:
+    """The first message of an entry on a stream that an agent or a peer opened."""
+
+    entry_id: str = text_field()
+    incarnation: str = text_field()
+    settings_version: int = count_field()
+
+
+@message(11)
+@attrs.frozen
+class PlaceTasks:
+    """Start orders for one job; nothing is started after ``start_by_ms``."""
+
+    job_id: str = text_field()
+    epoch: int = count_field(minimum=1)
+    start_by_ms: int = count_field()
+    settings_version: int = count_field()
+    tasks: tuple[PlacedTask, ...] = rows_field(PlacedTask, MAX_TASKS_PER_JOB)
+
+
+@message(12)
+@attrs.frozen
+class Withdraw:
+    """Take back what has not started; an empty list names all attempts of the job."""
+
+    job_id: str = text_field()
+    epoch: int = count_field()
+    tasks: tuple[TaskKey, ...] = rows_field(TaskKey, 4 * MAX_TASKS_PER_JOB)
+
+
+@message(13)
+@attrs.frozen
+class Fence:
+    """Raise the epoch of a job: lower epochs start nothing more, queued attempts end."""
+
+    job_id: str = text_field()
+    epoch: int = count_field(minimum=1)
+
+
+@message(14)
+@attrs.frozen
+class Inquire:
+    """Ask after attempts sent on a stream that broke; those never received will not start."""
+
+    job_id: str = text_field()
+    epoch: int = count_field()
+    tasks: tuple[TaskKey, ...] = rows_field(TaskKey, 4 * MAX_TASKS_PER_JOB)
+
+
+@message(15)
+@attrs.frozen
+class SettingsPush:
+    """The settings tree in force, as JSON text, with its version."""
+
+    version: int = count_field()
+    document: str = text_field(MAX_SETTINGS_LENGTH)
+
+
+@message(16)
+@attrs.frozen
+class EntryHeartbeat:
+    """Sent by an entry when it has nothing else to say; carries the settings version."""
+
+    settings_version: int = count_field()
+
+
+@message(17)
+@attrs.frozen
+class EntryLeaving:
+    """The entry is shutting down: the agent should not count on it any more."""
+
+    entry_id: str = text_field()
+
+
+@message(20)
+@attrs.frozen
+class PeerHello:
+    """The first message of an entry on a stream it opened to another entry."""
+
+    entry_id: str = text_field()
+    token: str = text_field(repr=False)
+    settings_version: int = count_field()
+
+
+@message(21)
+@attrs.frozen
+class PeerRequest:
+    """Ask another entry about a job; ``kind`` names a handler in ``peers.HANDLERS``."""
+
+    request_id: int = count_field()
+    kind: str = text_field()
+    job_id: str = text_field()
+    wait_ms: int = count_field()
+
+
+@message(22)
+@attrs.frozen
+class PeerReply:
+    """The reply, as JSON text; empty if the entry does not know the job."""
+
+    request_id: int = count_field()
+    document: str = text_field(MAX_ANSWER_LENGTH)
--- /dev/null
+++ b/src/gapdrum/peers.py
@@ -0,0 +1,118 @@
+"""Requests between entries: the owner of a job is asked for what only it knows."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from gapdrum.exceptions import StreamClosedError
+from gapdrum.leases import EntryRecord
+from gapdrum.messages import EntryHello, PeerHello, PeerReply, PeerRequest
+from gapdrum.metrics import Metrics
+from gapdrum.streams import Stream, open_stream
+
+REPLY_MARGIN_MS = 1_000
+MS_PER_S = 1000
+
+FOLLOW = "follow"
+CANCEL = "cancel"
+EXPLAIN = "explain"
+
+Handler = Callable[[object, PeerRequest], Awaitable[str]]
+HANDLERS: dict[str, Handler] = {}
+
+
+def peer_handler(kind: str) -> Callable[[Handler], Handler]:
+    """Register what answers a kind of peer request, given the dispatcher and the request."""
+
+    def register(function: Handler) -> Handler:
+        HANDLERS[kind] = function
+        return function
+
+    return register
+
+
+class PeerLink:
+    """A stream to one life of another entry, with the requests that await a reply."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.waiting: dict[int, asyncio.Future] = {}
+
+    async def receive(self) -> None:
+        """Resolve replies until the stream ends, then fail what still waits."""
+        try:
+            async for message in self.stream:
+                if isinstance(message, PeerReply):
+                    future = self.waiting.pop(message.request_id, None)
+                    if future is not None and not future.done():
+                        future.set_result(message.document)
+        finally:
+            self.stream.close()
+            for future in self.waiting.values():
+                if not future.done():
+                    future.set_exception(StreamClosedError("the peer is gone"))
+
+
+class Peers:
+    """Opens streams to other entries when they are needed and keeps them."""
+
+    def __init__(self, entry_id: str, token: str, metrics: Metrics, tls=None) -> None:
+        self._hello = PeerHello(entry_id, token, 0)
+        self._metrics = metrics
+        self._tls = tls
+        self._links: dict[tuple[str, str], PeerLink] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._ids = itertools.count(1)
+
+    async def ask(self, record: EntryRecord, kind: str, job_id: str, wait_ms: int) -> str:
+        """Return an entry's reply; raises StreamClosedError if it can't be reached."""
+        link = await self._link_to(record)
+        request = PeerRequest(next(self._ids), kind, job_id, wait_ms)
+        future = asyncio.get_running_loop().create_future()
+        link.waiting[request.request_id] = future
+        link.stream.send(request)
+        try:
+            timeout_s = (wait_ms + REPLY_MARGIN_MS) / MS_PER_S
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            raise StreamClosedError("the peer did not reply in time") from error
+        finally:
+            link.waiting.pop(request.request_id, None)
+
+    async def _link_to(self, record: EntryRecord) -> PeerLink:
+        key = (record.entry_id, record.incarnation)
+        link = self._links.get(key)
+        if link is not None and not link.stream.closed:
+            return link
+        stream = await open_stream(
+            record.host,
+            record.stream_port,
+            self._metrics.sent,
+            self._metrics.received,
+            self._tls,
+        )
+        stream.send(self._hello)
+        link = self._links[key] = PeerLink(stream)
+        task = asyncio.get_running_loop().create_task(link.receive())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return link
+
+
+async def serve_peer(
+    stream: Stream, messages: AsyncIterator, hello: EntryHello, dispatcher: object
+) -> None:
+    """Answer the requests of a peer until it closes its stream."""
+    stream.send(hello)
+    tasks: set[asyncio.Task] = set()
+    async for message in messages:
+        if isinstance(message, PeerRequest) and message.kind in HANDLERS:
+            task = asyncio.get_running_loop().create_task(_reply(stream, message, dispatcher))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+
+async def _reply(stream: Stream, request: PeerRequest, dispatcher: object) -> None:
+    document = await HANDLERS[request.kind](dispatcher, request)
+    if not stream.closed:
+        stream.send(PeerReply(request.request_id, document))
--- /dev/null
+++ b/src/gapdrum/recovery.py
@@ -0,0 +1,78 @@
+"""Rebuilding a job after its owner died, from what the agents of its roster hold.
+
+Pure decision code.  The agents have been fenced first, so what they tell
+can't change any more except that started attempts end.
+"""
+
+from gapdrum import ledger, reasons
+from gapdrum.jobs import LOST, AgentKey, Attempt, Job, Task
+from gapdrum.messages import JobHoldings, TaskRow
+
+
+class Recovery:
+    """Collects the holdings of a fenced roster until all are heard or given up on.
+
+    ``missing`` agents are gone with what they knew: no task that they may
+    have started is placed again.
+    """
+
+    def __init__(self, job: Job, roster: list[AgentKey], may_place: bool) -> None:
+        self.job = job
+        self.may_place = may_place
+        self.awaited = set(roster)
+        self.missing: set[AgentKey] = set()
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every agent of the roster has been heard or given up on."""
+        return not self.awaited
+
+    def take(self, agent: AgentKey, holdings: JobHoldings) -> None:
+        """Take one agent's holdings into the job."""
+        if agent not in self.awaited:
+            return
+        self.awaited.discard(agent)
+        for row in holdings.tasks:
+            if row.index < len(self.job.tasks):
+                _take_row(self.job, self.job.tasks[row.index], agent, row)
+
+    def give_up_on(self, agent: AgentKey) -> None:
+        """Note that an agent's knowledge is gone."""
+        if agent in self.awaited:
+            self.awaited.discard(agent)
+            self.missing.add(agent)
+
+    def conclude(self) -> list[Task]:
+        """Give each task its state; return those that are to be placed again."""
+        to_place = []
+        for task in self.job.tasks:
+            if task.is_final or task.out_attempts():
+                continue
+            if self.missing:
+                _assume_hidden_starts(task)
+            if self.may_place and task.may_place():
+                to_place.append(task)
+                continue
+            self.job.settle(task, reasons.TAKEN_OVER)
+        if not self.may_place:
+            self.job.closed_to_placement = reasons.TAKEN_OVER
+        return to_place
+
+
+def _take_row(job: Job, task: Task, agent: AgentKey, row: TaskRow) -> None:
+    attempt = Attempt(row.attempt, agent, job.created_at_ms)
+    task.attempts.append(attempt)
+    if row.state == ledger.STARTED:
+        if not task.is_final and task.state != "placed":
+            task.apply("place")
+        return
+    job.report(agent, row)
+
+
+def _assume_hidden_starts(task: Task) -> None:
+    """Count every start that a missing agent may have made."""
+    unknown_agent = AgentKey("", "")
+    while task.starts < task.starts_allowed:
+        hidden = Attempt(0, unknown_agent, 0, LOST, reasons.RECORDS_GONE)
+        task.attempts.append(hidden)
+    task.reason = reasons.RECORDS_GONE
--- /dev/null
+++ b/src/gapdrum/runners.py
@@ -0,0 +1,97 @@
+"""The agent's side of its runner: what it announced, and the calls that start tasks."""
+
+import attrs
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from gapdrum import reasons
+from gapdrum.config import Address
+from gapdrum.messages import (
+    MAX_PAYLOAD_LENGTH,
+    STATE_ABSENT,
+    STATE_LEAVING,
+    STATE_READY,
+)
+from gapdrum.structures import count_field, text_field
+
+ANNOUNCE_TIMEOUT_MS = 3_000
+MAX_SLOTS = 512
+CONNECT_TIMEOUT_S = 1
+RUN_TIMEOUT_S = 600
+
+
+@attrs.frozen
+class Announcement:
+    """What a runner says of itself, every second or so."""
+
+    upstream: str = text_field()
+    slots: int = count_field(MAX_SLOTS, 1)
+    connections: int = count_field(4_096, 1)
+    address: Address
+    accelerators: int = count_field(64, default=0)
+
+
+@attrs.define
+class Runner:
+    """The runner beside this agent as last announced."""
+
+    announcement: Announcement | None = None
+    heard_at_ms: int = 0
+    leaving: bool = False
+
+    @property
+    def slots(self) -> int:
+        """Return how many tasks the runner takes at once."""
+        if self.announcement is None:
+            return 0
+        return min(self.announcement.slots, self.announcement.connections)
+
+    def announce(self, announcement: Announcement, now_ms: int) -> None:
+        """Take an announcement; it also takes back an earlier leave."""
+        self.announcement = announcement
+        self.heard_at_ms = now_ms
+        self.leaving = False
+
+    def state(self, now_ms: int) -> str:
+        """Return the state that the agent tells the entries."""
+        if self.leaving:
+            return STATE_LEAVING
+        if self.announcement is None or now_ms - self.heard_at_ms > ANNOUNCE_TIMEOUT_MS:
+            return STATE_ABSENT
+        return STATE_READY
+
+
+@attrs.frozen
+class RunOutcome:
+    """How a call to the runner ended: an event of the chart ``held_task`` and why."""
+
+    event: str
+    reason: str
+    result: str
+
+
+class RunnerClient:
+    """Blocking HTTP calls to the runner, one thread each."""
+
+    def __init__(self) -> None:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RUN_TIMEOUT_S)
+        self._pool = urllib3.PoolManager(maxsize=MAX_SLOTS, retries=False, timeout=timeout)
+
+    def run(self, address: Address, job_id: str, index: int, payload: str) -> RunOutcome:
+        """Start one task and wait for its end.
+
+        Only a refused connection proves that the task did not start; any
+        other broken call may have reached the runner.
+        """
+        url = f"http://{address.host}:{address.port}/run"
+        headers = {"Gapdrum-Job": job_id, "Gapdrum-Task": str(index)}
+        try:
+            response = self._pool.request("POST", url, body=payload.encode(), headers=headers)
+        except NewConnectionError:
+            return RunOutcome("not_sent", reasons.CONNECTION_REFUSED, "")
+        except HTTPError:
+            return RunOutcome("fail", reasons.CONNECTION_LOST, "")
+        text = response.data.decode(errors="replace")[:MAX_PAYLOAD_LENGTH]
+        if response.status == 200:
+            return RunOutcome("finish", "", text)
+        return RunOutcome("fail", reasons.RUNNER_ERROR, text)
--- /dev/null
+++ b/src/gapdrum/scheduler.py
@@ -0,0 +1,333 @@
+"""Places waiting tasks on runners and takes back what the agents report."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from gapdrum import ledger, reasons
+from gapdrum.budgets import RatioBudget
+from gapdrum.decisions import DecisionLog
+from gapdrum.ejection import note_outcome
+from gapdrum.exceptions import StreamClosedError
+from gapdrum.hedging import Straggler, find_stragglers
+from gapdrum.jobs import PLACED, WAITING, AgentKey, Job, ReportEffect, Task
+from gapdrum.members import EJECTED, Members, RunnerView
+from gapdrum.messages import Inquire, PlacedTask, PlaceTasks, TaskKey, TaskRow, Withdraw
+from gapdrum.metrics import Metrics
+from gapdrum.placement import choose_runner
+from gapdrum.queues import FairQueue
+from gapdrum.quotas import Quotas
+from gapdrum.runtimes import RunTimes
+from gapdrum.settings import SettingsHolder
+from gapdrum.timers import Timers
+
+Sender = Callable[[AgentKey, object], None]
+
+
+@attrs.define(eq=False)
+class OpenJob:
+    """A job this entry owns and has not answered, with the roster that its claim names."""
+
+    job: Job
+    roster: frozenset[AgentKey]
+
+
+@attrs.define(eq=False)
+class _Batch:
+    """Start orders for one job at one runner."""
+
+    open_job: OpenJob
+    view: RunnerView
+    tasks: list[PlacedTask] = attrs.Factory(list)
+
+
+class Scheduler:
+    """Binds tasks to runners.
+
+    ``on_settled`` is called with each job whose tasks all have their fate;
+    ``send`` brings a message to an agent and raises StreamClosedError.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        timers: Timers,
+        settings: SettingsHolder,
+        members: Members,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        send: Sender,
+        on_settled: Callable[[OpenJob], None],
+    ) -> None:
+        self.zone = zone
+        self.timers = timers
+        self.settings = settings
+        self.members = members
+        self.decisions = decisions
+        self.metrics = metrics
+        self.quotas = Quotas(settings)
+        self.run_times = RunTimes()
+        self.open_jobs: dict[str, OpenJob] = {}
+        self.rng = random.Random()
+        self._send = send
+        self._on_settled = on_settled
+        self._queues: dict[str, FairQueue] = {}
+        self._retries = RatioBudget(settings.root.retry_budget_percent)
+        self._hedges = RatioBudget(settings.root.hedge_budget_percent)
+
+    def queued(self, upstream: str) -> int:
+        """Return how many tasks wait for a slot of an upstream."""
+        queue = self._queues.get(upstream)
+        return queue.length if queue else 0
+
+    def open(self, open_job: OpenJob, waiting: list[Task]) -> None:
+        """Take a claimed job, queue its waiting tasks and place what can be."""
+        job = open_job.job
+        self.open_jobs[job.job_id] = open_job
+        self.quotas.note_demand(job.submission.team, len(waiting))
+        for task in waiting:
+            self._queue(job.submission.upstream).push(job, task.index)
+        self.pump(job.submission.upstream)
+
+    def close(self, open_job: OpenJob) -> None:
+        """Stop work on a job: take back what its agents still hold."""
+        job = open_job.job
+        self.open_jobs.pop(job.job_id, None)
+        for agent in job.agents_out():
+            self._try_send(agent, Withdraw(job.job_id, job.epoch, ()))
+        for task in job.tasks:
+            for attempt in task.out_attempts():
+                self._note_ended(job, attempt.agent)
+
+    def cancel(self, open_job: OpenJob) -> None:
+        """Place nothing more of a job; one message to each agent that holds some of it."""
+        job = open_job.job
+        job.reason = reasons.CANCELLED
+        job.stop_placing(reasons.CANCELLED)
+        for agent in job.agents_out():
+            self._try_send(agent, Withdraw(job.job_id, job.epoch, ()))
+        self._settle_if_done(open_job)
+
+    def pump(self, upstream: str) -> None:
+        """Place waiting tasks while there are runners for them."""
+        queue = self._queues.get(upstream)
+        if queue is None or not queue.length:
+            return
+        runners = self.members.taking_work(upstream)
+        blocked: set[str] = set()
+        batches: dict[tuple[str, AgentKey], _Batch] = {}
+        while popped := queue.pop(blocked):
+            job, index = popped
+            view = self._choose(job, runners)
+            if view is None:
+                queue.push(job, index, front=True)
+                blocked.add(job.submission.team)
+                continue
+            self._order(batches, job, index, view)
+        for batch in batches.values():
+            self._send_batch(batch)
+
+    def report(self, view: RunnerView, job_id: str, epoch: int, row: TaskRow) -> None:
+        """Take one agent row about a task of a job."""
+        open_job = self.open_jobs.get(job_id)
+        known = open_job is not None and epoch == open_job.job.epoch
+        if not known or not self._take_row(open_job, view, row):
+            self.metrics.wasted["TaskReport"] += 1
+            return
+        self._settle_if_done(open_job)
+
+    def lose_agent(self, agent: AgentKey, reason: str) -> None:
+        """Give up on all that an agent holds: its life is over or it stays silent."""
+        for open_job in list(self.open_jobs.values()):
+            concerned = open_job.job.lose_agent(agent, reason)
+            for task in concerned:
+                self._note_ended(open_job.job, agent)
+                self._follow_up(open_job.job, task, reason, started=True)
+            if concerned:
+                self._settle_if_done(open_job)
+        self._pump_all()
+
+    def inquire(self, agent: AgentKey) -> None:
+        """Ask a reconnected agent after all attempts that are awaited from it."""
+        for open_job in self.open_jobs.values():
+            job = open_job.job
+            keys = [TaskKey(index, number) for index, number in job.out_at(agent)]
+            if keys:
+                self._try_send(agent, Inquire(job.job_id, job.epoch, keys))
+
+    def hedge(self) -> None:
+        """Start stragglers once more elsewhere, under the hedge budget."""
+        percent = self.settings.root.hedge_after_percent
+        self._hedges.percent = self.settings.root.hedge_budget_percent
+        jobs = [open_job.job for open_job in self.open_jobs.values()]
+        for straggler in find_stragglers(jobs, self.run_times, percent, self.timers.now_ms()):
+            self._hedge_one(straggler)
+
+    def probe_ejected(self) -> None:
+        """Put ejected runners whose time is over on probation."""
+        for view in list(self.members):
+            if view.state != EJECTED:
+                continue
+            wait_ms = self.settings.for_upstream(view.upstream).eject_for_ms
+            if self.timers.now_ms() - view.ejected_at_ms >= wait_ms:
+                view.apply("probe")
+                self._note_runner(view, reasons.RUNNER_PROBATION)
+        self._pump_all()
+
+    def _pump_all(self) -> None:
+        for upstream in list(self._queues):
+            self.pump(upstream)
+
+    def _queue(self, upstream: str) -> FairQueue:
+        queue = self._queues.get(upstream)
+        if queue is None:
+            queue = FairQueue(lambda team: self.settings.for_team(team).team_weight)
+            self._queues[upstream] = queue
+        return queue
+
+    def _choose(self, job: Job, runners: list[RunnerView]) -> RunnerView | None:
+        """Return a runner for a task of the job, None if it has to wait."""
+        submission = job.submission
+        roster = self.open_jobs[job.job_id].roster
+        fitting = [
+            view
+            for view in runners
+            if view.agent in roster
+            and view.takes_work
+            and view.accelerators >= submission.accelerators
+        ]
+        settings = self.settings.for_upstream(submission.upstream)
+        view = choose_runner(
+            settings.placement, fitting, self.zone, settings.placement_choices, self.rng
+        )
+        if view is None or not self.quotas.may_start(submission.team, self.timers.now_ms()):
+            return None
+        return view
+
+    def _order(
+        self,
+        batches: dict[tuple[str, AgentKey], _Batch],
+        job: Job,
+        index: int,
+        view: RunnerView,
+        code: str = reasons.PLACED,
+    ) -> None:
+        """Note one start order and add it to the batch for its runner."""
+        free_before = view.free_slots
+        number = job.place(index, view.agent, self.timers.now_ms())
+        view.sent += 1
+        view.outstanding += 1
+        self.quotas.started(job.submission.team)
+        self._retries.earn()
+        self._hedges.earn()
+        self.metrics.starts.inc()
+        key = (job.job_id, view.agent)
+        if key not in batches:
+            batches[key] = _Batch(self.open_jobs[job.job_id], view)
+        payload = job.tasks[index].payload
+        batches[key].tasks.append(PlacedTask(index, number, payload))
+        self._note(job, index, code, view.agent.agent_id, free_slots=free_before, attempt=number)
+
+    def _send_batch(self, batch: _Batch) -> None:
+        job = batch.open_job.job
+        now_ms = self.timers.now_ms()
+        start_by_ms = batch.view.agent_clock_ms(now_ms) + max(0, job.deadline_at_ms - now_ms)
+        order = PlaceTasks(job.job_id, job.epoch, start_by_ms, self.settings.version, batch.tasks)
+        self._try_send(batch.view.agent, order)
+
+    def _try_send(self, agent: AgentKey, message: object) -> None:
+        """Send; a broken stream is no news here, its loss is handled where it ends."""
+        try:
+            self._send(agent, message)
+        except StreamClosedError:
+            self.metrics.wasted[type(message).__name__] += 1
+
+    def _take_row(self, open_job: OpenJob, view: RunnerView, row: TaskRow) -> bool:
+        job = open_job.job
+        effect = job.report(view.agent, row)
+        if effect is ReportEffect.NOTHING:
+            return False
+        if effect is ReportEffect.ENDED:
+            self._note_ended(job, view.agent)
+        self._judge_runner(view, row)
+        if row.state == ledger.DONE:
+            self.run_times.of(view.upstream, job.submission.kind).add(row.run_ms)
+        task = job.tasks[row.index]
+        if not task.is_final:
+            started = row.state != ledger.NEVER_STARTED
+            self._follow_up(job, task, row.reason, started)
+        return True
+
+    def _follow_up(self, job: Job, task: Task, reason: str, started: bool) -> None:
+        """Queue a task again after an attempt that did not end it."""
+        if task.state != WAITING:
+            return
+        if started and not self._spend_retry():
+            job.settle(task, reasons.RETRY_BUDGET)
+            self._note(job, task.index, reasons.RETRY_BUDGET, starts=task.starts)
+            return
+        code = reasons.RETRIED if started else reasons.RETURNED
+        self._note(job, task.index, code, reason, starts=task.starts)
+        self._queue(job.submission.upstream).push(job, task.index, front=True)
+
+    def _spend_retry(self) -> bool:
+        self._retries.percent = self.settings.root.retry_budget_percent
+        return self._retries.spend()
+
+    def _settle_if_done(self, open_job: OpenJob) -> None:
+        if open_job.job.is_settled and open_job.job.job_id in self.open_jobs:
+            self._on_settled(open_job)
+
+    def _note_ended(self, job: Job, agent: AgentKey) -> None:
+        view = self.members.find_life(agent)
+        if view is not None:
+            view.outstanding -= 1
+        self.quotas.ended(job.submission.team)
+
+    def _judge_runner(self, view: RunnerView, row: TaskRow) -> None:
+        if row.state == ledger.NEVER_STARTED:
+            return
+        limit = self.settings.for_upstream(view.upstream).eject_after_failures
+        peers = self.members.of_upstream(view.upstream)
+        change = note_outcome(view, row.state == ledger.FAILED, limit, peers)
+        if change is None:
+            return
+        view.ejected_at_ms = self.timers.now_ms()
+        passed = change.event == "pass"
+        code = reasons.RUNNER_PASSED if passed else reasons.RUNNER_EJECTED
+        self._note_runner(view, code, failures_in_row=change.failures_in_row)
+
+    def _hedge_one(self, straggler: Straggler) -> None:
+        job, task = straggler.job, straggler.task
+        busy = {attempt.agent for attempt in task.attempts}
+        runners = self.members.taking_work(job.submission.upstream)
+        free = [view for view in runners if view.agent not in busy and view.free_slots > 0]
+        view = self._choose(job, free)
+        if view is None or task.state != PLACED or not self._hedges.spend():
+            return
+        batches: dict[tuple[str, AgentKey], _Batch] = {}
+        self._order(batches, job, task.index, view, reasons.HEDGED)
+        for batch in batches.values():
+            self._send_batch(batch)
+
+    def _note(self, job: Job, index: int, code: str, subject: str = "", **figures: int) -> None:
+        self.decisions.record(
+            self.timers.wall_ms(),
+            job.job_id,
+            code,
+            self.settings.version,
+            task=index,
+            subject=subject,
+            **figures,
+        )
+
+    def _note_runner(self, view: RunnerView, code: str, **figures: int) -> None:
+        self.decisions.record(
+            self.timers.wall_ms(),
+            f"runner:{view.agent.agent_id}",
+            code,
+            self.settings.version,
+            subject=view.agent.agent_id,
+            **figures,
+        )
--- /dev/null
+++ b/src/gapdrum/timers.py
@@ -0,0 +1,64 @@
+"""The timer service: clocks and timers that the other parts subscribe to.
+
+Time is read and waited for here only, so that the decision core can be driven
+by a manual clock.  All durations are integer milliseconds.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+MS_PER_S = 1000
+
+
+class Timers:
+    """Clocks and timers on the running asyncio loop.
+
+    Subscribe a callable for a period, or for one call later::
+
+        timers = Timers()
+        timers.subscribe(1000, renew_lease)
+        timers.call_after(250, give_up)
+    """
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task] = set()
+
+    @staticmethod
+    def now_ms() -> int:
+        """Return this process's monotonic clock; it has no meaning elsewhere."""
+        return time.monotonic_ns() // 1_000_000
+
+    @staticmethod
+    def wall_ms() -> int:
+        """Return the Unix time; only for records, never for decisions on leases."""
+        return time.time_ns() // 1_000_000
+
+    def subscribe(self, interval_ms: int, callback: Callable[[], object]) -> None:
+        """Call back every ``interval_ms``; a coroutine function is awaited."""
+        self._keep(asyncio.get_running_loop().create_task(self._repeat(interval_ms, callback)))
+
+    def call_after(self, delay_ms: int, callback: Callable[[], object]) -> asyncio.TimerHandle:
+        """Call back once after ``delay_ms``; the handle's ``cancel`` prevents it."""
+        return asyncio.get_running_loop().call_later(max(0, delay_ms) / MS_PER_S, callback)
+
+    def stop(self) -> None:
+        """End all periodic subscriptions."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _keep(self, task: asyncio.Task) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _repeat(self, interval_ms: int, callback: Callable[[], object]) -> None:
+        while True:
+            await asyncio.sleep(interval_ms / MS_PER_S)
+            try:
+                result = callback()
+                if asyncio.iscoroutine(result):
+                    await result
+            except Exception:
+                logger.exception("a periodic callback failed")
--- /dev/null
+++ b/src/gapdrum_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests, demo and measurements."""
