--- a/src/gapdrum/configurations.py
+++ b/src/gapdrum/configurations.py
@@ -15,6 +15,7 @@
 )
 from gapdrum.settings import SettingsHolder, SettingsTree, check_tree
 from gapdrum.store import ABSENT, ConditionFailedError, Row, TableWrite
+from gapdrum.structures import count_field, text_field
 from gapdrum.timers import MS_PER_S, Timers
 
 TREE_KEY = "config/tree"
@@ -24,6 +25,15 @@
 SETTLE_PAUSE_MS = 200
 
 
+@attrs.frozen
+class WantedValue:
+    """One value to set at a node; None removes it, so that the node inherits."""
+
+    path: str = text_field()
+    name: str = text_field()
+    value: int | str | None
+
+
 @attrs.frozen
 class ValueChange:
     """One value of one node, before and after; None where the node does not set it."""
@@ -34,6 +44,16 @@
     after: int | str | None
 
 
+@attrs.frozen
+class ChangeRequest:
+    """Changes an operator asks for, on top of the version that the operator saw."""
+
+    base_version: int = count_field()
+    changes: list[WantedValue]
+    reason: str = text_field(1_000, default="")
+    dry_run: bool = False
+
+
 @attrs.frozen
 class AuditRecord:
     """Who changed the settings, when, why and what."""
@@ -83,36 +103,31 @@
             return False
         return self._settings.offer(tree)
 
-    async def change(
-        self,
-        base_version: int,
-        changes: list[tuple[str, str, int | str | None]],
-        operator: str,
-        reason: str,
-    ) -> AuditRecord:
-        """Apply changes on top of ``base_version``; returns once they are accepted.
+    async def change(self, request: ChangeRequest, operator: str) -> AuditRecord:
+        """Apply changes on top of their base version; returns once they are accepted.
 
         Raises VersionConflictError if another change came first,
         InvalidInputError with all findings if the result is not valid, and
         StoreError if the store did not take the change.
         """
         tree = await self._read_tree()
-        if tree.version != base_version:
+        if tree.version != request.base_version:
             raise VersionConflictError(
-                f"the settings are at version {tree.version}, not {base_version}"
+                f"the settings are at version {tree.version}, not {request.base_version}"
             )
-        listed, nodes = apply_changes(tree, changes)
+        listed, nodes = apply_changes(tree, request.changes)
         check_tree(nodes)
         record = AuditRecord(
-            base_version + 1,
+            tree.version + 1,
             uuid.uuid4().hex,
             operator,
-            reason,
+            request.reason,
             self._timers.wall_ms(),
             listed,
         )
-        await self._write(record, nodes)
-        self._settings.offer(SettingsTree(record.version, nodes))
+        if not request.dry_run:
+            await self._write(record, nodes)
+            self._settings.offer(SettingsTree(record.version, nodes))
         return record
 
     async def history(self) -> list[AuditRecord]:
@@ -158,16 +173,17 @@
 
 
 def apply_changes(
-    tree: SettingsTree, changes: list[tuple[str, str, int | str | None]]
+    tree: SettingsTree, changes: list[WantedValue]
 ) -> tuple[list[ValueChange], dict[str, dict[str, int | str]]]:
     """Return the changes with their values before, and the nodes after them."""
     nodes = {path: dict(values) for path, values in tree.nodes.items()}
     listed = []
-    for path, name, after in changes:
-        values = nodes.setdefault(path, {})
-        listed.append(ValueChange(path, name, values.get(name), after))
-        if after is None:
-            values.pop(name, None)
+    for wanted in changes:
+        values = nodes.setdefault(wanted.path, {})
+        before = values.get(wanted.name)
+        listed.append(ValueChange(wanted.path, wanted.name, before, wanted.value))
+        if wanted.value is None:
+            values.pop(wanted.name, None)
         else:
-            values[name] = after
+            values[wanted.name] = wanted.value
     return listed, {path: values for path, values in nodes.items() if values}
--- a/src/gapdrum/conversion.py
+++ b/src/gapdrum/conversion.py
@@ -54,9 +54,17 @@
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
     for primitive in (int, float, bool, str):
         converter.register_structure_hook(primitive, _build_strict_hook(primitive))
+    for union in (int | str, int | str | None):
+        converter.register_structure_hook(union, _take_setting_value)
     return converter
 
 
+def _take_setting_value(value: Any, _type: type) -> int | str | None:
+    if value is not None and type(value) not in (int, str):
+        raise TypeError(f"expected int or str, got {type(value).__name__}")
+    return value
+
+
 def _build_strict_hook(primitive: type):
     accepted = (int, float) if primitive is float else (primitive,)
 
--- a/src/gapdrum/entries.py
+++ b/src/gapdrum/entries.py
@@ -9,6 +9,7 @@
 import typer
 from loguru import logger
 
+from gapdrum.administration import AdminResources
 from gapdrum.claims import Owner
 from gapdrum.commits import Committer
 from gapdrum.config import EntryConfig, load_config
@@ -63,6 +64,7 @@
             self.links.send,
         )
         self.links.dispatcher = self.dispatcher
+        self.settings.subscribe(self.settings_changed)
         self.state = PROCESS_CHART.initial
         self._renewal = 0
 
@@ -72,7 +74,7 @@
         duties = (
             (RENEW_INTERVAL_MS, self.renew_lease),
             (RENEW_INTERVAL_MS, self.observe_leases),
-            (POLL_INTERVAL_MS, self.refresh_settings),
+            (POLL_INTERVAL_MS, self.configurations.refresh),
             (HEARTBEAT_INTERVAL_MS, self.links.beat),
             (HEDGE_INTERVAL_MS, dispatcher.scheduler.hedge),
             (PROBE_INTERVAL_MS, dispatcher.scheduler.probe_ejected),
@@ -106,15 +108,11 @@
         writes_per_s = self.settings.root.store_writes_per_s
         self.committer.budget.rate_per_s = max(1, writes_per_s / (1 + len(peers)))
 
-    async def refresh_settings(self) -> None:
-        """Bring newer settings into force and push them to the agents."""
-        if await self.configurations.refresh():
-            self.settings_changed()
-
     def settings_changed(self) -> None:
-        """Push the settings in force and say so in the lease row."""
+        """Push the settings that came into force to the agents."""
         logger.info("settings version {} in force", self.settings.version)
         self.metrics.settings_version.set(self.settings.version)
+        self.dispatcher.members.mark_drained(self._is_drained)
         self.links.push_settings()
 
     def update_gauges(self) -> None:
@@ -150,6 +148,9 @@
         await self.dispatcher.journal.flush()
         self.state = PROCESS_CHART.next_state(self.state, "stop")
 
+    def _is_drained(self, agent_id: str) -> bool:
+        return self.settings.for_runner(agent_id).runner_mode == "drained"
+
     def _describe(self) -> EntryRecord:
         agents = [view.settings_version for view in self.dispatcher.members]
         return EntryRecord(
@@ -172,6 +173,7 @@
     credentials = Credentials(entry.config.credentials)
     threads = entry.config.http_threads
     JobResources(loop, entry.dispatcher, credentials, threads).add_routes(router)
+    AdminResources(loop, entry, credentials).add_routes(router)
     add_probe_routes(router, entry.metrics, entry.is_ready)
     return router
 
@@ -187,7 +189,7 @@
         entry.links.accept, config.streams.host, config.streams.port
     )
     server = HttpServer(config.http, build_router(entry, loop), config.http_threads, config.tls)
-    await entry.refresh_settings()
+    await entry.configurations.refresh()
     port = server.start()
     entry.subscribe()
     await entry.renew_lease()
--- a/src/gapdrum/http.py
+++ b/src/gapdrum/http.py
@@ -15,6 +15,7 @@
 import attrs
 from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
+from loguru import logger
 
 from gapdrum.config import Address, Tls
 from gapdrum.exceptions import (
@@ -179,6 +180,7 @@
         except GapdrumError as error:
             return error_response(error)
         except Exception as error:  # a defect: report it as such, and go on serving
+            logger.exception("a handler failed")
             return error_response(GapdrumError(f"internal: {type(error).__name__}"))
 
 
--- a/src/gapdrum/links.py
+++ b/src/gapdrum/links.py
@@ -23,7 +23,7 @@
 )
 from gapdrum.metrics import Metrics
 from gapdrum.peers import serve_peer
-from gapdrum.settings import dump_tree
+from gapdrum.settings import dump_tree, load_tree
 from gapdrum.streams import Stream
 
 HEARTBEAT_INTERVAL_MS = 1_000
@@ -149,11 +149,19 @@
             if dispatcher.members.note_load(view, message, now_ms):
                 self._note(view.agent, f"runner_{view.state}")
             dispatcher.scheduler.pump(view.upstream)
+        elif isinstance(message, SettingsPush):
+            self._take_settings(message)
         elif isinstance(message, JobHoldings):
             dispatcher.take_holdings(view.agent, message)
         else:
             raise FrameError(f"unexpected message {type(message).__name__}")
 
+    def _take_settings(self, message: SettingsPush) -> None:
+        """Take newer settings that an agent knows: the store may be down or stale."""
+        settings = self.dispatcher.settings
+        if message.version > settings.version:
+            settings.offer(load_tree(message.version, message.document))
+
     def _lose(self, view: RunnerView) -> None:
         """Wait a while for the return of an agent whose stream broke."""
         dispatcher = self.dispatcher
--- a/src/gapdrum/members.py
+++ b/src/gapdrum/members.py
@@ -1,5 +1,7 @@
 """Which runners an entry knows, by what their agents' streams tell."""
 
+from collections.abc import Callable
+
 import attrs
 
 from gapdrum.jobs import AgentKey
@@ -40,6 +42,7 @@
     agent_time_ms: int = 0
     heard_at_ms: int = 0
     ejected_at_ms: int = 0
+    drained: bool = False
 
     @property
     def free_slots(self) -> int:
@@ -49,6 +52,8 @@
     @property
     def takes_work(self) -> bool:
         """Tell whether new work may be placed here."""
+        if self.drained:
+            return False
         if self.state == PROBATION:
             return self.outstanding == 0
         return self.state in TAKES_WORK
@@ -86,6 +91,13 @@
     def __init__(self) -> None:
         self._views: dict[str, RunnerView] = {}
         self._by_upstream: dict[str, list[RunnerView]] = {}
+        self._is_drained: Callable[[str], bool] = lambda _agent_id: False
+
+    def mark_drained(self, is_drained: Callable[[str], bool]) -> None:
+        """Take from the operators' settings which runners get no new work."""
+        self._is_drained = is_drained
+        for view in self._views.values():
+            view.drained = is_drained(view.agent.agent_id)
 
     def __iter__(self):
         return iter(self._views.values())
@@ -111,6 +123,7 @@
             return known, None
         view = RunnerView(agent, hello.zone, hello.worker)
         view.note_clock(hello.agent_time_ms, now_ms)
+        view.drained = self._is_drained(hello.agent_id)
         self._views[hello.agent_id] = view
         if known is not None:
             self._drop_from_upstream(known)
--- a/src/gapdrum/settings.py
+++ b/src/gapdrum/settings.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections.abc import Callable
 
 import attrs
 
@@ -40,8 +41,10 @@
     answer_retention_ms: int = count_field(3_600_000, 1_000, default=300_000)
     store_writes_per_s: int = count_field(10_000, 1, default=300)
     refuse_retry_after_ms: int = count_field(600_000, 10, default=1_000)
+    runner_mode: str = text_field(default="open")
 
 
+RUNNER_MODES = ("open", "drained")
 FIELD_NAMES = tuple(field.name for field in attrs.fields(Settings))
 
 
@@ -109,8 +112,9 @@
         Settings(**{name: value})
     except (TypeError, ValueError) as error:
         return [Finding(place, str(error.args[0]))]
-    if name == "placement" and value not in POLICIES:
-        return [Finding(place, f"must be one of {', '.join(sorted(POLICIES))}")]
+    choices = {"placement": sorted(POLICIES), "runner_mode": RUNNER_MODES}.get(name)
+    if choices is not None and value not in choices:
+        return [Finding(place, f"must be one of {', '.join(choices)}")]
     return []
 
 
@@ -134,6 +138,11 @@
     def __init__(self) -> None:
         self.tree = SettingsTree()
         self._cache: dict[str, Settings] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back whenever a newer tree has come into force."""
+        self._callbacks.append(callback)
 
     @property
     def version(self) -> int:
@@ -146,6 +155,8 @@
             return False
         self.tree = tree
         self._cache.clear()
+        for callback in self._callbacks:
+            callback()
         return True
 
     def at(self, path: str) -> Settings:
@@ -168,3 +179,7 @@
     def for_upstream(self, upstream: str) -> Settings:
         """Return the values in force for an upstream."""
         return self.at(f"upstream{SEPARATOR}{upstream}")
+
+    def for_runner(self, agent_id: str) -> Settings:
+        """Return the values in force for one runner, named by its agent."""
+        return self.at(f"runner{SEPARATOR}{agent_id}")
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -1,5 +1,6 @@
 """Starts the processes of a whole system on loopback, for demo, benchmark and tests."""
 
+import itertools
 import json
 import os
 import signal
@@ -22,6 +23,10 @@
 STREAM_TOKEN = "stream-token"
 READY_TIMEOUT_S = 40
 POLL_S = 0.05
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
+_FIRST_PORT = LOWEST_PORT + os.getpid() * 97 % (HIGHEST_PORT - LOWEST_PORT)
+_PORTS = itertools.cycle([*range(_FIRST_PORT, HIGHEST_PORT), *range(LOWEST_PORT, _FIRST_PORT)])
 CREDENTIALS = [
     {"name": "site-tablet", "token": CALLER_TOKEN, "role": "caller"},
     {"name": "operator", "token": OPERATOR_TOKEN, "role": "operator"},
@@ -30,10 +35,19 @@
 
 
 def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now, given out once, and below the ephemeral range.
+
+    A port of the ephemeral range could be taken by an outgoing connection
+    before its process listens.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 @attrs.define
@@ -96,6 +110,14 @@
 
     def __enter__(self) -> "LocalSystem":
         """Start everything and wait until work is taken."""
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start_all(self) -> None:
         self.platform.start()
         self.wait_http(self.platform, "/stats")
         for process in [*self.entries, *self.agents, *self.upstreams]:
@@ -103,7 +125,6 @@
         for entry in self.entries:
             self.wait_http(entry, "/readyz")
         self.wait_runners(len(self.agents))
-        return self
 
     def __exit__(self, *_error: object) -> None:
         """End everything."""
