Order waiting tasks by highest response ratio

Cause: at 80% load the slots are all busy for seconds at a time, and short jobs then wait behind long ones.

Change: the entry's queue keeps classes of expected run time per team; the order compares their heads. Orders are a registry; first_come remains.

--- a/src/gapdrum/queues.py
+++ b/src/gapdrum/queues.py
@@ -1,13 +1,75 @@
-"""The entry's queue of tasks that wait for a free slot, fair between teams."""
+"""The entry's queue of tasks that wait for a free slot: fair between teams, ordered within.
 
+Within a team, tasks are kept by class of expected run time.  Within a class
+the oldest is always next, so an order only has to compare the heads of a few
+classes, however many tasks wait.
+"""
+
+import math
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import attrs
 
 from gapdrum.jobs import WAITING, Job
 
+CLASS_BASE = 1.5
+
+
+@attrs.frozen
+class QueuedTask:
+    """A waiting task of a job."""
+
+    job: Job
+    index: int
+
+
+@attrs.define(eq=False)
+class RunTimeClass:
+    """Waiting tasks of jobs that are expected to take about as long, oldest first."""
+
+    expected_ms: int
+    tasks: deque[QueuedTask] = attrs.Factory(deque)
+
+    @property
+    def waiting_since_ms(self) -> int:
+        """Return when the job of the oldest task was submitted."""
+        return self.tasks[0].job.created_at_ms
+
+
+Order = Callable[[Iterable[RunTimeClass], int], RunTimeClass]
+ORDERS: dict[str, Order] = {}
+
+
+def order(name: str) -> Callable[[Order], Order]:
+    """Register an order under the name that the setting ``queue_order`` gives."""
+
+    def register(function: Order) -> Order:
+        ORDERS[name] = function
+        return function
+
+    return register
+
+
+@order("first_come")
+def pick_oldest(classes: Iterable[RunTimeClass], _now_ms: int) -> RunTimeClass:
+    """Pick the job that was submitted first."""
+    return min(classes, key=lambda entry: entry.waiting_since_ms)
+
+
+@order("highest_response_ratio")
+def pick_highest_ratio(classes: Iterable[RunTimeClass], now_ms: int) -> RunTimeClass:
+    """Pick the job whose response is already worst in proportion to its expected time.
+
+    Short jobs overtake long ones, but nobody starves, as waiting raises the ratio.
+    """
+    return max(
+        classes, key=lambda entry: (now_ms - entry.waiting_since_ms) / (entry.expected_ms + 1)
+    )
+
 
 class FairQueue:
-    """Waiting tasks of one upstream: weighted round robin over teams, in order within one.
+    """Waiting tasks of one upstream: weighted round robin over teams, an order within one.
 
     A team takes as many turns in a row as its weight.  Tasks that were
     cancelled meanwhile are passed over when their turn comes, so a wave of
@@ -16,26 +78,33 @@
 
     def __init__(self, weight_of: Callable[[str], int]) -> None:
         self._weight_of = weight_of
-        self._teams: OrderedDict[str, deque[tuple[Job, int]]] = OrderedDict()
+        self._teams: OrderedDict[str, dict[int, RunTimeClass]] = OrderedDict()
         self._turns_left = 0
         self.length = 0
 
-    def push(self, job: Job, index: int, front: bool = False) -> None:
+    def push(self, job: Job, index: int, expected_ms: int, front: bool = False) -> None:
         """Add a waiting task, in front if it had its turn already."""
-        tasks = self._teams.setdefault(job.submission.team, deque())
+        classes = self._teams.setdefault(job.submission.team, {})
+        number = int(math.log(max(1, expected_ms), CLASS_BASE))
+        entry = classes.get(number)
+        if entry is None:
+            entry = classes[number] = RunTimeClass(expected_ms)
         if front:
-            tasks.appendleft((job, index))
+            entry.tasks.appendleft(QueuedTask(job, index))
         else:
-            tasks.append((job, index))
+            entry.tasks.append(QueuedTask(job, index))
         self.length += 1
 
-    def pop(self, blocked_teams: set[str]) -> tuple[Job, int] | None:
+    def pop(self, blocked_teams: set[str], order_name: str, now_ms: int) -> QueuedTask | None:
         """Return the next waiting task of a team that is not blocked."""
         for _ in range(len(self._teams)):
-            team, tasks = next(iter(self._teams.items()))
-            found = None if team in blocked_teams else self._pop_waiting(tasks)
+            team, classes = next(iter(self._teams.items()))
+            if team in blocked_teams:
+                self._end_turn(team, keep=True)
+                continue
+            found = self._pop_waiting(classes, order_name, now_ms)
             if found is None:
-                self._end_turn(team, keep=bool(tasks))
+                self._end_turn(team, keep=False)
                 continue
             self._turns_left -= 1
             if self._turns_left <= 0:
@@ -43,13 +112,24 @@
             return found
         return None
 
-    def _pop_waiting(self, tasks: deque[tuple[Job, int]]) -> tuple[Job, int] | None:
-        while tasks:
-            job, index = tasks.popleft()
-            self.length -= 1
-            if job.tasks[index].state == WAITING:
-                return job, index
-        return None
+    def _pop_waiting(
+        self, classes: dict[int, RunTimeClass], order_name: str, now_ms: int
+    ) -> QueuedTask | None:
+        self._drop_settled(classes)
+        if not classes:
+            return None
+        entry = ORDERS[order_name](classes.values(), now_ms)
+        self.length -= 1
+        return entry.tasks.popleft()
+
+    def _drop_settled(self, classes: dict[int, RunTimeClass]) -> None:
+        """Drop tasks at the heads that do not wait any more, and empty classes."""
+        for number, entry in list(classes.items()):
+            while entry.tasks and not _is_waiting(entry.tasks[0]):
+                entry.tasks.popleft()
+                self.length -= 1
+            if not entry.tasks:
+                del classes[number]
 
     def _end_turn(self, team: str, keep: bool) -> None:
         if keep:
@@ -58,3 +138,7 @@
             del self._teams[team]
         first = next(iter(self._teams), None)
         self._turns_left = self._weight_of(first) if first is not None else 0
+
+
+def _is_waiting(queued: QueuedTask) -> bool:
+    return queued.job.tasks[queued.index].state == WAITING
--- a/src/gapdrum/runtimes.py
+++ b/src/gapdrum/runtimes.py
@@ -9,6 +9,7 @@
 MIN_SAMPLES = 20
 DECAY_AT_SAMPLES = 20_000
 DEFAULT_RUN_MS = 400
+RENEW_SAMPLES = 200
 MAX_KINDS = 2_000
 
 
@@ -18,6 +19,8 @@
 
     histogram: HdrHistogram = attrs.Factory(lambda: HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS))
     mean_ms: float = DEFAULT_RUN_MS
+    _longest_ms: dict[int, int] = attrs.field(init=False, factory=dict)
+    _renew_at: int = attrs.field(init=False, default=0)
 
     @property
     def is_learned(self) -> bool:
@@ -32,6 +35,20 @@
         weight = 0.05 if self.is_learned else 0.3
         self.mean_ms += weight * (run_ms - self.mean_ms)
 
+    def longest_of_ms(self, tasks: int) -> int:
+        """Return the expected longest run of so many tasks; the estimate is renewed at times."""
+        total = self.histogram.get_total_count()
+        if total >= self._renew_at:
+            self._renew_at = total + RENEW_SAMPLES
+            self._longest_ms.clear()
+        if total < self._renew_at - RENEW_SAMPLES:
+            self._renew_at = total
+        if tasks not in self._longest_ms:
+            percent = 100 * tasks / (tasks + 1)
+            learned = self.percentile_ms(percent) if self.is_learned else DEFAULT_RUN_MS
+            self._longest_ms[tasks] = learned
+        return self._longest_ms[tasks]
+
     def percentile_ms(self, percent: float) -> int:
         """Return a percentile of the run times seen."""
         return int(self.histogram.get_value_at_percentile(percent))
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -87,7 +87,7 @@
         self.open_jobs[job.job_id] = open_job
         self.quotas.note_demand(job.submission.team, len(waiting))
         for task in waiting:
-            self._queue(job.submission.upstream).push(job, task.index)
+            self._enqueue(job, task.index)
         self.pump(job.submission.upstream)
 
     def close(self, open_job: OpenJob) -> None:
@@ -117,11 +117,13 @@
         runners = self.members.taking_work(upstream)
         blocked: set[str] = set()
         batches: dict[tuple[str, AgentKey], _Batch] = {}
-        while popped := queue.pop(blocked):
-            job, index = popped
+        order = self.settings.for_upstream(upstream).queue_order
+        now_ms = self.timers.now_ms()
+        while queued := queue.pop(blocked, order, now_ms):
+            job, index = queued.job, queued.index
             view = self._choose(job, runners)
             if view is None:
-                queue.push(job, index, front=True)
+                self._enqueue(job, index, front=True)
                 blocked.add(job.submission.team)
                 continue
             self._order(batches, job, index, view)
@@ -179,6 +181,12 @@
         for upstream in list(self._queues):
             self.pump(upstream)
 
+    def _enqueue(self, job: Job, index: int, front: bool = False) -> None:
+        submission = job.submission
+        run_time = self.run_times.of(submission.upstream, submission.kind)
+        expected_ms = run_time.longest_of_ms(len(job.tasks))
+        self._queue(submission.upstream).push(job, index, expected_ms, front)
+
     def _queue(self, upstream: str) -> FairQueue:
         queue = self._queues.get(upstream)
         if queue is None:
@@ -269,7 +277,7 @@
             return
         code = reasons.RETRIED if started else reasons.RETURNED
         self._note(job, task.index, code, reason, starts=task.starts)
-        self._queue(job.submission.upstream).push(job, task.index, front=True)
+        self._enqueue(job, task.index, front=True)
 
     def _spend_retry(self) -> bool:
         self._retries.percent = self.settings.root.retry_budget_percent
--- a/src/gapdrum/settings.py
+++ b/src/gapdrum/settings.py
@@ -26,6 +26,7 @@
 
     placement: str = text_field(default="two_choices")
     placement_choices: int = count_field(16, 1, default=4)
+    queue_order: str = text_field(default="highest_response_ratio")
     queue_limit_tasks: int = count_field(1_000_000, default=20_000)
     agent_queue_limit_tasks: int = count_field(10_000, default=256)
     team_running_limit_tasks: int = count_field(1_000_000, default=0)
@@ -107,12 +108,18 @@
 
 def _check_value(name: str, value: object, place: str) -> list[Finding]:
     from gapdrum.placement import POLICIES
+    from gapdrum.queues import ORDERS
 
     try:
         Settings(**{name: value})
     except (TypeError, ValueError) as error:
         return [Finding(place, str(error.args[0]))]
-    choices = {"placement": sorted(POLICIES), "runner_mode": RUNNER_MODES}.get(name)
+    registries = {
+        "placement": sorted(POLICIES),
+        "queue_order": sorted(ORDERS),
+        "runner_mode": RUNNER_MODES,
+    }
+    choices = registries.get(name)
     if choices is not None and value not in choices:
         return [Finding(place, f"must be one of {', '.join(choices)}")]
     return []
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -18,7 +18,12 @@
 
 TRACE = Path(__file__).parent.parent / "traces" / "load80.jsonl"
 ZONES = ("plaine-nord", "moka-hall", "curepipe-hall")
-POLICIES = ("random", "least_outstanding", "two_choices")
+POLICIES = (
+    ("random", "first_come"),
+    ("least_outstanding", "first_come"),
+    ("two_choices", "first_come"),
+    ("two_choices", "highest_response_ratio"),
+)
 RUNNERS = [("inspect-desk", ZONES[i % 3], 8) for i in range(11)]
 SHORT_JOB_TASKS = 4
 LIMIT_SECONDS = 12
@@ -31,7 +36,8 @@
 class Row:
     """What one policy reached."""
 
-    policy: str
+    placement: str
+    queue_order: str
     p50: float
     p99: float
     short_p50: float
@@ -43,23 +49,24 @@
     store_writes: int
 
 
-def set_placement(system: LocalSystem, policy: str) -> None:
+def set_policy(system: LocalSystem, placement: str, queue_order: str) -> None:
     """Bring a policy into force at all entries."""
     version = system.request("GET", "/v1/config", token=OPERATOR_TOKEN)[1]["version"]
-    change = {"path": "", "name": "placement", "value": policy}
-    document = {"base_version": version, "changes": [change], "reason": "benchmark"}
+    values = {"placement": placement, "queue_order": queue_order}
+    changes = [{"path": "", "name": name, "value": value} for name, value in values.items()]
+    document = {"base_version": version, "changes": changes, "reason": "benchmark"}
     status, _record = system.request("POST", "/v1/config/changes", document, token=OPERATOR_TOKEN)
     if status != 200:
-        raise SystemExit(f"the entry refused the policy {policy}")
+        raise SystemExit(f"the entry refused the policy {placement}")
     path = f"/v1/config/status?version={version + 1}&wait_ms=8000"
     if not system.request("GET", path, token=OPERATOR_TOKEN)[1]["in_force"]:
         raise SystemExit("the policy did not come into force within 8 s")
 
 
-def measure_policy(system: LocalSystem, policy: str) -> Row:
+def measure_policy(system: LocalSystem, policy: tuple[str, str]) -> Row:
     """Replay the trace under one policy."""
     trace = load_trace(TRACE)
-    set_placement(system, policy)
+    set_policy(system, *policy)
     before = system.count_messages()
     writes = system.get(system.platform, "/stats")["writes"]
     urls = [system.url(entry, "") for entry in system.entries]
@@ -77,7 +84,7 @@
     sent = sum(after["sent"].values()) - sum(before["sent"].values())
     wasted = sum(after["wasted"].values()) - sum(before["wasted"].values())
     return Row(
-        policy,
+        *policy,
         report.response_over_ideal_p50,
         report.response_over_ideal_p99,
         round(percentile(short, 50), 3),
