Offer scarce free slots to one entry at a time

Cause: 693 of 7174 start orders (10%) found their slot taken by another entry's order and queued at the agent, where no order can help them: a freed slot was told to all entries at once, and all that had work jumped at it.

The messages that it costs are to be weighed again.

--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -77,11 +77,13 @@
         """Act on one message of an entry."""
         now_ms = self.timers.now_ms()
         if isinstance(message, PlaceTasks):
-            link.received += len(message.tasks)
+            self.links.take_orders(link, len(message.tasks))
             self.links.own(message.job_id, link)
             rows = self.ledger.place(message, now_ms)
             self._report_rows(message.job_id, message.epoch, rows)
             self._start_next()
+            still_queued = min(self.ledger.queued, len(message.tasks))
+            self.metrics.orders_queued.inc(still_queued)
         elif isinstance(message, Withdraw):
             rows = self.ledger.withdraw(message)
             self._report_rows(message.job_id, message.epoch, rows)
@@ -104,8 +106,7 @@
             state,
             self.runner.slots,
             announcement.accelerators if announcement else 0,
-            self.free_slots,
-            self.ledger.queued,
+            self.links.free_for(link),
             link.received,
             now_ms,
             self.settings.version,
@@ -134,8 +135,9 @@
         self.running -= 1
         run_ms = self.timers.now_ms() - started_ms
         self.ledger.finish(task, outcome.event, outcome.reason, outcome.result, run_ms)
-        self._report(task)
         self._start_next()
+        self._report(task)
+        self.links.push_changed_loads()
 
     def _call_runner(self, task: HeldTask) -> RunOutcome:
         """Check the limit directly before the call; a process may have been paused."""
@@ -158,8 +160,7 @@
                     job_id,
                     epoch,
                     (row,),
-                    self.free_slots,
-                    self.ledger.queued,
+                    self.links.free_for(link),
                     link.received,
                     self.timers.now_ms(),
                 )
--- a/src/gapdrum/entrylinks.py
+++ b/src/gapdrum/entrylinks.py
@@ -1,14 +1,23 @@
 """The agent's streams to the entries: found in the table, opened, kept alive."""
 
 import asyncio
+import random
 from concurrent.futures import ThreadPoolExecutor
 
 from loguru import logger
 
 from gapdrum.exceptions import FrameError, StoreError, StreamClosedError
 from gapdrum.leases import KEY_PREFIX, EntryRecord, LeaseTable
-from gapdrum.messages import AgentHello, EntryHello, EntryLeaving, SettingsPush, TaskReport
+from gapdrum.messages import (
+    AgentHello,
+    EntryHeartbeat,
+    EntryHello,
+    EntryLeaving,
+    SettingsPush,
+    TaskReport,
+)
 from gapdrum.settings import dump_tree
+from gapdrum.shares import Claimant, Shares
 from gapdrum.store import StoreClient
 from gapdrum.streams import Stream, open_stream
 
@@ -27,7 +36,7 @@
         self.received = 0
         self.heard_at_ms = 0
         self.told_free = -1
-        self.told_state = ""
+        self.claimant = Claimant()
 
     @property
     def is_open(self) -> bool:
@@ -45,7 +54,7 @@
 
     def send_report(self, report: TaskReport) -> None:
         """Send a report, which also tells the entry the load."""
-        self.told_free = report.free_slots - report.queued
+        self.told_free = report.free_slots
         self.send(report)
 
 
@@ -58,6 +67,7 @@
         self._links: dict[tuple[str, str], EntryLink] = {}
         self._owners: dict[str, EntryLink] = {}
         self._leases = LeaseTable()
+        self._shares = Shares(random.Random())
         self._threads = ThreadPoolExecutor(1, "discovery")
         self._tasks: set[asyncio.Task] = set()
 
@@ -92,18 +102,31 @@
                 link = self._links[key] = EntryLink(record)
                 self._keep(asyncio.get_running_loop().create_task(self._maintain(key, link)))
 
+    def free_for(self, link: EntryLink) -> int:
+        """Return the free slots to state to an entry: fewer when entries compete."""
+        open_links = [other.claimant for other in self._links.values() if other.is_open]
+        free = self._agent.free_slots - self._agent.ledger.queued
+        self._shares.allocate(open_links, free, self._agent.timers.now_ms())
+        return self._shares.free_for(link.claimant, open_links, free)
+
+    def take_orders(self, link: EntryLink, orders: int) -> None:
+        """Note that an entry's orders came in."""
+        link.received += orders
+        self._shares.take(link.claimant, orders)
+
     def push_changed_loads(self) -> None:
         """Tell entries whose picture of this runner's free slots has become wrong.
 
         Small changes among many free slots are left to the heartbeat; that the
         runner became full, or free again, is told at once.
         """
-        agent = self._agent
-        free = agent.free_slots - agent.ledger.queued
-        threshold = max(1, agent.runner.slots * LOAD_CHANGE_PERCENT // 100)
+        threshold = max(1, self._agent.runner.slots * LOAD_CHANGE_PERCENT // 100)
         for link in self._links.values():
+            if not link.is_open:
+                continue
+            free = self.free_for(link)
             edge = (free > 0) != (link.told_free > 0)
-            if link.is_open and (edge or abs(free - link.told_free) >= threshold):
+            if edge or abs(free - link.told_free) >= threshold:
                 self._tell(link)
 
     def push_loads(self) -> None:
@@ -124,7 +147,7 @@
 
     def _tell(self, link: EntryLink) -> None:
         load = self._agent.load_for(link)
-        link.told_free = load.free_slots - load.queued
+        link.told_free = load.free_slots
         link.send(load)
 
     async def _maintain(self, key: tuple[str, str], link: EntryLink) -> None:
@@ -168,6 +191,9 @@
         settings = self._agent.settings
         if isinstance(message, EntryHello) and message.settings_version < settings.version:
             link.send(SettingsPush(settings.version, dump_tree(settings.tree)))
+        elif isinstance(message, EntryHeartbeat):
+            self._shares.note_waiting(link.claimant, message.waiting)
+            self.push_changed_loads()
         elif not isinstance(message, EntryHello | EntryLeaving):
             self._agent.take(link, message)
 
--- a/src/gapdrum/links.py
+++ b/src/gapdrum/links.py
@@ -66,12 +66,22 @@
 
     def beat(self) -> None:
         """Send heartbeats, and cut streams that have been silent for too long."""
-        self.broadcast(EntryHeartbeat(self.dispatcher.settings.version))
+        for agent in list(self._streams):
+            self._beat_one(agent)
         limit_ms = self.dispatcher.timers.now_ms() - HEARTBEAT_TIMEOUT_MS
         for agent, heard_at_ms in list(self._heard_at_ms.items()):
             if heard_at_ms < limit_ms and agent in self._streams:
                 self._streams[agent].close()
 
+    def _beat_one(self, agent: AgentKey) -> None:
+        dispatcher = self.dispatcher
+        view = dispatcher.members.find_life(agent)
+        waiting = dispatcher.scheduler.queued(view.upstream) if view is not None else 0
+        try:
+            self.send(agent, EntryHeartbeat(dispatcher.settings.version, waiting))
+        except StreamClosedError:
+            self._streams[agent].close()
+
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one incoming stream until it ends; its errors end only itself."""
         stream = Stream(reader, writer, self._metrics.sent, self._metrics.received)
@@ -137,7 +147,6 @@
         if isinstance(message, TaskReport):
             view.note_load(
                 message.free_slots,
-                message.queued,
                 message.received,
                 message.agent_time_ms,
                 now_ms,
--- a/src/gapdrum/members.py
+++ b/src/gapdrum/members.py
@@ -33,7 +33,6 @@
     slots: int = 0
     accelerators: int = 0
     reported_free: int = 0
-    queued: int = 0
     sent: int = 0
     received: int = 0
     outstanding: int = 0
@@ -47,7 +46,7 @@
     @property
     def free_slots(self) -> int:
         """Return the slots that are free as far as this entry can know."""
-        return self.reported_free - self.queued - (self.sent - self.received)
+        return self.reported_free - (self.sent - self.received)
 
     @property
     def takes_work(self) -> bool:
@@ -64,10 +63,9 @@
         self.state = CHART.next_state(before, event)
         return self.state != before
 
-    def note_load(self, free: int, queued: int, received: int, time_ms: int, now_ms: int) -> None:
+    def note_load(self, free: int, received: int, time_ms: int, now_ms: int) -> None:
         """Take the agent's statement of its load and its clock."""
         self.reported_free = free
-        self.queued = queued
         self.received = max(self.received, received)
         self.note_clock(time_ms, now_ms)
 
@@ -138,7 +136,7 @@
         view.slots = load.slots
         view.accelerators = load.accelerators
         view.settings_version = load.settings_version
-        view.note_load(load.free_slots, load.queued, load.received, load.agent_time_ms, now_ms)
+        view.note_load(load.free_slots, load.received, load.agent_time_ms, now_ms)
         events = {"ready": "ready", "leaving": "leave", "absent": "absent"}
         event = events.get(load.state, "absent")
         return CHART.allows(view.state, event) and view.apply(event)
--- a/src/gapdrum/messages.py
+++ b/src/gapdrum/messages.py
@@ -8,7 +8,7 @@
 import attrs
 
 from gapdrum.codec import message
-from gapdrum.structures import count_field, rows_field, text_field
+from gapdrum.structures import count_field, rows_field, signed_field, text_field
 
 MAX_TASKS_PER_JOB = 1_000
 MAX_PAYLOAD_LENGTH = 64 * 1024
@@ -67,7 +67,8 @@
 class RunnerLoad:
     """The agent's view of its runner, also the heartbeat of the stream.
 
-    ``received`` counts the start orders taken from this entry on this stream,
+    ``free_slots`` is what this entry is offered; it is negative by the number
+    of orders that wait.  ``received`` counts the start orders taken from this entry on this stream,
     so that the entry can tell which of its orders the figures include.
     """
 
@@ -75,8 +76,7 @@
     state: str = text_field()
     slots: int = count_field()
     accelerators: int = count_field()
-    free_slots: int = count_field()
-    queued: int = count_field()
+    free_slots: int = signed_field()
     received: int = count_field()
     agent_time_ms: int = count_field()
     settings_version: int = count_field()
@@ -90,8 +90,7 @@
     job_id: str = text_field()
     epoch: int = count_field()
     task: tuple[TaskRow, ...] = rows_field(TaskRow, 1)
-    free_slots: int = count_field()
-    queued: int = count_field()
+    free_slots: int = signed_field()
     received: int = count_field()
     agent_time_ms: int = count_field()
 
@@ -173,9 +172,13 @@
 @message(16)
 @attrs.frozen
 class EntryHeartbeat:
-    """Sent by an entry when it has nothing else to say; carries the settings version."""
+    """The entry lives; ``waiting`` is how many tasks it holds for lack of a free slot.
+
+    Sent every second, and at once when tasks begin or cease to wait.
+    """
 
     settings_version: int = count_field()
+    waiting: int = count_field()
 
 
 @message(17)
--- a/src/gapdrum/metrics.py
+++ b/src/gapdrum/metrics.py
@@ -40,6 +40,9 @@
         self.wasted: Counter[str] = Counter()
         self.registry.register(MessageCollector(self))
         self.starts = self._counter("starts", "Task starts ordered or made")
+        self.orders_queued = self._counter(
+            "orders_queued", "Start orders that found no free slot at the agent"
+        )
         self.jobs = self._counter("jobs", "Jobs answered", "outcome")
         self.refusals = self._counter("refusals", "Submissions refused", "code")
         self.stream_errors = self._counter("stream_errors", "Streams closed on error", "code")
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -13,7 +13,15 @@
 from gapdrum.hedging import Straggler, find_stragglers
 from gapdrum.jobs import PLACED, WAITING, AgentKey, Job, ReportEffect, Task
 from gapdrum.members import EJECTED, Members, RunnerView
-from gapdrum.messages import Inquire, PlacedTask, PlaceTasks, TaskKey, TaskRow, Withdraw
+from gapdrum.messages import (
+    EntryHeartbeat,
+    Inquire,
+    PlacedTask,
+    PlaceTasks,
+    TaskKey,
+    TaskRow,
+    Withdraw,
+)
 from gapdrum.metrics import Metrics
 from gapdrum.placement import choose_runner
 from gapdrum.queues import FairQueue
@@ -22,6 +30,8 @@
 from gapdrum.settings import SettingsHolder
 from gapdrum.timers import Timers
 
+HINT_INTERVAL_MS = 20
+
 Sender = Callable[[AgentKey, object], None]
 
 
@@ -73,6 +83,7 @@
         self._send = send
         self._on_settled = on_settled
         self._queues: dict[str, FairQueue] = {}
+        self._told_waiting: dict[str, tuple[int, int]] = {}
         self._retries = RatioBudget(settings.root.retry_budget_percent)
         self._hedges = RatioBudget(settings.root.hedge_budget_percent)
 
@@ -112,7 +123,7 @@
     def pump(self, upstream: str) -> None:
         """Place waiting tasks while there are runners for them."""
         queue = self._queues.get(upstream)
-        if queue is None or not queue.length:
+        if queue is None or not queue.length and not self._told_waiting.get(upstream, (0, 0))[0]:
             return
         runners = self.members.taking_work(upstream)
         blocked: set[str] = set()
@@ -129,6 +140,7 @@
             self._order(batches, job, index, view)
         for batch in batches.values():
             self._send_batch(batch)
+        self._tell_waiting(upstream, runners)
 
     def report(self, view: RunnerView, job_id: str, epoch: int, row: TaskRow) -> None:
         """Take one agent row about a task of a job."""
@@ -244,6 +256,18 @@
         order = PlaceTasks(job.job_id, job.epoch, start_by_ms, self.settings.version, batch.tasks)
         self._try_send(batch.view.agent, order)
 
+    def _tell_waiting(self, upstream: str, runners: list[RunnerView]) -> None:
+        """Tell the agents when tasks begin or cease to wait, so that they share their slots."""
+        waiting = self._queues[upstream].length
+        told, told_at_ms = self._told_waiting.get(upstream, (0, 0))
+        now_ms = self.timers.now_ms()
+        changed = (waiting > 0) != (told > 0) or waiting > 2 * told or waiting * 2 < told
+        if not changed or waiting and now_ms - told_at_ms < HINT_INTERVAL_MS:
+            return
+        self._told_waiting[upstream] = (waiting, now_ms)
+        for view in runners:
+            self._try_send(view.agent, EntryHeartbeat(self.settings.version, waiting))
+
     def _try_send(self, agent: AgentKey, message: object) -> None:
         """Send; a broken stream is no news here, its loss is handled where it ends."""
         try:
--- a/src/gapdrum/structures.py
+++ b/src/gapdrum/structures.py
@@ -27,6 +27,11 @@
     return attrs.field(validator=check, **options)
 
 
+def signed_field(bound: int = MAX_COUNT, **options: Any) -> Any:
+    """Return an attrs field that takes an integer of either sign, up to ``bound``."""
+    return count_field(bound, -bound, **options)
+
+
 def rows_field(row_class: type, max_length: int, **options: Any) -> Any:
     """Return an attrs field that takes a list of ``row_class``, or of its wire rows.
 
