Close the claim before an answer says not run, and search the core for failures

Cause: a seeded search over orders of messages, deaths, pauses and lapses (hypothesis, derandomized) found two faults. (1) A job that was cancelled or out of time at a paused owner was answered not run there, while another entry had taken it over and ran it. (2) A superseded job left its waiting tasks in the queue, and placing them raised KeyError. Reading for it showed a third: reports to an entry that had lost its job carried its own epoch, so it never learned that and placed the tasks again and again.

Ruled out: tombstones and fencing at fault in (1): both held, but they end attempts and not the job.

Change: an owner closes the claim by compare-and-set before it says not run; if that can't be settled, it says unknown. A closed claim is never placed again. Closed jobs leave the queue. Agents report under the highest epoch, and only to the entry that has it.

With fencing, the epoch check, tombstones, closing the claim or the count of hidden starts switched off, the search finds a broken promise each time.

--- /dev/null
+++ b/features/decision_core.feature
@@ -0,0 +1,22 @@
+Feature: The decision core under arbitrary orders of messages, deaths and lapses
+  A model drives the real scheduler, ledger and recovery with a seeded search.
+
+  Scenario: Each task starts at most once
+    When arbitrary failures are tried with 1 start allowed per task
+    Then no promise is broken
+
+  Scenario: Each task starts at most twice where two starts are allowed
+    When arbitrary failures are tried with 2 starts allowed per task
+    Then no promise is broken
+
+  Scenario Outline: The search finds what breaks without a mechanism
+    When the same is tried with <mechanism> switched off
+    Then a broken promise is found
+
+    Examples:
+      | mechanism                                     |
+      | fencing                                       |
+      | the epoch check                               |
+      | tombstones                                    |
+      | closing the claim                             |
+      | counting what missing agents may have started |
--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -78,20 +78,19 @@
         now_ms = self.timers.now_ms()
         if isinstance(message, PlaceTasks):
             self.links.take_orders(link, len(message.tasks))
-            self.links.own(message.job_id, link)
+            self._own(message.job_id, message.epoch, link)
             rows = self.ledger.place(message, now_ms)
-            self._report_rows(message.job_id, message.epoch, rows)
+            self._report_rows(link, message.job_id, rows)
             self._start_next()
             still_queued = min(self.ledger.queued, len(message.tasks))
             self.metrics.orders_queued.inc(still_queued)
         elif isinstance(message, Withdraw):
-            rows = self.ledger.withdraw(message)
-            self._report_rows(message.job_id, message.epoch, rows)
+            self._report_rows(link, message.job_id, self.ledger.withdraw(message))
         elif isinstance(message, Fence):
-            self.links.own(message.job_id, link)
+            self._own(message.job_id, message.epoch, link)
             link.send(self.ledger.fence(message, now_ms))
         elif isinstance(message, Inquire):
-            self.links.own(message.job_id, link)
+            self._own(message.job_id, message.epoch, link)
             link.send(self.ledger.inquire(message, now_ms))
         elif isinstance(message, SettingsPush):
             self._take_settings(message)
@@ -146,14 +145,20 @@
         address = self.runner.announcement.address
         return self._client.run(address, task.job_id, task.key.index, task.payload)
 
-    def _report(self, task: HeldTask) -> None:
-        self._report_rows(task.job_id, self.ledger.epoch_of(task.job_id), [task.row()])
+    def _own(self, job_id: str, epoch: int, link: EntryLink) -> None:
+        """Send reports to the entry with the highest epoch, not to one that lost the job."""
+        if epoch >= self.ledger.epoch_of(job_id):
+            self.links.own(job_id, link)
 
-    def _report_rows(self, job_id: str, epoch: int, rows: list[TaskRow]) -> None:
+    def _report(self, task: HeldTask) -> None:
         """Tell the job's owner; if its stream is gone it will inquire or fence later."""
-        link = self.links.owner_of(job_id)
-        if link is None:
-            return
+        link = self.links.owner_of(task.job_id)
+        if link is not None:
+            self._report_rows(link, task.job_id, [task.row()])
+
+    def _report_rows(self, link: EntryLink, job_id: str, rows: list[TaskRow]) -> None:
+        """Report under the highest epoch seen, so that an entry learns that it lost the job."""
+        epoch = self.ledger.epoch_of(job_id)
         for row in rows:
             link.send_report(
                 TaskReport(
--- a/src/gapdrum/claims.py
+++ b/src/gapdrum/claims.py
@@ -28,7 +28,11 @@
 
 @attrs.frozen
 class Claim:
-    """The claim row of a job.  ``roster`` names all agents that may hold its tasks."""
+    """The claim row of a job.
+
+    ``roster`` names all agents that may hold its tasks.  A ``closed`` job is
+    never placed again, so that "not run" stays true once it was answered.
+    """
 
     job_id: str
     team: str
@@ -42,6 +46,7 @@
     created_wall_ms: int
     deadline_wall_ms: int
     roster: list[AgentKey]
+    closed: bool = False
 
 
 class Stance(enum.Enum):
--- a/src/gapdrum/dispatcher.py
+++ b/src/gapdrum/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections import OrderedDict
+from collections.abc import Coroutine
 
 import attrs
 
@@ -44,6 +45,7 @@
 
 MAX_ANSWERS = 50_000
 RECOVERY_TIMEOUT_MS = 1_500
+CLOSE_TIMEOUT_MS = 500
 CLOCK_MARGIN_MS = 5_000
 MIN_RETRY_AFTER_MS = 200
 
@@ -100,6 +102,7 @@
             metrics,
             send,
             self._on_settled,
+            self._supersede,
         )
         self.leaving = False
         self._send = send
@@ -282,7 +285,7 @@
             return await self._meet(replaced, submission, tracked)
         left_ms = claim.deadline_wall_ms - self.timers.wall_ms()
         self._note(claim.job_id, reasons.TOOK_OVER, epoch=raised.epoch, left_ms=max(0, left_ms))
-        may_place = submission is not None and left_ms > 0
+        may_place = submission is not None and left_ms > 0 and not claim.closed
         job = Job(submission or _blank_submission(claim), raised.epoch, self.timers.now_ms())
         job.deadline_at_ms = self.timers.now_ms() + max(RECOVERY_TIMEOUT_MS, left_ms)
         await self._recover(tracked, replaced, job, may_place)
@@ -340,9 +343,38 @@
         self._on_settled(open_job)
 
     def _on_settled(self, open_job: OpenJob) -> None:
-        """Answer a job all of whose tasks have their fate."""
-        job = open_job.job
+        """Answer a job all of whose tasks have their fate.
+
+        Before it says of any task "not run", the claim is closed: else an
+        entry that took the job over could run the task all the same.
+        """
         self.scheduler.close(open_job)
+        tracked = self._tracked[open_job.job.job_id]
+        if open_job.job.has_not_run and not tracked.claim.claim.closed:
+            self._spawn(self._close_claim(tracked, open_job))
+            return
+        self._answer(open_job)
+
+    async def _close_claim(self, tracked: Tracked, open_job: OpenJob) -> None:
+        """Close the claim, then answer; if that can't be settled, "not run" is not said."""
+        held = tracked.claim
+        closed = attrs.evolve(held.claim, closed=True)
+        try:
+            if self.committer.is_down:
+                raise StoreError("the store is unavailable")
+            replaced = await self.claims.replace(held, closed, CLOSE_TIMEOUT_MS)
+        except StoreError:
+            open_job.job.retract_not_run(reasons.STORE_UNSETTLED)
+            self._answer(open_job)
+            return
+        if replaced.claim.epoch > closed.epoch:
+            self._supersede(open_job, replaced.claim.epoch)
+            return
+        tracked.claim = replaced
+        self._answer(open_job)
+
+    def _answer(self, open_job: OpenJob) -> None:
+        job = open_job.job
         answer = job.answer(self.timers.now_ms())
         tracked = self._tracked[job.job_id]
         self._note(job.job_id, reasons.ANSWERED, **_count_states(job))
@@ -424,9 +456,7 @@
 
     def _run_probe(self) -> None:
         """Let one read find out whether the store is back."""
-        task = asyncio.get_running_loop().create_task(self._probe_store())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._spawn(self._probe_store())
 
     async def _probe_store(self) -> None:
         try:
@@ -443,7 +473,10 @@
         return tracked
 
     def _run(self, tracked: Tracked, steps) -> None:
-        task = asyncio.get_running_loop().create_task(self._drive(tracked, steps))
+        self._spawn(self._drive(tracked, steps))
+
+    def _spawn(self, steps: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(steps)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/src/gapdrum/jobs.py
+++ b/src/gapdrum/jobs.py
@@ -17,6 +17,8 @@
 CHART = load_chart("task")
 WAITING = "waiting"
 PLACED = "placed"
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
 
 OUT = "out"
 LOST = "lost"
@@ -127,6 +129,18 @@
         """Tell whether every task has its fate."""
         return self.unsettled == 0
 
+    @property
+    def has_not_run(self) -> bool:
+        """Tell whether an answer would say of some task that it did not run."""
+        return any(task.state == NOT_RUN for task in self.tasks)
+
+    def retract_not_run(self, reason: str) -> None:
+        """Call unknown what can't be proven: another owner may have taken the job over."""
+        for task in self.tasks:
+            if task.state == NOT_RUN:
+                task.state = UNKNOWN
+                task.reason = reason
+
     def place(self, index: int, agent: AgentKey, now_ms: int) -> int:
         """Note that a start order goes out; return the number of the attempt."""
         task = self.tasks[index]
--- a/src/gapdrum/queues.py
+++ b/src/gapdrum/queues.py
@@ -141,4 +141,5 @@
 
 
 def _is_waiting(queued: QueuedTask) -> bool:
-    return queued.job.tasks[queued.index].state == WAITING
+    job = queued.job
+    return job.tasks[queued.index].state == WAITING and not job.closed_to_placement
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -55,7 +55,8 @@
 class Scheduler:
     """Binds tasks to runners.
 
-    ``on_settled`` is called with each job whose tasks all have their fate;
+    ``on_settled`` is called with each job whose tasks all have their fate, and
+    ``on_superseded`` with one that another entry owns under a higher epoch;
     ``send`` brings a message to an agent and raises StreamClosedError.
     """
 
@@ -69,6 +70,7 @@
         metrics: Metrics,
         send: Sender,
         on_settled: Callable[[OpenJob], None],
+        on_superseded: Callable[[OpenJob, int], None],
     ) -> None:
         self.zone = zone
         self.timers = timers
@@ -82,6 +84,7 @@
         self.rng = random.Random()
         self._send = send
         self._on_settled = on_settled
+        self._on_superseded = on_superseded
         self._queues: dict[str, FairQueue] = {}
         self._told_waiting: dict[str, tuple[int, int]] = {}
         self._retries = RatioBudget(settings.root.retry_budget_percent)
@@ -105,6 +108,7 @@
         """Stop work on a job: take back what its agents still hold."""
         job = open_job.job
         self.open_jobs.pop(job.job_id, None)
+        job.closed_to_placement = job.closed_to_placement or reasons.SUPERSEDED
         for agent in job.agents_out():
             self._try_send(agent, Withdraw(job.job_id, job.epoch, ()))
         for task in job.tasks:
@@ -145,6 +149,9 @@
     def report(self, view: RunnerView, job_id: str, epoch: int, row: TaskRow) -> None:
         """Take one agent row about a task of a job."""
         open_job = self.open_jobs.get(job_id)
+        if open_job is not None and epoch > open_job.job.epoch:
+            self._on_superseded(open_job, epoch)
+            return
         known = open_job is not None and epoch == open_job.job.epoch
         if not known or not self._take_row(open_job, view, row):
             self.metrics.wasted["TaskReport"] += 1
