Prove the promises under kills, freezes, outages and races; mend three faults

Change: a follower checks the owner's lease every 250 ms; the floor is 16; runners that failed a task come last for its next start. The stand-in's fault for lost answers now concerns writes only, since a read has no effect to lose.

--- /dev/null
+++ b/features/failures.feature
@@ -0,0 +1,118 @@
+Feature: What must always hold, while processes die, freeze and lose their store
+  The runners' own counts are the witness for starts.
+
+  Background:
+    Given a system of 3 entries and 3 runners
+
+  Scenario: The owner is killed and the job sent again
+    Given the job "f1" of 4 tasks of 1500 ms is on its way at entry 0
+    When entry 0 is killed
+    And the job "f1" of 4 tasks of 1500 ms is submitted to entry 1 until it is answered
+    Then the answer is complete
+    And every task started exactly once
+
+  Scenario: The owner is frozen past its lease, and wakes up
+    Given the job "f2" of 4 tasks of 6000 ms is on its way at entry 0
+    When entry 0 is frozen
+    And the job "f2" of 4 tasks of 6000 ms is submitted to entry 1 until it is answered
+    Then the answer is complete
+    When entry 0 wakes up
+    Then the call on its way is answered as complete
+    And every task started exactly once
+
+  Scenario: An agent is killed, and a second start is not allowed
+    Given the job "f3" of 6 tasks of 1500 ms is on its way at entry 0
+    When agent 0 is killed
+    Then the call on its way is answered as failed
+    And the tasks that are not done are "unknown"
+    And no task started more than 1 times
+
+  Scenario: An agent is killed, and a second start is allowed
+    Given the job "f4" of 6 tasks of 1500 ms with 2 starts is on its way at entry 0
+    When agent 0 is killed
+    Then the call on its way is answered as complete
+    And no task started more than 2 times
+
+  Scenario: An agent is frozen past the deadline and starts nothing afterwards
+    Given agent 0 is frozen
+    When the job "f5" of 6 tasks of 100 ms with deadline 1500 is submitted to entry 0
+    Then the answer is failed
+    And the tasks that are not done are "unknown"
+    When agent 0 wakes up and has caught up
+    Then the tasks that are not done never started
+
+  Scenario: A runner is killed while it runs tasks
+    Given the job "f6" of 6 tasks of 1500 ms is on its way at entry 0
+    When runner 0 is killed
+    Then the call on its way is answered as failed
+    And the tasks that are not done are "unknown"
+
+  Scenario: The store is down when a job comes, and back when it is sent again
+    Given the store has an outage for "claim/"
+    When the job "f7" of 2 tasks of 50 ms is submitted to entry 0
+    Then the call fails with status 503 and code "store_unavailable"
+    And the refusal says "unknown"
+    When the store works again
+    And the job "f7" of 2 tasks of 50 ms is submitted to entry 1 until it is answered
+    Then the answer is complete
+    And every task started exactly once
+
+  Scenario: The store is down for long, and claimed work goes on to its answer
+    Given the job "f8" of 4 tasks of 1500 ms is on its way at entry 0
+    And the store has an outage for ""
+    Then the call on its way is answered as complete
+
+  Scenario: The answer to a claim is lost after its effect
+    Given the store loses 1 answers for "claim/"
+    When the job "f9" of 2 tasks of 50 ms is submitted to entry 0
+    Then the answer is complete
+    And every task started exactly once
+
+  Scenario: Two entries race for one submission
+    When the job "f10" of 4 tasks of 500 ms is submitted to all entries at once
+    Then all answers are the same and complete
+    And every task started exactly once
+
+  Scenario: An entry shuts down and cuts off no request
+    Given the job "f11" of 4 tasks of 1500 ms is on its way at entry 0
+    When entry 0 is told to shut down
+    Then the call on its way is answered as complete
+    And entry 0 has ended with code 0
+
+  Scenario: An agent shuts down and hands back what it has not started
+    Given the job "f12" of 60 tasks of 400 ms is on its way at entry 0
+    When agent 0 is told to shut down
+    Then the call on its way is answered as complete
+    And every task started exactly once
+    And agent 0 has ended with code 0
+
+  Scenario: A leaving upstream gets no new work after three seconds
+    Given runner 0 says that it leaves
+    And 3 seconds have passed
+    When the job "f13" of 20 tasks of 50 ms is submitted to entry 0
+    Then the answer is complete
+    And runner 0 started nothing
+
+  Scenario: A runner that fails everything is ejected
+    Given runner 0 fails everything
+    When 12 jobs of 4 tasks with 5 starts are submitted to entry 0
+    Then all of them are complete
+    And the runner of agent 0 has the state "ejected" or "probation" at entry 0
+
+  Scenario: Cancelling a job starts nothing more and says what ran
+    Given the job "f14" of 100 tasks of 400 ms is on its way at entry 0
+    When the job "f14" is cancelled at entry 1
+    Then the call on its way is answered as failed
+    And the tasks that are not done are "not_run"
+    And the tasks that are not done never started
+
+  Scenario: Broken frames close their own stream and harm nothing else
+    When broken frames of every kind are sent to the streams of entry 0
+    And the job "f15" of 4 tasks of 50 ms is submitted to entry 0
+    Then the answer is complete
+
+  Scenario: An availability zone is lost at once
+    Given the job "f16" of 9 tasks of 1500 ms with 2 starts is on its way at entry 1
+    When entry 0 and agent 0 and runner 0 are killed
+    Then the call on its way is answered as complete
+    And no task started more than 2 times
--- /dev/null
+++ b/features/steps/failure_steps.py
@@ -0,0 +1,282 @@
+"""Steps that kill, freeze and cut processes and watch what callers get."""
+
+import json
+import signal
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgpack
+from behave import given, then, when
+from local_system import HOST, OPERATOR_TOKEN, RUNNER_TOKEN, STREAM_TOKEN
+from whole_path_steps import TEAM, check_complete, job_document
+
+from gapdrum.codec import encode
+from gapdrum.messages import AgentHello, EntryHeartbeat
+
+CALL_TIMEOUT_S = 60
+BROKEN_FRAMES = (
+    b"\xc1\xc1\xc1",
+    msgpack.packb([99, "x"]),
+    msgpack.packb({"not": "an array"}),
+    msgpack.packb([1, "too", "few"]),
+    msgpack.packb([16, "text", 0]),
+    b"\xdd\xff\xff\xff\xff",
+    encode(AgentHello("a", "i", "z", "w", "wrong token", 0)),
+    encode(AgentHello("a", "i", "z", "w", STREAM_TOKEN, 0)) + encode(EntryHeartbeat(0, 0)),
+    encode(AgentHello("a", "i", "z", "w", STREAM_TOKEN, 0))[:9],
+)
+
+
+def send_in_background(context, document, entry):
+    context.threads = ThreadPoolExecutor(8)
+    context.add_cleanup(context.threads.shutdown, wait=False)
+    arguments = ("POST", "/v1/jobs", document, entry)
+    context.on_its_way = context.threads.submit(context.system.request, *arguments)
+
+
+def wait_started(context, count):
+    context.system.wait_for(
+        lambda: len(context.system.count_starts()) >= count, f"{count} tasks started"
+    )
+
+
+def start_job(context, key, tasks, run_ms, entry, **more):
+    send_in_background(context, job_document(key, tasks, run_ms, **more), entry)
+    wait_started(context, min(tasks, 24))
+
+
+@given('the job "{key}" of {tasks:d} tasks of {run_ms:d} ms is on its way at entry {entry:d}')
+def job_on_its_way(context, key, tasks, run_ms, entry):
+    start_job(context, key, tasks, run_ms, entry)
+
+
+@given(
+    'the job "{key}" of {tasks:d} tasks of {run_ms:d} ms with {starts:d} starts'
+    " is on its way at entry {entry:d}"
+)
+def job_with_starts_on_its_way(context, key, tasks, run_ms, starts, entry):
+    start_job(context, key, tasks, run_ms, entry, starts_allowed=starts)
+
+
+def find_process(context, kind, number):
+    system = context.system
+    groups = {"entry": system.entries, "agent": system.agents, "runner": system.upstreams}
+    return groups[kind][number]
+
+
+@when("{kind:w} {number:d} is killed")
+def kill_one(context, kind, number):
+    find_process(context, kind, number).kill()
+
+
+@when("entry 0 and agent 0 and runner 0 are killed")
+def kill_zone(context):
+    for kind in ("entry", "agent", "runner"):
+        find_process(context, kind, 0).kill()
+
+
+@given("{kind:w} {number:d} is frozen")
+@when("{kind:w} {number:d} is frozen")
+def freeze(context, kind, number):
+    find_process(context, kind, number).signal(signal.SIGSTOP)
+
+
+@when("{kind:w} {number:d} wakes up")
+def wake(context, kind, number):
+    find_process(context, kind, number).signal(signal.SIGCONT)
+
+
+@when("agent 0 wakes up and has caught up")
+def wake_and_catch_up(context):
+    agent = find_process(context, "agent", 0)
+    agent.signal(signal.SIGCONT)
+    context.system.wait_http(agent, "/readyz")
+    runners = lambda: list_runners(context, 0)  # noqa: E731
+    context.system.wait_for(lambda: runners().get("agent-0") == "ready", "agent 0 is back")
+
+
+@when("{kind:w} {number:d} is told to shut down")
+def shut_down(context, kind, number):
+    find_process(context, kind, number).signal(signal.SIGTERM)
+
+
+@then("{kind:w} {number:d} has ended with code {code:d}")
+def check_ended(context, kind, number, code):
+    assert find_process(context, kind, number).wait(CALL_TIMEOUT_S) == code
+
+
+@given('the store has an outage for "{prefix}"')
+@given('the store has an outage for ""')
+def set_outage(context, prefix=""):
+    context.system.set_fault(mode="outage", prefix=prefix, count=1_000_000)
+
+
+@given('the store loses {count:d} answers for "{prefix}"')
+def lose_answers(context, count, prefix):
+    context.system.set_fault(mode="lost", prefix=prefix, count=count)
+
+
+@when("the store works again")
+def clear_fault(context):
+    context.system.set_fault()
+
+
+@when(
+    'the job "{key}" of {tasks:d} tasks of {run_ms:d} ms is submitted to entry {entry:d}'
+    " until it is answered"
+)
+def submit_until_answered(context, key, tasks, run_ms, entry):
+    document = job_document(key, tasks, run_ms)
+
+    def is_answered():
+        context.status, context.document = context.system.request(
+            "POST", "/v1/jobs", document, entry=entry
+        )
+        return context.status == 200
+
+    context.system.wait_for(is_answered, f"the answer of {key}")
+
+
+@when(
+    'the job "{key}" of {tasks:d} tasks of {run_ms:d} ms with deadline {deadline_ms:d}'
+    " is submitted to entry {entry:d}"
+)
+def submit_with_deadline(context, key, tasks, run_ms, deadline_ms, entry):
+    document = job_document(key, tasks, run_ms, deadline_ms=deadline_ms)
+    context.status, context.document = context.system.request(
+        "POST", "/v1/jobs", document, entry=entry
+    )
+
+
+@when('the job "{key}" of {tasks:d} tasks of {run_ms:d} ms is submitted to all entries at once')
+def submit_everywhere(context, key, tasks, run_ms):
+    document = job_document(key, tasks, run_ms)
+    with ThreadPoolExecutor(8) as threads:
+        calls = [
+            threads.submit(context.system.request, "POST", "/v1/jobs", document, entry)
+            for entry in range(len(context.system.entries))
+        ]
+        context.answers = [call.result(CALL_TIMEOUT_S) for call in calls]
+
+
+@when("{count:d} jobs of {tasks:d} tasks with {starts:d} starts are submitted to entry {entry:d}")
+def submit_many(context, count, tasks, starts, entry):
+    context.answers = [
+        context.system.request(
+            "POST",
+            "/v1/jobs",
+            job_document(f"many-{i}", tasks, 50, starts_allowed=starts),
+            entry=entry,
+        )
+        for i in range(count)
+    ]
+
+
+@when('the job "{key}" is cancelled at entry {entry:d}')
+def cancel_job(context, key, entry):
+    path = f"/v1/jobs/{TEAM}/{key}/cancel"
+    status, document = context.system.request("POST", path, {}, entry=entry)
+    assert status == 202, document
+
+
+@given("runner {number:d} says that it leaves")
+def leave(context, number):
+    agent = find_process(context, "agent", number)
+    find_process(context, "runner", number).signal(signal.SIGSTOP)
+    headers = {"Authorization": f"Bearer {RUNNER_TOKEN}"}
+    url = context.system.url(agent, "/v1/leave")
+    assert context.system.pool.request("POST", url, headers=headers).status == 200
+
+
+@given("{seconds:d} seconds have passed")
+def let_pass(_context, seconds):
+    time.sleep(seconds)
+
+
+@given("runner {number:d} fails everything")
+def fail_everything(context, number):
+    runner = find_process(context, "runner", number)
+    body = json.dumps({"fail_all": True}).encode()
+    context.system.pool.request("POST", context.system.url(runner, "/behaviour"), body=body)
+
+
+@when("broken frames of every kind are sent to the streams of entry {entry:d}")
+def send_broken_frames(context, entry):
+    config = json.loads((context.system.folder / f"entry-{entry}.json").read_text())
+    for frame in BROKEN_FRAMES:
+        with socket.create_connection((HOST, config["streams"]["port"])) as connection:
+            connection.sendall(frame)
+            connection.shutdown(socket.SHUT_WR)
+            connection.settimeout(CALL_TIMEOUT_S)
+            while connection.recv(4096):
+                pass
+
+
+@then("the call on its way is answered as {outcome:w}")
+def check_on_its_way(context, outcome):
+    context.status, context.document = context.on_its_way.result(CALL_TIMEOUT_S)
+    check_outcome(context, outcome)
+
+
+@then("the answer is failed")
+def check_failed(context):
+    check_outcome(context, "failed")
+
+
+def check_outcome(context, outcome):
+    assert context.status == 200, context.document
+    assert context.document["outcome"] == outcome, context.document
+
+
+@then('the tasks that are not done are "{fate}"')
+def check_fates(context, fate):
+    fates = {task["fate"] for task in context.document["tasks"]} - {"done"}
+    assert fates == {fate}, context.document
+
+
+@then("the tasks that are not done never started")
+def check_never_started(context):
+    starts = context.system.count_starts()
+    job_id = context.document["job_id"]
+    for task in context.document["tasks"]:
+        count = starts.get(f"{job_id}/{task['index']}", 0)
+        assert count == (1 if task["fate"] == "done" else 0), (task, count)
+
+
+@then("no task started more than {limit:d} times")
+def check_limit(context, limit):
+    assert max(context.system.count_starts().values()) <= limit
+
+
+@then("all answers are the same and complete")
+def check_same(context):
+    context.status, context.document = context.answers[0]
+    check_complete(context)
+    assert all(answer == context.answers[0] for answer in context.answers), context.answers
+
+
+@then("all of them are complete")
+def check_all(context):
+    for answer in context.answers:
+        context.status, context.document = answer
+        check_complete(context)
+
+
+@then("runner {number:d} started nothing")
+def check_nothing(context, number):
+    runner = find_process(context, "runner", number)
+    runner.signal(signal.SIGCONT)
+    assert context.system.get(runner, "/starts")["starts"] == {}
+
+
+@then('the runner of agent {number:d} has the state "{one}" or "{other}" at entry {entry:d}')
+def check_runner_state(context, number, one, other, entry):
+    assert list_runners(context, entry)[f"agent-{number}"] in (one, other)
+
+
+def list_runners(context, entry):
+    _status, document = context.system.request(
+        "GET", "/v1/runners", entry=entry, token=OPERATOR_TOKEN
+    )
+    return {row["agent_id"]: row["state"] for row in document["runners"]}
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,121 @@
+"""Steps about the settings tree, its versions and its audit trail."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+from local_system import OPERATOR_TOKEN
+
+from gapdrum.store import ANY_VERSION, StoreClient, TableWrite
+
+OBSERVED_POLLS = 3
+
+
+def change(context, values, base_version=None, entry=0, token=OPERATOR_TOKEN):
+    request = context.system.request
+    if base_version is None:
+        base_version = request("GET", "/v1/config", token=OPERATOR_TOKEN)[1]["version"]
+    changes = [{"path": p, "name": n, "value": v} for p, n, v in values]
+    document = {"base_version": base_version, "changes": changes, "reason": "scenario"}
+    return request("POST", "/v1/config/changes", document, entry=entry, token=token)
+
+
+@when('"{name}" of "{path}" is set to {value:d} at entry {entry:d}')
+def set_value(context, name, path, value, entry):
+    context.status, context.document = change(context, [(path, name, value)], entry=entry)
+    assert context.status == 200, context.document
+
+
+@when('two operators change "{name}" of "{path}" on the same version')
+def race(context, name, path):
+    with ThreadPoolExecutor(2) as threads:
+        calls = [
+            threads.submit(change, context, [(path, name, 2 + entry)], 0, entry)
+            for entry in range(2)
+        ]
+        context.answers = [call.result() for call in calls]
+
+
+@when("a change with 3 faults is sent to entry 0")
+def send_faults(context):
+    faults = [("", "no_such", 1), ("team/a", "team_weight", 0), ("", "placement", "x")]
+    context.status, context.document = change(context, faults)
+
+
+@when('the settings are changed with the token "{token}"')
+def change_with_token(context, token):
+    context.status, context.document = change(context, [("", "team_weight", 2)], token=token)
+
+
+@when("entry {entry:d} is started again")
+def start_again(context, entry):
+    process = context.system.entries[entry]
+    process.start()
+    context.system.wait_http(process, "/readyz")
+
+
+@when("the store answers with the settings of version {version:d}")
+def make_stale(context, version):
+    """Roll the tree's row back, as a replica that lags would show it."""
+    client = StoreClient(context.system.url(context.system.platform, ""))
+    row = client.read(["config/tree"])["config/tree"]
+    old = {**row.value, "nodes": {"team/schools": {"team_weight": 3}}}
+    client.transact([TableWrite("config/tree", ANY_VERSION, None)])
+    for _ in range(version):
+        client.transact([TableWrite("config/tree", ANY_VERSION, old)])
+    reads = context.system.get(context.system.platform, "/stats")["reads"]
+    polls = OBSERVED_POLLS * 10 * len(context.system.entries)
+    context.system.wait_for(
+        lambda: context.system.get(context.system.platform, "/stats")["reads"] > reads + polls,
+        "the entries have read the stale row",
+    )
+
+
+@then("version {version:d} is in force everywhere within {wait_ms:d} ms")
+def check_in_force(context, version, wait_ms):
+    path = f"/v1/config/status?version={version}&wait_ms={wait_ms}"
+    _status, document = context.system.request("GET", path, token=OPERATOR_TOKEN)
+    assert document["in_force"], document
+
+
+@then('entry {entry:d} has {value:d} for "{name}" of "{path}" from "{origin}"')
+def check_value(context, entry, value, name, path, origin):
+    found = find_value(context, entry, name, path)
+    assert (found["value"], found["origin"]) == (value, origin), found
+
+
+@then('entry {entry:d} has {value:d} for "{name}" of "{path}" from nowhere')
+def check_default(context, entry, value, name, path):
+    found = find_value(context, entry, name, path)
+    assert (found["value"], found["origin"]) == (value, None), found
+
+
+@then('one of them is told "{code}"')
+def check_loser(context, code):
+    statuses = sorted(status for status, _document in context.answers)
+    codes = [document.get("code") for _status, document in context.answers]
+    assert statuses == [200, 409] and code in codes, context.answers
+
+
+@then("the change is accepted as version {version:d}")
+def check_version(context, version):
+    assert context.document["version"] == version, context.document
+
+
+@then("the audit trail has {count:d} change")
+@then("the audit trail has {count:d} changes")
+def check_audit(context, count):
+    _status, document = context.system.request("GET", "/v1/config/history", token=OPERATOR_TOKEN)
+    assert len(document["changes"]) == count, json.dumps(document)
+
+
+@then("there are {count:d} findings")
+def check_count(context, count):
+    assert len(context.document["findings"]) == count, context.document
+
+
+def find_value(context, entry, name, path):
+    _status, document = context.system.request(
+        "GET", f"/v1/config/effective/{path}", entry=entry, token=OPERATOR_TOKEN
+    )
+    return next(value for value in document["values"] if value["name"] == name)
--- a/src/gapdrum/budgets.py
+++ b/src/gapdrum/budgets.py
@@ -49,13 +49,13 @@
 class RatioBudget:
     """A budget that each ordinary event feeds with a fraction: extra work stays in proportion.
 
-    With ``percent`` 10, ten first starts earn one retry; ``floor`` lets a
-    quiet system retry at all.
+    With ``percent`` 10, ten first starts earn one retry; ``floor`` is what a
+    quiet system may spend at once, enough for the tasks of two lost runners.
     """
 
     percent: int
-    floor: float = 5.0
-    ceiling: float = 100.0
+    floor: float = 16.0
+    ceiling: float = 200.0
     level: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/src/gapdrum/dispatcher.py
+++ b/src/gapdrum/dispatcher.py
@@ -45,6 +45,7 @@
 
 MAX_ANSWERS = 50_000
 RECOVERY_TIMEOUT_MS = 1_500
+FOLLOW_CHECK_MS = 250
 CLOSE_TIMEOUT_MS = 500
 CLOCK_MARGIN_MS = 5_000
 MIN_RETRY_AFTER_MS = 200
@@ -255,16 +256,22 @@
         return await self._take_over(held, submission, tracked)
 
     async def _follow(self, claim: Claim, record: EntryRecord) -> Answer | None:
-        """Return the owner's answer; None if it does not know the job any more."""
+        """Return the owner's answer; None if its lease lapses or it does not know the job."""
         self._note(claim.job_id, reasons.FOLLOWED, subject=record.entry_id)
         left_ms = max(0, claim.deadline_wall_ms - self.timers.wall_ms()) + CLOCK_MARGIN_MS
+        asking = asyncio.ensure_future(self.peers.ask(record, peers.FOLLOW, claim.job_id, left_ms))
+        while not asking.done():
+            await asyncio.wait((asking,), timeout=FOLLOW_CHECK_MS / MS_PER_S)
+            if not asking.done() and self.leases.find_alive(claim.owner) is None:
+                asking.cancel()
+                return None
         try:
-            document = await self.peers.ask(record, peers.FOLLOW, claim.job_id, left_ms)
+            document = asking.result()
         except StreamClosedError:
             if self.leases.find_alive(claim.owner) is None:
                 return None
             raise RefusedError(
-                reasons.STORE_UNSETTLED,
+                reasons.OWNER_UNREACHABLE,
                 "the owner of this job can't be reached now",
                 not_run=False,
                 retry_after_ms=self.settings.root.refuse_retry_after_ms,
--- a/src/gapdrum/reasons.py
+++ b/src/gapdrum/reasons.py
@@ -28,6 +28,7 @@
 ATTACHED = "attached_to_earlier_submission"
 FOLLOWED = "followed_at_owner"
 TOOK_OVER = "took_over"
+OWNER_UNREACHABLE = "owner_unreachable"
 SUPERSEDED = "superseded_by_higher_epoch"
 ANSWERED = "answered"
 
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -136,7 +136,7 @@
         now_ms = self.timers.now_ms()
         while queued := queue.pop(blocked, order, now_ms):
             job, index = queued.job, queued.index
-            view = self._choose(job, runners)
+            view = self._choose(job, job.tasks[index], runners)
             if view is None:
                 self._enqueue(job, index, front=True)
                 blocked.add(job.submission.team)
@@ -213,8 +213,8 @@
             self._queues[upstream] = queue
         return queue
 
-    def _choose(self, job: Job, runners: list[RunnerView]) -> RunnerView | None:
-        """Return a runner for a task of the job, None if it has to wait."""
+    def _choose(self, job: Job, task: Task, runners: list[RunnerView]) -> RunnerView | None:
+        """Return a runner for a task, None if it has to wait; new ones before those that failed."""
         submission = job.submission
         roster = self.open_jobs[job.job_id].roster
         fitting = [
@@ -224,9 +224,11 @@
             and view.takes_work
             and view.accelerators >= submission.accelerators
         ]
+        tried = {attempt.agent for attempt in task.attempts if attempt.may_have_started}
+        untried = [view for view in fitting if view.agent not in tried]
         settings = self.settings.for_upstream(submission.upstream)
         view = choose_runner(
-            settings.placement, fitting, self.zone, settings.placement_choices, self.rng
+            settings.placement, untried or fitting, self.zone, settings.placement_choices, self.rng
         )
         if view is None or not self.quotas.may_start(submission.team, self.timers.now_ms()):
             return None
@@ -342,7 +344,7 @@
         busy = {attempt.agent for attempt in task.attempts}
         runners = self.members.taking_work(job.submission.upstream)
         free = [view for view in runners if view.agent not in busy and view.free_slots > 0]
-        view = self._choose(job, free)
+        view = self._choose(job, task, free)
         if view is None or task.state != PLACED or not self._hedges.spend():
             return
         batches: dict[tuple[str, AgentKey], _Batch] = {}
--- a/src/gapdrum_standins/platform.py
+++ b/src/gapdrum_standins/platform.py
@@ -32,9 +32,12 @@
     count: int = 0
     delay_ms: int = 0
 
-    def applies(self, keys: list[str]) -> bool:
-        """Tell whether a call on these keys meets the fault, and count it."""
-        if not self.mode or self.count == 0:
+    def applies(self, keys: list[str], is_write: bool) -> bool:
+        """Tell whether a call on these keys meets the fault, and count it.
+
+        Only writes can lose their answer after an effect.
+        """
+        if not self.mode or self.count == 0 or self.mode == "lost" and not is_write:
             return False
         if not any(key.startswith(self.prefix) for key in keys):
             return False
@@ -119,7 +122,7 @@
             kind = "writes" if is_write else "reads"
             tables.calls[kind] = tables.calls.get(kind, 0) + 1
             fault = tables.fault
-            mode = fault.mode if fault.applies(keys) else ""
+            mode = fault.mode if fault.applies(keys, is_write) else ""
         if mode == "outage":
             return "503 Service Unavailable", b"{}"
         if mode == "slow":
