--- a/tools/bench.py
+++ b/tools/bench.py
@@ -26,6 +26,7 @@
 )
 RUNNERS = [("inspect-desk", ZONES[i % 3], 8) for i in range(11)]
 SHORT_JOB_TASKS = 4
+SETTINGS_CHANGES = 12
 LIMIT_SECONDS = 12
 LIMIT_CALLERS = 48
 LIMIT_TASKS_PER_JOB = 20
@@ -130,6 +131,27 @@
     print(json.dumps(result), flush=True)
 
 
+def bench_settings() -> None:
+    """Print how long accepted changes take to be in force everywhere, and acknowledged."""
+    times_ms = []
+    with LocalSystem(entries=3, runners=RUNNERS) as system:
+        for version in range(1, SETTINGS_CHANGES + 1):
+            change = {"path": "team/bench", "name": "team_weight", "value": 1 + version % 9}
+            document = {"base_version": version - 1, "changes": [change], "reason": "benchmark"}
+            call = ("POST", "/v1/config/changes", document, version % 3, OPERATOR_TOKEN)
+            status, record = system.request(*call)
+            if status != 200:
+                raise SystemExit(f"a change was refused: {record}")
+            accepted = time.monotonic()
+            path = f"/v1/config/status?version={version}&wait_ms=20000"
+            in_force = system.request("GET", path, token=OPERATOR_TOKEN)[1]["in_force"]
+            if not in_force:
+                raise SystemExit("a change did not come into force within 20 s")
+            times_ms.append(round(1000 * (time.monotonic() - accepted)))
+    result = {"changes": len(times_ms), "median_ms": sorted(times_ms)[len(times_ms) // 2]}
+    print(json.dumps({**result, "longest_ms": max(times_ms)}), flush=True)
+
+
 def submit_batch(system: LocalSystem, key: str) -> int:
     """Submit one job of tasks that take no time; return how many were done."""
     document = {
@@ -154,7 +176,11 @@
 
 def main() -> None:
     """Run the parts named on the command line, or all."""
-    parts = {"placement": bench_placement, "limit": bench_limit}
+    parts = {
+        "placement": bench_placement,
+        "limit": bench_limit,
+        "settings": bench_settings,
+    }
     for name in sys.argv[1:] or parts:
         parts[name]()
 
