Offer scarce slots to waiting entries with equal chances

Cause: with offers in proportion to what waits, an entry that held one short task got one slot in thirty while another held a backlog of long ones; held for 80 to 190 ms at 80% load, short jobs made the tail, and no queue order within an entry could help them.

Change besides: agent_queue_limit_tasks counts beyond the free slots, so that 0 declines what can't start at once; the default stays 256.

--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -77,7 +77,7 @@
         if isinstance(message, PlaceTasks):
             self.links.take_orders(link, len(message.tasks))
             self._own(message.job_id, message.epoch, link)
-            rows = self.ledger.place(message, now_ms)
+            rows = self.ledger.place(message, now_ms, self.free_slots)
             self._report_rows(link, message.job_id, rows)
             self._start_next()
             still_queued = min(self.ledger.queued, len(message.tasks))
--- a/src/gapdrum/ledger.py
+++ b/src/gapdrum/ledger.py
@@ -106,8 +106,11 @@
         job = self._jobs.get(job_id)
         return job.epoch if job else 0
 
-    def place(self, order: PlaceTasks, now_ms: int) -> list[TaskRow]:
-        """Take start orders; return rows for those that end at once or were known already."""
+    def place(self, order: PlaceTasks, now_ms: int, free_slots: int = 0) -> list[TaskRow]:
+        """Take start orders; return rows for those that end at once or were known already.
+
+        Beyond the free slots only ``queue_limit`` attempts are kept waiting.
+        """
         job = self._job_for(order.job_id, order.epoch, order.start_by_ms, now_ms)
         rows = []
         for placed in order.tasks:
@@ -115,7 +118,7 @@
             known = job.tasks.get(key)
             if known is None:
                 known = HeldTask(order.job_id, key, placed.payload)
-                self._admit(job, known, order, now_ms)
+                self._admit(job, known, order, now_ms, free_slots)
             if known.state != QUEUED:
                 rows.append(known.row())
         return rows
@@ -203,7 +206,9 @@
         job.keep_until_ms = max(job.start_by_ms, now_ms) + self.retention_ms
         return job
 
-    def _admit(self, job: HeldJob, task: HeldTask, order: PlaceTasks, now_ms: int) -> None:
+    def _admit(
+        self, job: HeldJob, task: HeldTask, order: PlaceTasks, now_ms: int, free_slots: int
+    ) -> None:
         job.tasks[task.key] = task
         if order.epoch < job.epoch:
             self._end(task, REASON_FENCED)
@@ -211,7 +216,7 @@
             self._end(task, REASON_LEAVING)
         elif now_ms > order.start_by_ms:
             self._end(task, REASON_LAPSED)
-        elif self._queued >= self.queue_limit:
+        elif self._queued >= free_slots + self.queue_limit:
             self._end(task, REASON_QUEUE_FULL)
         else:
             self._queue.append(task)
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -307,6 +307,9 @@
         if effect is ReportEffect.ENDED:
             self._note_ended(job, view.agent)
         self._judge_runner(view, row)
+        if row.reason == ledger.REASON_QUEUE_FULL:
+            self.metrics.wasted["PlaceTasks"] += 1
+            self.metrics.wasted["TaskReport"] += 1
         if row.state == ledger.DONE:
             self.run_times.of(view.upstream, job.submission.kind).add(row.run_ms)
         task = job.tasks[row.index]
--- a/src/gapdrum/shares.py
+++ b/src/gapdrum/shares.py
@@ -45,8 +45,7 @@
             wanting = [entry for entry in claimants if entry.waiting > entry.offered]
             if not wanting:
                 return
-            weights = [entry.waiting - entry.offered for entry in wanting]
-            chosen = self._rng.choices(wanting, weights)[0]
+            chosen = self._rng.choice(wanting)
             chosen.offered += 1
             chosen.offered_at_ms = now_ms
             left -= 1
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -19,10 +19,11 @@
 TRACE = Path(__file__).parent.parent / "traces" / "load80.jsonl"
 ZONES = ("plaine-nord", "moka-hall", "curepipe-hall")
 POLICIES = (
-    ("random", "first_come"),
-    ("least_outstanding", "first_come"),
-    ("two_choices", "first_come"),
-    ("two_choices", "highest_response_ratio"),
+    ("random", "first_come", 256),
+    ("least_outstanding", "first_come", 256),
+    ("two_choices", "first_come", 256),
+    ("two_choices", "highest_response_ratio", 256),
+    ("two_choices", "highest_response_ratio", 0),
 )
 RUNNERS = [("inspect-desk", ZONES[i % 3], 8) for i in range(11)]
 SHORT_JOB_TASKS = 4
@@ -39,6 +40,7 @@
 
     placement: str
     queue_order: str
+    agent_queue_limit_tasks: int
     p50: float
     p99: float
     short_p50: float
@@ -50,10 +52,14 @@
     store_writes: int
 
 
-def set_policy(system: LocalSystem, placement: str, queue_order: str) -> None:
+def set_policy(system: LocalSystem, placement: str, queue_order: str, queue_limit: int) -> None:
     """Bring a policy into force at all entries."""
     version = system.request("GET", "/v1/config", token=OPERATOR_TOKEN)[1]["version"]
-    values = {"placement": placement, "queue_order": queue_order}
+    values = {
+        "placement": placement,
+        "queue_order": queue_order,
+        "agent_queue_limit_tasks": queue_limit,
+    }
     changes = [{"path": "", "name": name, "value": value} for name, value in values.items()]
     document = {"base_version": version, "changes": changes, "reason": "benchmark"}
     status, _record = system.request("POST", "/v1/config/changes", document, token=OPERATOR_TOKEN)
@@ -64,7 +70,7 @@
         raise SystemExit("the policy did not come into force within 8 s")
 
 
-def measure_policy(system: LocalSystem, policy: tuple[str, str]) -> Row:
+def measure_policy(system: LocalSystem, policy: tuple[str, str, int]) -> Row:
     """Replay the trace under one policy."""
     trace = load_trace(TRACE)
     set_policy(system, *policy)
