--- a/features/failures.feature
+++ b/features/failures.feature
@@ -116,3 +116,31 @@
     When entry 0 and agent 0 and runner 0 are killed
     Then the call on its way is answered as complete
     And no task started more than 2 times
+
+  Scenario: All entries are replaced one by one under load
+    Given the trace "short.jsonl" is being replayed
+    When every entry is told to shut down and started again, one after the other
+    Then the replay reaches its stated outcome
+    And every task started exactly once
+
+  Scenario: The owner is killed and the answer to the takeover is lost
+    Given the job "f17" of 4 tasks of 1500 ms is on its way at entry 0
+    When entry 0 is killed
+    And the store begins to lose 2 answers for "claim/"
+    And the job "f17" of 4 tasks of 1500 ms is submitted to entry 1 until it is answered
+    Then the answer is complete
+    And every task started exactly once
+
+  Scenario: The store goes down and an agent dies at once
+    Given the job "f18" of 6 tasks of 1500 ms with 2 starts is on its way at entry 0
+    And the store has an outage for ""
+    When agent 0 is killed
+    Then the call on its way is answered as complete
+    And no task started more than 2 times
+
+  Scenario: A wave of cancellations costs messages only for work that is held
+    Given 20 jobs of 30 tasks of 400 ms are on their way at entry 0
+    When all of them are cancelled at entry 0
+    Then all of them are answered as failed
+    And entry 0 has sent at most 60 "Withdraw" messages
+    And no task started more than 1 times
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -8,11 +8,13 @@
 
 import msgpack
 from behave import given, then, when
-from local_system import HOST, OPERATOR_TOKEN, RUNNER_TOKEN, STREAM_TOKEN
-from whole_path_steps import TEAM, check_complete, job_document
+from local_system import CALLER_TOKEN, HOST, OPERATOR_TOKEN, RUNNER_TOKEN, STREAM_TOKEN
+from whole_path_steps import TEAM, TRACES, check_complete, job_document
 
 from gapdrum.codec import encode
 from gapdrum.messages import AgentHello, EntryHeartbeat
+from gapdrum.replays import list_deviations, replay
+from gapdrum.traces import load_trace
 
 CALL_TIMEOUT_S = 60
 BROKEN_FRAMES = (
@@ -280,3 +282,76 @@
         "GET", "/v1/runners", entry=entry, token=OPERATOR_TOKEN
     )
     return {row["agent_id"]: row["state"] for row in document["runners"]}
+
+
+@given('the trace "{name}" is being replayed')
+def replay_in_background(context, name):
+    context.trace = load_trace(TRACES / name)
+    urls = [context.system.url(entry, "") for entry in context.system.entries]
+    context.threads = ThreadPoolExecutor(1)
+    context.add_cleanup(context.threads.shutdown, wait=False)
+    context.replay = context.threads.submit(
+        replay, context.trace, urls, CALLER_TOKEN, progress=lambda _text: None
+    )
+    wait_started(context, 30)
+
+
+@when("every entry is told to shut down and started again, one after the other")
+def replace_entries(context):
+    for entry in context.system.entries:
+        entry.signal(signal.SIGTERM)
+        assert entry.wait(CALL_TIMEOUT_S) == 0
+        entry.start()
+        context.system.wait_http(entry, "/readyz")
+        context.system.wait_runners(len(context.system.agents))
+
+
+@then("the replay reaches its stated outcome")
+def check_replay(context):
+    report = context.replay.result(2 * CALL_TIMEOUT_S)
+    assert list_deviations(context.trace, report) == []
+
+
+@when('the store begins to lose {count:d} answers for "{prefix}"')
+def begin_to_lose(context, count, prefix):
+    lose_answers(context, count, prefix)
+
+
+@given("{count:d} jobs of {tasks:d} tasks of {run_ms:d} ms are on their way at entry {entry:d}")
+def many_on_their_way(context, count, tasks, run_ms, entry):
+    context.threads = ThreadPoolExecutor(count)
+    context.add_cleanup(context.threads.shutdown, wait=False)
+    context.keys = [f"wave-{i}" for i in range(count)]
+    context.calls = [
+        context.threads.submit(
+            context.system.request, "POST", "/v1/jobs", job_document(key, tasks, run_ms), entry
+        )
+        for key in context.keys
+    ]
+    path = "/v1/open-jobs"
+    context.system.wait_for(
+        lambda: len(operate(context, path, entry)["jobs"]) == count, "all jobs are open"
+    )
+
+
+@when("all of them are cancelled at entry {entry:d}")
+def cancel_all(context, entry):
+    for key in context.keys:
+        cancel_job(context, key, entry)
+
+
+@then("all of them are answered as failed")
+def check_all_failed(context):
+    for call in context.calls:
+        context.status, context.document = call.result(CALL_TIMEOUT_S)
+        check_outcome(context, "failed")
+
+
+@then('entry {entry:d} has sent at most {limit:d} "{kind}" messages')
+def check_sent(context, entry, limit, kind):
+    sent = context.system.count_messages()["sent"]
+    assert 0 < sent.get(kind, 0) <= limit, sent
+
+
+def operate(context, path, entry):
+    return context.system.request("GET", path, entry=entry, token=OPERATOR_TOKEN)[1]
--- a/src/gapdrum/cli.py
+++ b/src/gapdrum/cli.py
@@ -63,7 +63,9 @@
     if not rows:
         typer.echo("none")
         return
-    table = Table(*rows[0])
+    table = Table()
+    for name in rows[0]:
+        table.add_column(name, overflow="fold")
     for row in rows:
         table.add_row(*(_cell(value) for value in row.values()))
     Console(width=max(100, Console().width)).print(table)
--- a/src/gapdrum/config.py
+++ b/src/gapdrum/config.py
@@ -31,11 +31,10 @@
 
 @attrs.frozen
 class Tls:
-    """Paths of the certificate, its key and the authority that peers must be signed by."""
+    """Paths of the certificate and its key, for the HTTP listener."""
 
     certificate: str = text_field(4_096)
     key: str = text_field(4_096)
-    authority: str = text_field(4_096)
 
 
 @attrs.frozen
@@ -84,7 +83,6 @@
     store_url: str = text_field()
     stream_token: str = text_field(repr=False)
     credentials: list[Credential]
-    tls: Tls | None = None
     entries_limit: int = count_field(64, 1, default=4)
     drain_timeout_ms: int = count_field(600_000, default=20_000)
     log_json: bool = False
--- a/src/gapdrum/conversion.py
+++ b/src/gapdrum/conversion.py
@@ -1,9 +1,12 @@
 """Turns plain JSON data into attrs classes and back, collecting every finding with its place."""
 
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_origin
 
+import attrs
 import cattrs
+from cattrs.cols import list_structure_factory
 from cattrs.errors import ClassValidationError, IterableValidationError
+from cattrs.gen import make_dict_structure_fn
 
 from gapdrum.exceptions import Finding, InvalidInputError
 
@@ -43,8 +46,6 @@
         return f"the field {error.args[0]} is missing"
     if isinstance(error, cattrs.errors.ForbiddenExtraKeysError):
         return f"unknown fields: {', '.join(sorted(error.extra_fields))}"
-    if isinstance(error, TypeError) and "not iterable" in str(error):
-        return "expected a list"
     if isinstance(error, TypeError | ValueError) and error.args:
         return str(error.args[0])
     return f"not accepted ({type(error).__name__})"
@@ -56,9 +57,36 @@
         converter.register_structure_hook(primitive, _build_strict_hook(primitive))
     for union in (int | str, int | str | None):
         converter.register_structure_hook(union, _take_setting_value)
+    converter.register_structure_hook_factory(_is_list, _build_list_hook)
+    converter.register_structure_hook_factory(attrs.has, _build_object_hook)
     return converter
 
 
+def _is_list(target: Any) -> bool:
+    return get_origin(target) is list
+
+
+def _build_list_hook(target: Any, converter: cattrs.Converter):
+    inner = list_structure_factory(target, converter)
+    return _require(list, "a list", inner)
+
+
+def _build_object_hook(target: type, converter: cattrs.Converter):
+    inner = make_dict_structure_fn(target, converter, _cattrs_forbid_extra_keys=True)
+    return _require(dict, "an object", inner)
+
+
+def _require(plain: type, name: str, inner):
+    """Return a hook that takes only this plain type, as text and objects iterate, too."""
+
+    def hook(value: Any, target: Any) -> Any:
+        if not isinstance(value, plain):
+            raise TypeError(f"expected {name}, got {type(value).__name__}")
+        return inner(value, target)
+
+    return hook
+
+
 def _take_setting_value(value: Any, _type: type) -> int | str | None:
     if value is not None and type(value) not in (int, str):
         raise TypeError(f"expected int or str, got {type(value).__name__}")
