Move ejection out of the scheduler; pump all queues at times

Change: Ejector judges and probes runners; queues are pumped every 100 ms under a name of its own. A scenario for a team's rate limit (16 tasks at 8 a second) is new; it passes before and after, as load heartbeats pump as well.

--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -39,6 +39,12 @@
     And entry 0 explains "flag-5" with the codes "claimed, placed, answered"
     And every task started exactly once
 
+  Scenario: A team's rate limit delays tasks and strands none
+    Given the setting "team_starts_limit_per_s" of "" is 8
+    When the job "flag-6" of 16 tasks of 20 ms is submitted to entry 0
+    Then the answer is complete
+    And every task started exactly once
+
   Scenario: A replayed trace reaches its stated outcome
     When the trace "short.jsonl" is replayed
     Then its stated outcome holds
--- a/src/gapdrum/ejection.py
+++ b/src/gapdrum/ejection.py
@@ -1,8 +1,13 @@
 """Ejection of runners that fail everything they start, with probation before return."""
 
+from collections.abc import Callable
+
 import attrs
 
-from gapdrum.members import EJECTED, PROBATION, RunnerView
+from gapdrum import reasons
+from gapdrum.decisions import DecisionLog
+from gapdrum.members import EJECTED, PROBATION, Members, RunnerView
+from gapdrum.settings import SettingsHolder
 
 MIN_SHARE_LEFT = 0.5
 
@@ -41,3 +46,53 @@
 def _may_eject(peers: list[RunnerView]) -> bool:
     ejected = sum(view.state == EJECTED for view in peers)
     return ejected + 1 <= len(peers) * MIN_SHARE_LEFT
+
+
+class Ejector:
+    """Ejects runners by the settings of their upstream, and lets them back; records why."""
+
+    def __init__(
+        self,
+        members: Members,
+        settings: SettingsHolder,
+        decisions: DecisionLog,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self._members = members
+        self._settings = settings
+        self._decisions = decisions
+        self._wall_ms = wall_ms
+
+    def judge(self, view: RunnerView, failed: bool, now_ms: int) -> None:
+        """Take the outcome of a task that started at a runner."""
+        limit = self._settings.for_upstream(view.upstream).eject_after_failures
+        peers = self._members.of_upstream(view.upstream)
+        change = note_outcome(view, failed, limit, peers)
+        if change is None:
+            return
+        view.ejected_at_ms = now_ms
+        passed = change.event == "pass"
+        code = reasons.RUNNER_PASSED if passed else reasons.RUNNER_EJECTED
+        self._record(view, code, failures_in_row=change.failures_in_row)
+
+    def probe(self, now_ms: int) -> bool:
+        """Put runners whose ejection is over on probation; return whether there were any."""
+        over = [view for view in self._members if self._is_over(view, now_ms)]
+        for view in over:
+            view.apply("probe")
+            self._record(view, reasons.RUNNER_PROBATION)
+        return bool(over)
+
+    def _is_over(self, view: RunnerView, now_ms: int) -> bool:
+        if view.state != EJECTED:
+            return False
+        return (
+            now_ms - view.ejected_at_ms >= self._settings.for_upstream(view.upstream).eject_for_ms
+        )
+
+    def _record(self, view: RunnerView, code: str, **figures: int) -> None:
+        agent_id = view.agent.agent_id
+        version = self._settings.version
+        self._decisions.record(
+            self._wall_ms(), f"runner:{agent_id}", code, version, subject=agent_id, **figures
+        )
--- a/src/gapdrum/entries.py
+++ b/src/gapdrum/entries.py
@@ -33,6 +33,7 @@
 
 HEDGE_INTERVAL_MS = 50
 PROBE_INTERVAL_MS = 250
+PUMP_INTERVAL_MS = 100
 FORGET_INTERVAL_MS = 1_000
 DRAIN_POLL_MS = 20
 ANSWER_GRACE_MS = 300
@@ -77,6 +78,7 @@
             (POLL_INTERVAL_MS, self.configurations.refresh),
             (HEARTBEAT_INTERVAL_MS, self.links.beat),
             (HEDGE_INTERVAL_MS, dispatcher.scheduler.hedge),
+            (PUMP_INTERVAL_MS, dispatcher.scheduler.pump_all),
             (PROBE_INTERVAL_MS, dispatcher.scheduler.probe_ejected),
             (FLUSH_INTERVAL_MS, dispatcher.journal.flush),
             (FORGET_INTERVAL_MS, dispatcher.forget_answers),
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -8,11 +8,11 @@
 from gapdrum import ledger, reasons
 from gapdrum.budgets import RatioBudget
 from gapdrum.decisions import DecisionLog
-from gapdrum.ejection import note_outcome
+from gapdrum.ejection import Ejector
 from gapdrum.exceptions import StreamClosedError
 from gapdrum.hedging import Straggler, find_stragglers
 from gapdrum.jobs import PLACED, WAITING, AgentKey, Job, ReportEffect, Task
-from gapdrum.members import EJECTED, Members, RunnerView
+from gapdrum.members import Members, RunnerView
 from gapdrum.messages import (
     EntryHeartbeat,
     Inquire,
@@ -83,6 +83,7 @@
         self.open_jobs: dict[str, OpenJob] = {}
         self.rng = random.Random()
         self._send = send
+        self._ejector = Ejector(members, settings, decisions, timers.wall_ms)
         self._on_settled = on_settled
         self._on_superseded = on_superseded
         self._queues: dict[str, FairQueue] = {}
@@ -181,7 +182,7 @@
                 self._follow_up(open_job.job, task, reason, started=True)
             if concerned:
                 self._settle_if_done(open_job)
-        self._pump_all()
+        self.pump_all()
 
     def inquire(self, agent: AgentKey) -> None:
         """Ask a reconnected agent after all attempts that are awaited from it."""
@@ -198,21 +199,16 @@
 
     def probe_ejected(self) -> None:
         """Put ejected runners whose time is over on probation."""
-        for view in list(self.members):
-            if view.state != EJECTED:
-                continue
-            wait_ms = self.settings.for_upstream(view.upstream).eject_for_ms
-            if self.timers.now_ms() - view.ejected_at_ms >= wait_ms:
-                view.apply("probe")
-                self._note_runner(view, reasons.RUNNER_PROBATION)
-        self._pump_all()
+        if self._ejector.probe(self.timers.now_ms()):
+            self.pump_all()
 
     def _inquire(self, job: Job, agent: AgentKey) -> None:
         keys = [TaskKey(index, number) for index, number in job.out_at(agent)]
         if keys:
             self._try_send(agent, Inquire(job.job_id, job.epoch, keys))
 
-    def _pump_all(self) -> None:
+    def pump_all(self) -> None:
+        """Place what can be at every upstream; called at times, as limits refill with time."""
         for upstream in list(self._queues):
             self.pump(upstream)
 
@@ -306,7 +302,8 @@
             return False
         if effect is ReportEffect.ENDED:
             self._note_ended(job, view.agent)
-        self._judge_runner(view, row)
+        if row.state != ledger.NEVER_STARTED:
+            self._ejector.judge(view, row.state == ledger.FAILED, self.timers.now_ms())
         if row.reason == ledger.REASON_QUEUE_FULL:
             self.metrics.wasted["PlaceTasks"] += 1
             self.metrics.wasted["TaskReport"] += 1
@@ -350,19 +347,6 @@
             view.outstanding -= 1
         self.quotas.ended(job.submission.team)
 
-    def _judge_runner(self, view: RunnerView, row: TaskRow) -> None:
-        if row.state == ledger.NEVER_STARTED:
-            return
-        limit = self.settings.for_upstream(view.upstream).eject_after_failures
-        peers = self.members.of_upstream(view.upstream)
-        change = note_outcome(view, row.state == ledger.FAILED, limit, peers)
-        if change is None:
-            return
-        view.ejected_at_ms = self.timers.now_ms()
-        passed = change.event == "pass"
-        code = reasons.RUNNER_PASSED if passed else reasons.RUNNER_EJECTED
-        self._note_runner(view, code, failures_in_row=change.failures_in_row)
-
     def _hedge_one(self, straggler: Straggler) -> None:
         job, task = straggler.job, straggler.task
         busy = {attempt.agent for attempt in task.attempts}
@@ -386,13 +370,3 @@
             subject=subject,
             **figures,
         )
-
-    def _note_runner(self, view: RunnerView, code: str, **figures: int) -> None:
-        self.decisions.record(
-            self.timers.wall_ms(),
-            f"runner:{view.agent.agent_id}",
-            code,
-            self.settings.version,
-            subject=view.agent.agent_id,
-            **figures,
-        )
