Let a runner that left and came back get work again

Cause: an entry kept a runner as leaving for good, and an agent told it was leaving even when it announced no more; a runner that was restarted beside a living agent got no work ever again. Also, an announcement took a leave back at once, although a leaving runner may announce until it is gone.

Ruled out: that new work reached a leaving runner: the entry's state was sticky, and the scenario with a runner that goes on announcing passed before.

Change: the agent decides: a leave stands until the runner was silent for 3 s or is another one; the entry follows what the agent states.

Before: the new scenario fails (the runner never leaves the state leaving). After: it passes, and so does the one for a leaving upstream.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -86,13 +86,21 @@
     And every task started exactly once
     And agent 0 has ended with code 0
 
-  Scenario: A leaving upstream gets no new work after three seconds
+  Scenario: A leaving upstream gets no new work after three seconds, though it still announces
     Given runner 0 says that it leaves
     And 3 seconds have passed
     When the job "f13" of 20 tasks of 50 ms is submitted to entry 0
     Then the answer is complete
     And runner 0 started nothing
 
+  Scenario: A runner that left and came back gets work again
+    Given runner 0 says that it leaves
+    Then the runner of agent 0 comes to the state "leaving" at entry 0
+    When runner 0 is frozen
+    Then the runner of agent 0 comes to the state "announced" at entry 0
+    When runner 0 wakes up
+    Then the runner of agent 0 comes to the state "ready" at entry 0
+
   Scenario: A runner that fails everything is ejected
     Given runner 0 fails everything
     When 12 jobs of 4 tasks with 5 starts are submitted to entry 0
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -185,7 +185,6 @@
 @given("runner {number:d} says that it leaves")
 def leave(context, number):
     agent = find_process(context, "agent", number)
-    find_process(context, "runner", number).signal(signal.SIGSTOP)
     headers = {"Authorization": f"Bearer {RUNNER_TOKEN}"}
     url = context.system.url(agent, "/v1/leave")
     assert context.system.pool.request("POST", url, headers=headers).status == 200
@@ -277,6 +276,14 @@
     assert list_runners(context, entry)[f"agent-{number}"] in (one, other)
 
 
+@then('the runner of agent {number:d} comes to the state "{state}" at entry {entry:d}')
+def wait_runner_state(context, number, state, entry):
+    context.system.wait_for(
+        lambda: list_runners(context, entry).get(f"agent-{number}") == state,
+        f"the runner of agent {number} is {state}",
+    )
+
+
 def list_runners(context, entry):
     _status, document = context.system.request(
         "GET", "/v1/runners", entry=entry, token=OPERATOR_TOKEN
--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -20,6 +20,7 @@
 from gapdrum.ledger import HeldTask, Ledger
 from gapdrum.logs import set_up_logs
 from gapdrum.messages import (
+    STATE_LEAVING,
     Fence,
     Inquire,
     PlaceTasks,
@@ -44,6 +45,8 @@
 HTTP_THREADS = 4
 DRAIN_POLL_S = 0.05
 PROCESS_CHART = load_chart("process")
+SERVING = "serving"
+DRAINING = "draining"
 
 
 class Agent:
@@ -98,7 +101,7 @@
         """Return the load message for an entry, as of now."""
         now_ms = self.timers.now_ms()
         announcement = self.runner.announcement
-        state = "leaving" if self.state == "draining" else self.runner.state(now_ms)
+        state = STATE_LEAVING if self.state == DRAINING else self.runner.state(now_ms)
         return RunnerLoad(
             announcement.upstream if announcement else "",
             state,
@@ -179,7 +182,7 @@
         if known != announcement:
             logger.info("runner announced {}", announcement)
             self.links.push_loads()
-        self.ledger.leaving = False
+        self.ledger.leaving = self.runner.leaving or self.state == DRAINING
         self._start_next()
 
     def leave(self) -> None:
@@ -243,7 +246,7 @@
         loop.call_soon_threadsafe(agent.leave)
         return Response({"accepted": True})
 
-    add_probe_routes(router, agent.metrics, lambda: agent.state == "serving")
+    add_probe_routes(router, agent.metrics, lambda: agent.state == SERVING)
     return router
 
 
--- a/src/gapdrum/dispatcher.py
+++ b/src/gapdrum/dispatcher.py
@@ -28,7 +28,7 @@
     StoreError,
     StreamClosedError,
 )
-from gapdrum.jobs import AgentKey, Job
+from gapdrum.jobs import OUT, AgentKey, Job
 from gapdrum.journal import Journal
 from gapdrum.leases import KEY_PREFIX, EntryRecord, LeaseTable
 from gapdrum.members import Members
@@ -420,7 +420,7 @@
         if open_job is None or row.index >= len(open_job.job.tasks):
             return False
         attempt = open_job.job.tasks[row.index].find_attempt(agent, row.attempt)
-        return attempt is not None and attempt.state == "out"
+        return attempt is not None and attempt.state == OUT
 
     async def _ask_decisions(self, record: EntryRecord, job_id: str) -> list[Decision]:
         try:
--- a/src/gapdrum/runners.py
+++ b/src/gapdrum/runners.py
@@ -50,18 +50,22 @@
         return min(self.announcement.slots, self.announcement.connections)
 
     def announce(self, announcement: Announcement, now_ms: int) -> None:
-        """Take an announcement; it also takes back an earlier leave."""
+        """Take an announcement.
+
+        A runner that said it leaves may announce until it is gone; only one
+        that was away, or is another one, takes the leave back.
+        """
+        was_away = now_ms - self.heard_at_ms > ANNOUNCE_TIMEOUT_MS
+        if was_away or announcement != self.announcement:
+            self.leaving = False
         self.announcement = announcement
         self.heard_at_ms = now_ms
-        self.leaving = False
 
     def state(self, now_ms: int) -> str:
         """Return the state that the agent tells the entries."""
-        if self.leaving:
-            return STATE_LEAVING
         if self.announcement is None or now_ms - self.heard_at_ms > ANNOUNCE_TIMEOUT_MS:
             return STATE_ABSENT
-        return STATE_READY
+        return STATE_LEAVING if self.leaving else STATE_READY
 
 
 @attrs.frozen
