--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -29,6 +29,13 @@
 _PORTS = itertools.cycle([*range(_FIRST_PORT, HIGHEST_PORT), *range(LOWEST_PORT, _FIRST_PORT)])
 CREDENTIALS = [
     {"name": "site-tablet", "token": CALLER_TOKEN, "role": "caller"},
+    {"name": "school", "token": "schools-token", "role": "caller", "teams": ["schools"]},
+    {
+        "name": "school-operator",
+        "token": "subtree-token",
+        "role": "operator",
+        "subtrees": ["team/schools"],
+    },
     {"name": "operator", "token": OPERATOR_TOKEN, "role": "operator"},
     {"name": "runner", "token": RUNNER_TOKEN, "role": "runner"},
 ]
