--- /dev/null
+++ b/src/gapdrum/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent program on the platform: the one caller of the runner on its machine."""
--- /dev/null
+++ b/src/gapdrum/agent/entry_links.py
@@ -0,0 +1,175 @@
+"""The agent's streams to the entries, which it finds in the store."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+from gapdrum.core import orders
+from gapdrum.core.records import ADDRESS_TABLE, WHOLE_PART, EntryAddress, load_record
+from gapdrum.core.rows import Row
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import (
+    FrameError,
+    StoreError,
+    StoreHistoryGoneError,
+    StreamClosedError,
+)
+from gapdrum.platform.rows import RowStore
+from gapdrum.streams import Stream, open_stream
+from gapdrum.timers import MS_PER_S, Timers
+
+# Entries come and go seldom; a feed that is cut silently is noticed after this and a bit.
+FEED_WAIT_MS = 3_000
+READ_TIMEOUT_MS = 1_000
+RETRY_INTERVAL_MS = 200
+CONNECT_TIMEOUT_S = 0.6
+# An entry that does not echo for this long is connected anew.
+SILENT_ENTRY_MS = 2_000
+
+
+class EntryLink:
+    """One entry, and the stream to it while there is one."""
+
+    def __init__(self, entry: str, address: EntryAddress) -> None:
+        self.entry = entry
+        self.address = address
+        self.owner = ""
+        self.stream: Stream | None = None
+        self.orders = 0
+        self.heard_ms = 0
+        self.task: asyncio.Task | None = None
+
+    def send(self, message: object) -> None:
+        """Send a message if the entry is connected and has told who it is."""
+        if self.stream is None or not self.owner:
+            return
+        try:
+            self.stream.send(message)
+        except StreamClosedError:
+            self.stream.close()
+
+
+class EntryLinks:
+    """Keeps a stream to each entry that has an address in the store."""
+
+    def __init__(
+        self, rows: RowStore, greeting: Callable[[], orders.AgentGreeting], timers: Timers,
+        log: EventLog, sent: Counter, received: Counter,
+    ) -> None:  # fmt: skip
+        self._rows = rows
+        self._greeting = greeting
+        self._timers = timers
+        self._log = log
+        self._sent = sent
+        self._received = received
+        self._links: dict[str, EntryLink] = {}
+        self.on_joined: Callable[[EntryLink], None] = lambda _link: None
+        self.on_message: Callable[[EntryLink, object], None] = lambda _link, _message: None
+
+    def __iter__(self):
+        return iter(self._links.values())
+
+    def of_owner(self, owner: str) -> EntryLink | None:
+        """Return the link to an owner of jobs, None if it isn't connected."""
+        for link in self._links.values():
+            if link.owner == owner and link.stream is not None:
+                return link
+        return None
+
+    def beat(self) -> None:
+        """Tell all entries our clock, and cut streams that are silent."""
+        now_ms = self._timers.now_ms()
+        for link in self._links.values():
+            link.send(orders.AgentBeat(now_ms))
+            if link.stream is not None and now_ms - link.heard_ms > SILENT_ENTRY_MS:
+                link.stream.close()
+
+    # Finding entries.
+
+    async def follow(self) -> None:
+        """Follow the table of addresses for ever."""
+        after = None
+        failing = False
+        while True:
+            try:
+                after = await self._step(after)
+                failing = False
+            except StoreHistoryGoneError:
+                after = None
+            except StoreError as error:
+                if not failing:
+                    self._log.write("entry_feed_lost", code=error.code, reason=error.message)
+                failing = True
+                await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+
+    async def _step(self, after: int | None) -> int:
+        if after is None:
+            page = await self._rows.read(ADDRESS_TABLE, WHOLE_PART, READ_TIMEOUT_MS)
+            for entry in set(self._links) - {row.at.key for row in page.rows}:
+                self._forget(entry)
+            self._take(page.rows)
+            return page.version
+        changes = await self._rows.watch(ADDRESS_TABLE, after, FEED_WAIT_MS)
+        self._take(changes.rows)
+        return max(after, changes.version)
+
+    def _take(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.value is None:
+                self._forget(row.at.key)
+                continue
+            address = load_record(row.value)
+            link = self._links.get(row.at.key)
+            if link is not None and link.address == address:
+                continue
+            if link is not None:
+                self._forget(row.at.key)
+            self._connect(EntryLink(row.at.key, address))
+
+    def _connect(self, link: EntryLink) -> None:
+        self._links[link.entry] = link
+        self._log.write("entry_found", entry=link.entry, at=f"{link.address.host}")
+        link.task = asyncio.ensure_future(self._keep(link))
+
+    def _forget(self, entry: str) -> None:
+        link = self._links.pop(entry, None)
+        if link is not None:
+            self._log.write("entry_forgotten", entry=entry)
+            link.task.cancel()
+            if link.stream is not None:
+                link.stream.close()
+
+    # Streams.
+
+    async def _keep(self, link: EntryLink) -> None:
+        while True:
+            try:
+                await self._serve(link)
+            except (StreamClosedError, FrameError) as error:
+                if link.owner:
+                    self._log.write("entry_lost", entry=link.entry, code=error.code)
+            finally:
+                if link.stream is not None:
+                    link.stream.close()
+                link.stream = None
+                link.owner = ""
+            await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+
+    async def _serve(self, link: EntryLink) -> None:
+        address = link.address
+        stream = await open_stream(
+            address.host, address.port, self._sent, self._received, timeout_s=CONNECT_TIMEOUT_S
+        )
+        link.stream = stream
+        link.orders = 0
+        link.heard_ms = self._timers.now_ms()
+        stream.send(self._greeting())
+        async for message in stream:
+            link.heard_ms = self._timers.now_ms()
+            if isinstance(message, orders.EntryGreeting):
+                link.owner = message.owner
+                self._log.write("entry_joined", entry=link.entry, owner=link.owner)
+                self.on_joined(link)
+            else:
+                self.on_message(link, message)
+        raise StreamClosedError("the entry ended the stream")
--- /dev/null
+++ b/src/gapdrum/core/jobs.py
@@ -0,0 +1,217 @@
+"""A job at its owner: the phase of each task, its failures, and which ends are stored."""
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+from gapdrum.core.models import JobState, RunEnd, RunKey, Step, TaskName
+from gapdrum.core.records import JobProgress, OpenJob, TaskProgress, task_name
+
+# Attempts of one epoch lie above those of all earlier ones, so that a new owner, who does not
+# know how often a task was started, never numbers a start as an earlier one.
+ATTEMPTS_PER_EPOCH = 1_000
+
+
+class TaskPhase(enum.Enum):
+    """Where a task is."""
+
+    UNKNOWN = "unknown"  # taken over: a run of it may be at an agent that has not answered yet
+    WAITING = "waiting"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    DONE = "done"
+
+
+@attrs.frozen
+class Place:
+    """A runner, and the life of the agent beside it."""
+
+    agent: str
+    agent_incarnation: str
+    runner_id: str
+
+
+@attrs.frozen
+class StoredEnd:
+    """An end at a runner that waits to be stored."""
+
+    place: Place
+    number: int
+
+
+@attrs.define(eq=False)
+class Task:
+    """One task of a job; ``attempt`` is the number of its last start."""
+
+    name: TaskName
+    step: Step
+    phase: TaskPhase = TaskPhase.WAITING
+    attempt: int = 0
+    failed_attempts: set[int] = attrs.Factory(set)
+    place: Place | None = None
+    changed_ms: int = 0
+    started_ms: int = 0
+    percent: int = 0
+    percent_ms: int = 0
+    failed_at: set[str] = attrs.Factory(set)
+    held_noted: bool = False
+
+    @property
+    def run(self) -> RunKey:
+        """Return the key of the last start."""
+        return RunKey(self.name, self.attempt)
+
+
+@attrs.define(eq=False)
+class Job:
+    """An open job that this entry owns.
+
+    One that is ``kept`` has a row in the store, at ``version``, and another entry takes it over
+    if this one is lost. Of others only the caller knows, who waits for the end.
+    """
+
+    job_id: str
+    queue: str
+    upstream: str
+    spec: str
+    owner: str
+    epoch: int
+    version: int
+    kept: bool
+    accepted_wall_ms: int
+    accepted_ms: int
+    failures_allowed: int
+    priority: int
+    objective_ms: int
+    steps: tuple[Step, ...]
+    tasks: list[Task]
+    by_name: dict[TaskName, Task]
+    begun: bool = False
+    ending: JobState | None = None
+    has_progress_row: bool = False
+    progress_dirty_ms: int = 0
+    unstored_ends: list[StoredEnd] = attrs.Factory(list)
+    unknown_until_ms: int = 0
+
+    def ready_tasks(self) -> list[Task]:
+        """Return the waiting tasks whose turn has come."""
+        open_steps = {task.name.step for task in self.tasks if task.phase is not TaskPhase.DONE}
+        return [
+            task
+            for task in self.tasks
+            if task.phase is TaskPhase.WAITING and not open_steps.intersection(task.step.after)
+        ]
+
+    def next_attempt(self, task: Task) -> int:
+        """Return the number of the next start of a task: it rises over starts and owners."""
+        floor = (self.epoch - 1) * ATTEMPTS_PER_EPOCH
+        return max(task.attempt, floor) + 1
+
+    def take_end(self, task: Task, attempt: int, end: RunEnd, now_ms: int) -> None:
+        """Note how a run ended; a task that is done stays done, whichever run did it."""
+        if task.phase is TaskPhase.DONE:
+            return
+        if end is RunEnd.DONE:
+            task.phase = TaskPhase.DONE
+            self.progress_dirty_ms = self.progress_dirty_ms or now_ms
+        elif end is RunEnd.FAILED:
+            task.failed_attempts.add(attempt)
+            self.progress_dirty_ms = self.progress_dirty_ms or now_ms
+        if task.phase is not TaskPhase.DONE and attempt == task.attempt:
+            self.release(task, now_ms)
+
+    def release(self, task: Task, now_ms: int) -> None:
+        """Let a task wait again, as its last start came to nothing."""
+        if task.phase is TaskPhase.DONE:
+            return
+        task.phase = TaskPhase.WAITING
+        task.place = None
+        task.percent = 0
+        task.changed_ms = now_ms
+        task.held_noted = False
+
+    def outcome(self) -> JobState | None:
+        """Return the final state that the tasks' ends make up, None while it is open."""
+        if any(len(task.failed_attempts) >= self.failures_allowed for task in self.tasks):
+            return JobState.FAILED
+        if all(task.phase is TaskPhase.DONE for task in self.tasks):
+            return JobState.SUCCEEDED
+        return None
+
+    def runs_out(self) -> Iterator[Task]:
+        """Yield the tasks that may be at work somewhere."""
+        for task in self.tasks:
+            if task.phase in (TaskPhase.ORDERED, TaskPhase.RUNNING):
+                yield task
+
+    def progress(self) -> JobProgress:
+        """Return what is known for good of the tasks."""
+        return JobProgress(
+            tuple(
+                TaskProgress(
+                    task.name.step,
+                    task.name.index,
+                    task.phase is TaskPhase.DONE,
+                    sorted(task.failed_attempts),
+                )
+                for task in self.tasks
+                if task.phase is TaskPhase.DONE or task.failed_attempts
+            )
+        )
+
+    def restore(self, progress: JobProgress) -> None:
+        """Take over what an earlier owner stored of the tasks."""
+        for row in progress.tasks:
+            task = self.by_name[task_name(self.job_id, row.step, row.index)]
+            task.failed_attempts = set(row.failed_attempts)
+            if row.done:
+                task.phase = TaskPhase.DONE
+
+
+def build_job(
+    job_id: str,
+    record: OpenJob,
+    version: int,
+    now_ms: int,
+    *,
+    kept: bool,
+    failures_allowed: int,
+    priority: int,
+    latency_factor: float,
+    latency_slack_ms: int,
+) -> Job:
+    """Return a job as its row describes it, with all tasks waiting."""
+    steps = tuple(row.to_step() for row in record.steps)
+    tasks = [
+        Task(task_name(job_id, number, index), step, changed_ms=now_ms)
+        for number, step in enumerate(steps)
+        for index in range(step.tasks)
+    ]
+    return Job(
+        job_id=job_id,
+        queue=record.queue,
+        upstream=record.upstream,
+        spec=record.spec,
+        owner=record.owner,
+        epoch=record.epoch,
+        version=version,
+        kept=kept,
+        accepted_wall_ms=record.accepted_wall_ms,
+        accepted_ms=now_ms,
+        failures_allowed=failures_allowed,
+        priority=priority,
+        objective_ms=int(longest_chain_ms(steps) * latency_factor) + latency_slack_ms,
+        steps=steps,
+        tasks=tasks,
+        by_name={task.name: task for task in tasks},
+    )
+
+
+def longest_chain_ms(steps: tuple[Step, ...]) -> int:
+    """Return the estimate of the longest chain of steps that must follow each other."""
+    ends: list[int] = []
+    for step in steps:
+        begin = max((ends[other] for other in step.after), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0)
--- /dev/null
+++ b/src/gapdrum/core/models.py
@@ -0,0 +1,102 @@
+"""Jobs, tasks and runs on the platform, and the room that they take."""
+
+import enum
+
+import attrs
+
+
+class JobState(enum.Enum):
+    """What a caller is told of a job."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class RunEnd(enum.Enum):
+    """How a run ended. Only ``FAILED`` counts against the failures that a task may have."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LEASE_LAPSED = "lapsed"
+    GANG_BROKEN = "broken"
+    GANG_INCOMPLETE = "alone"
+
+
+@attrs.frozen
+class Resources:
+    """Processor in thousandths of a core, memory in MB, accelerators."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def holds(self, other: "Resources") -> bool:
+        """Tell whether the other fits into this room."""
+        return (
+            other.cpu_milli <= self.cpu_milli
+            and other.memory_mb <= self.memory_mb
+            and other.accelerators <= self.accelerators
+        )
+
+
+NOTHING = Resources()
+
+
+@attrs.frozen
+class Step:
+    """A group of equal tasks of a job; it begins when the steps in ``after`` are done."""
+
+    tasks: int
+    resources: Resources
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    required_label: str = ""
+    data_rack: str = ""
+    runner_limit: int = 0
+
+
+@attrs.frozen
+class TaskName:
+    """Names a task: ``JOB.OCCURRENCE.STEP.INDEX``."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    @property
+    def text(self) -> str:
+        """Return the name as runners know it."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "TaskName":
+        """Return the name in a text; raises ValueError."""
+        job_id, occurrence, step, index = text.split(".")
+        return cls(job_id, int(occurrence), int(step), int(index))
+
+
+@attrs.frozen
+class RunKey:
+    """Names one start of a task."""
+
+    task: TaskName
+    attempt: int
--- /dev/null
+++ b/src/gapdrum/core/orders.py
@@ -0,0 +1,280 @@
+"""The messages between entries and agents on the platform.
+
+An agent states its clock in each beat, and an entry echoes the last one. An agent acts for an
+entry only for a stated time after the clock that was echoed, so that an entry that has not
+heard an agent for longer knows that nothing runs there in its name. No two clocks are compared.
+"""
+
+import attrs
+
+from gapdrum.codec import message
+from gapdrum.core.models import Resources
+from gapdrum.structures import count_field, rows_field, signed_field, text_field
+
+MAX_ROWS = 20_000
+MAX_LABELS = 64
+
+# How long an agent acts for an entry after the clock that the entry echoed: long enough for a
+# restart of either (0.7 s measured) and short enough that lost work is placed again in time.
+GRANT_MS = 1_300
+# An order waits no longer than this on its way; a frozen agent must not start what is outdated.
+ORDER_VALID_MS = 1_000
+# After a grant has ended, a run is stopped; its lease ends this much later at the latest.
+STOP_ALLOWANCE_MS = 300
+# An agent that has just started keeps what runs alive for this long, to be told by its owners.
+RESTART_ALLOWANCE_MS = 400
+# Runners' clocks may be 2% slow, timers a little late.
+CLOCK_SLACK_MS = 150
+# After this long without a word of an agent, nothing runs there for the entry any more.
+SILENCE_LIMIT_MS = GRANT_MS + STOP_ALLOWANCE_MS + RESTART_ALLOWANCE_MS + CLOCK_SLACK_MS
+BEAT_INTERVAL_MS = 250
+
+# What an agent says of a run.
+STARTED = "started"
+NOT_STARTED = "not_started"
+ENDED = "ended"
+LOST = "lost"
+PROGRESS = "progress"
+
+# Phases of a run that an agent holds.
+HELD_STARTING = "starting"
+HELD_RUNNING = "running"
+HELD_ENDED = "ended"
+
+# Why an agent did not start what was ordered.
+NO_ROOM = "no_room"
+JOB_SUPERSEDED = "job_superseded"
+ORDER_EXPIRED = "order_expired"
+RUNNER_GONE = "runner_gone"
+RUNNER_DRAINING = "runner_draining"
+RUNNER_REJECTED = "runner_rejected"
+START_UNANSWERED = "start_unanswered"
+
+# States of a runner.
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"
+
+
+@message(40)
+@attrs.frozen
+class AgentGreeting:
+    """The first message of an agent on a stream to an entry."""
+
+    agent: str = text_field()
+    incarnation: str = text_field()
+    zone: str = text_field()
+    clock_ms: int = count_field()
+
+
+@message(41)
+@attrs.frozen
+class AgentBeat:
+    """The agent lives; the entry echoes its clock."""
+
+    clock_ms: int = count_field()
+
+
+@message(42)
+@attrs.frozen
+class RunnerReport:
+    """A runner's state and room. ``orders`` counts the runs ordered on this stream so far."""
+
+    runner_id: str = text_field()
+    upstream: str = text_field()
+    state: str = text_field()
+    labels: tuple[str, ...] = attrs.field(converter=tuple)
+    capacity_cpu_milli: int = count_field()
+    capacity_memory_mb: int = count_field()
+    capacity_accelerators: int = count_field()
+    free_cpu_milli: int = signed_field()
+    free_memory_mb: int = signed_field()
+    free_accelerators: int = signed_field()
+    orders: int = count_field()
+
+    @property
+    def capacity(self) -> Resources:
+        """Return all the room of the runner."""
+        return Resources(
+            self.capacity_cpu_milli, self.capacity_memory_mb, self.capacity_accelerators
+        )
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that nothing holds."""
+        return Resources(self.free_cpu_milli, self.free_memory_mb, self.free_accelerators)
+
+
+@attrs.frozen
+class RunEvent:
+    """What happened to a run; ``detail`` is how it ended, or why it did not start.
+
+    ``end_number`` is the runner's number of the end, ``percent`` how much of its work is done.
+    """
+
+    task: str
+    attempt: int
+    epoch: int
+    kind: str
+    detail: str = ""
+    end_number: int = 0
+    percent: int = 0
+
+
+@message(43)
+@attrs.frozen
+class RunEvents:
+    """Events of runs at one runner."""
+
+    runner_id: str = text_field()
+    events: tuple[RunEvent, ...] = rows_field(RunEvent, MAX_ROWS)
+
+
+@attrs.frozen
+class HeldRun:
+    """A run that an agent knows: in which phase, and how it ended."""
+
+    task: str
+    attempt: int
+    epoch: int
+    phase: str
+    detail: str = ""
+    end_number: int = 0
+
+
+@message(44)
+@attrs.frozen
+class Holdings:
+    """All runs that an agent knows at one runner, of the named jobs or, without names, of all."""
+
+    runner_id: str = text_field()
+    jobs: tuple[str, ...] = attrs.field(converter=tuple)
+    runs: tuple[HeldRun, ...] = rows_field(HeldRun, MAX_ROWS)
+
+
+@message(45)
+@attrs.frozen
+class JobLost:
+    """Another entry has claimed a job of this one with a higher epoch."""
+
+    job_id: str = text_field()
+    epoch: int = count_field()
+
+
+@message(50)
+@attrs.frozen
+class EntryGreeting:
+    """The first message of an entry on an agent's stream."""
+
+    owner: str = text_field()
+
+
+@message(51)
+@attrs.frozen
+class BeatEcho:
+    """The last clock that the entry heard of the agent.
+
+    What runs of stored jobs goes on only if the entry holds its lease in the store, as another
+    entry may have taken these jobs over otherwise.
+    """
+
+    clock_ms: int = count_field()
+    lease_held: bool = attrs.field(validator=attrs.validators.instance_of(bool))
+
+
+@attrs.frozen
+class OrderedRun:
+    """One task to start."""
+
+    step: int
+    index: int
+    attempt: int
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int
+
+
+@message(52)
+@attrs.frozen
+class StartOrder:
+    """Tasks of a job to start at a runner; ``clock_ms`` is the last clock heard of the agent.
+
+    ``kept`` tells whether the job is stored.
+    """
+
+    runner_id: str = text_field()
+    job_id: str = text_field()
+    epoch: int = count_field(minimum=1)
+    spec: str = text_field(8_000)
+    clock_ms: int = count_field()
+    kept: bool = attrs.field(validator=attrs.validators.instance_of(bool))
+    runs: tuple[OrderedRun, ...] = rows_field(OrderedRun, MAX_ROWS)
+
+
+@attrs.frozen
+class NamedRun:
+    """Names a run."""
+
+    task: str
+    attempt: int
+
+
+@message(53)
+@attrs.frozen
+class StopOrder:
+    """Runs to stop."""
+
+    runner_id: str = text_field()
+    runs: tuple[NamedRun, ...] = rows_field(NamedRun, MAX_ROWS)
+
+
+@message(54)
+@attrs.frozen
+class EndsStored:
+    """Ends that need not be kept at the runner any more.
+
+    ``outrun`` are those of tasks that were started anew before the end was known: the runner's
+    lease must lapse before they are let go, as they must not count.
+    """
+
+    runner_id: str = text_field()
+    numbers: tuple[int, ...] = attrs.field(converter=tuple)
+    outrun: tuple[int, ...] = attrs.field(converter=tuple)
+
+
+@attrs.frozen
+class JobEpoch:
+    """A job and the epoch of its owner."""
+
+    job_id: str
+    epoch: int
+
+
+@message(55)
+@attrs.frozen
+class JobsClaimed:
+    """The entry owns the jobs from now on; lower epochs start nothing. Holdings answer it."""
+
+    jobs: tuple[JobEpoch, ...] = rows_field(JobEpoch, MAX_ROWS)
+
+
+@attrs.frozen
+class AdoptedRun:
+    """A run that goes on for this entry, and the room that it takes."""
+
+    task: str
+    attempt: int
+    epoch: int
+    kept: bool
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int
+
+
+@message(56)
+@attrs.frozen
+class AdoptRuns:
+    """Runs at a runner that go on for this entry."""
+
+    runner_id: str = text_field()
+    runs: tuple[AdoptedRun, ...] = rows_field(AdoptedRun, MAX_ROWS)
--- /dev/null
+++ b/src/gapdrum/core/records.py
@@ -0,0 +1,210 @@
+"""The rows of jobs and entries in the platform's store, as msgpack records.
+
+A job's row lies in the table of open jobs from acceptance to its end, when one transaction
+moves it to the table of ended jobs. The job's identity picks the part, so that the parts share
+the write limit and several jobs of a part can be written together.
+"""
+
+import attrs
+
+from gapdrum.codec import Decoder, encode, message
+from gapdrum.core.models import JobState, Resources, Step, TaskName
+from gapdrum.core.rows import RowKey
+from gapdrum.exceptions import FrameError
+from gapdrum.structures import count_field, rows_field, text_field
+
+OPEN_TABLE = "open"
+PROGRESS_TABLE = "progress"
+ENDED_TABLE = "ended"
+LEASE_TABLE = "leases"
+ADDRESS_TABLE = "entries"
+WHOLE_PART = ""
+# A part takes 200 transactions a second, one after another; each job needs two. Eight parts
+# carry the 430 jobs a second of the larger deployments with room to spare.
+JOB_PARTS = tuple(str(number) for number in range(8))
+MAX_SPEC_LENGTH = 4_000
+MAX_STEPS = 1_000
+MAX_TASKS = 10_000
+MAX_QUEUES = 10_000
+
+
+def job_part(job_id: str) -> str:
+    """Return the part of the store that holds a job's rows."""
+    return JOB_PARTS[int(job_id[-1], 16) % len(JOB_PARTS)]
+
+
+def open_row(job_id: str) -> RowKey:
+    """Return where the row of an open job lies."""
+    return RowKey(OPEN_TABLE, job_part(job_id), job_id)
+
+
+def progress_row(job_id: str) -> RowKey:
+    """Return where the ends of a long job's tasks are kept before the job has ended."""
+    return RowKey(PROGRESS_TABLE, job_part(job_id), job_id)
+
+
+def ended_row(job_id: str) -> RowKey:
+    """Return where the row of an ended job lies."""
+    return RowKey(ENDED_TABLE, job_part(job_id), job_id)
+
+
+def lease_row(instance: str) -> RowKey:
+    """Return where an entry's lease lies."""
+    return RowKey(LEASE_TABLE, WHOLE_PART, instance)
+
+
+def address_row(instance: str) -> RowKey:
+    """Return where agents find an entry's address."""
+    return RowKey(ADDRESS_TABLE, WHOLE_PART, instance)
+
+
+@attrs.frozen
+class StepRow:
+    """A step in the flat form of a row."""
+
+    tasks: int
+    cpu_milli: int
+    memory_mb: int
+    accelerators: int
+    estimate_ms: int
+    after: tuple[int, ...] = attrs.field(converter=tuple)
+    required_label: str = ""
+    data_rack: str = ""
+    runner_limit: int = 0
+
+    def to_step(self) -> Step:
+        """Return the step."""
+        room = Resources(self.cpu_milli, self.memory_mb, self.accelerators)
+        return Step(
+            self.tasks,
+            room,
+            self.estimate_ms,
+            self.after,
+            self.required_label,
+            self.data_rack,
+            self.runner_limit,
+        )
+
+
+def step_row(step: Step) -> StepRow:
+    """Return a step in its flat form."""
+    return StepRow(
+        step.tasks,
+        step.resources.cpu_milli,
+        step.resources.memory_mb,
+        step.resources.accelerators,
+        step.estimate_ms,
+        step.after,
+        step.required_label,
+        step.data_rack,
+        step.runner_limit,
+    )
+
+
+@message(60)
+@attrs.frozen
+class OpenJob:
+    """An accepted job that has not ended, its owner and the owner's epoch."""
+
+    queue: str = text_field()
+    upstream: str = text_field()
+    spec: str = text_field(MAX_SPEC_LENGTH)
+    owner: str = text_field()
+    epoch: int = count_field(minimum=1)
+    accepted_wall_ms: int = count_field()
+    steps: tuple[StepRow, ...] = rows_field(StepRow, MAX_STEPS)
+
+
+@attrs.frozen
+class TaskProgress:
+    """What is known for good of a task of an open job, with the attempts that failed."""
+
+    step: int
+    index: int
+    done: bool
+    failed_attempts: tuple[int, ...] = attrs.field(converter=tuple)
+
+
+@message(61)
+@attrs.frozen
+class JobProgress:
+    """The ends of tasks that were noted before their job ended."""
+
+    tasks: tuple[TaskProgress, ...] = rows_field(TaskProgress, MAX_TASKS)
+
+
+@attrs.frozen
+class Restart:
+    """A task that was started more than once, and the attempt that counts."""
+
+    step: int
+    index: int
+    attempt: int
+
+
+@message(62)
+@attrs.frozen
+class EndedJob:
+    """A job that has ended, for good; who ended it tells a repeated write from another's."""
+
+    queue: str = text_field()
+    state: str = text_field()
+    owner: str = text_field()
+    epoch: int = count_field()
+    restarts: tuple[Restart, ...] = rows_field(Restart, MAX_TASKS)
+
+    @property
+    def job_state(self) -> JobState:
+        """Return the final state."""
+        return JobState(self.state)
+
+
+@attrs.frozen
+class QueueDepth:
+    """How many jobs of a queue an entry owns that have not begun."""
+
+    queue: str
+    waiting: int
+
+
+@message(63)
+@attrs.frozen
+class EntryLease:
+    """An entry's lease: the incarnation that holds it, and figures that other entries read."""
+
+    incarnation: str = text_field()
+    renewals: int = count_field()
+    depths: tuple[QueueDepth, ...] = rows_field(QueueDepth, MAX_QUEUES)
+
+
+@message(64)
+@attrs.frozen
+class EntryAddress:
+    """Where an entry listens for agents; written once at its start."""
+
+    incarnation: str = text_field()
+    zone: str = text_field()
+    host: str = text_field()
+    port: int = count_field()
+
+
+def dump_record(record: object) -> bytes:
+    """Return a record as the value of a row."""
+    return encode(record)
+
+
+def load_record(value: bytes) -> object:
+    """Return the record in a row's value; raises FrameError."""
+    for record in Decoder().feed(value):
+        return record
+    raise FrameError("the row's value is cut short")
+
+
+def owner_name(instance: str, incarnation: str) -> str:
+    """Return how a job's row names its owner: one life of an entry."""
+    return f"{instance}/{incarnation}"
+
+
+def task_name(job_id: str, step: int, index: int) -> TaskName:
+    """Return the name of a task of a job that runs once."""
+    return TaskName(job_id, 0, step, index)
--- /dev/null
+++ b/src/gapdrum/core/runner_ledger.py
@@ -0,0 +1,239 @@
+"""What an agent knows of one runner: the runs there, the room they take, and their ends.
+
+The agent is the only one who may call its runner, so this ledger is the one authority on the
+runner's room. Room counts from the decision to start until the end is listed, or until it is
+proven that the start will never take effect.
+"""
+
+import attrs
+
+from gapdrum.core import orders
+from gapdrum.core.models import NOTHING, Resources, RunEnd, RunKey
+from gapdrum.core.runner_models import EndedRun, RunnerLook
+
+UNKNOWN_OWNER = ""
+# Runners' steady clocks may be this much slow against ours.
+CLOCK_RATE_FLOOR = 0.98
+
+
+@attrs.define(eq=False)
+class Run:
+    """A run at the runner; ``room`` is None after a restart until its owner tells it.
+
+    ``start_expires_ms`` is the reading of the runner's clock from which on the start can't
+    take effect any more, and ``calling`` tells whether the call is still under way.
+    """
+
+    key: RunKey
+    owner: str
+    epoch: int
+    room: Resources | None
+    start_expires_ms: int
+    since_ms: int
+    phase: str = orders.HELD_STARTING
+    kept: bool = True
+    calling: bool = False
+    stopping: bool = False
+    percent: int = 0
+
+
+@attrs.define
+class NotedEnd:
+    """An end that the runner lists until it may be forgotten."""
+
+    key: RunKey
+    owner: str
+    epoch: int
+    end: RunEnd
+    noted_ms: int
+    stored: bool = False
+    outrun: bool = False
+
+
+@attrs.define
+class RunnerLedger:
+    """The runs, ends and room of one incarnation of a runner."""
+
+    runner_id: str
+    upstream: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: Resources | None = None
+    draining: bool = False
+    gone: bool = False
+    looked: bool = False
+    reachable: bool = True
+    clock_ms: int = 0
+    clock_read_ms: int = 0
+    seen_end: int = 0
+    last_end: int = 0
+    runs: dict[RunKey, Run] = attrs.Factory(dict)
+    ends: dict[int, NotedEnd] = attrs.Factory(dict)
+    used: Resources = NOTHING
+    unknown_runs: int = 0
+
+    @property
+    def state(self) -> str:
+        """Return the runner's state as entries are told it."""
+        if self.gone:
+            return orders.GONE
+        return orders.DRAINING if self.draining else orders.READY
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that nothing holds; none while a run's room is unknown."""
+        known = self.looked and self.reachable and self.capacity is not None
+        if not known or self.unknown_runs:
+            return NOTHING
+        return self.capacity - self.used
+
+    def clock_floor(self, now_ms: int) -> int:
+        """Return a lower bound of the runner's clock now."""
+        return self.clock_ms + int((now_ms - self.clock_read_ms) * CLOCK_RATE_FLOOR)
+
+    def note_clock(self, clock_ms: int | None, now_ms: int) -> None:
+        """Take a reading of the runner's clock from an answer that came just now.
+
+        The reading was made before now, so counting on from now gives a lower bound.
+        """
+        if clock_ms is not None and clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_read_ms = now_ms
+
+    def begin(self, run: Run) -> None:
+        """Take room for a run that is about to be started."""
+        self.runs[run.key] = run
+        if run.room is None:
+            self.unknown_runs += 1
+        else:
+            self.used += run.room
+
+    def drop(self, key: RunKey) -> Run | None:
+        """Give the room of a run back; None if it isn't here."""
+        run = self.runs.pop(key, None)
+        if run is None:
+            return None
+        if run.room is None:
+            self.unknown_runs -= 1
+        else:
+            self.used -= run.room
+        return run
+
+    def adopt(self, key: RunKey, owner: str, epoch: int, kept: bool, room: Resources) -> None:
+        """Let a run go on for its owner, who knows the room that it takes."""
+        run = self.runs.get(key)
+        if run is None:
+            return
+        if run.room is None:
+            self.unknown_runs -= 1
+            run.room = room
+            self.used += room
+        run.owner = owner
+        run.epoch = epoch
+        run.kept = kept
+
+    def take_look(self, look: RunnerLook, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
+        """Bring the ledger up to what the runner shows; return what changed, run by run."""
+        self.looked = True
+        events = []
+        for ended in look.ended:
+            if ended.number > self.last_end:
+                events.append(self._note_end(ended, now_ms))
+        shown = {running.run: running.percent for running in look.running}
+        for key, percent in shown.items():
+            events.extend(self._note_running(key, percent, now_ms))
+        for run in list(self.runs.values()):
+            if run.key not in shown and self._never_started(run, look.clock_ms):
+                self.drop(run.key)
+                events.append((run, _event(run, orders.NOT_STARTED, orders.START_UNANSWERED)))
+        return events
+
+    def _note_end(self, ended: EndedRun, now_ms: int) -> tuple[Run, orders.RunEvent]:
+        if not self.ends and self.seen_end < ended.number - 1:
+            self.seen_end = ended.number - 1  # the runner has forgotten all lower ones
+        self.last_end = ended.number
+        run = self.drop(ended.run) or Run(ended.run, UNKNOWN_OWNER, 0, NOTHING, 0, now_ms)
+        self.ends[ended.number] = NotedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms)
+        event = _event(run, orders.ENDED, ended.end.value, ended.number)
+        return run, event
+
+    def _note_running(
+        self, key: RunKey, percent: int, now_ms: int
+    ) -> list[tuple[Run, orders.RunEvent]]:
+        run = self.runs.get(key)
+        if run is None:
+            run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=orders.HELD_RUNNING)
+            self.begin(run)
+        if run.phase == orders.HELD_STARTING:
+            run.phase = orders.HELD_RUNNING
+            run.percent = percent
+            return [(run, _event(run, orders.STARTED))]
+        if percent == run.percent:
+            return []
+        run.percent = percent
+        return [(run, attrs.evolve(_event(run, orders.PROGRESS), percent=percent))]
+
+    @staticmethod
+    def _never_started(run: Run, clock_ms: int) -> bool:
+        """Tell whether a start without an answer can't take effect any more."""
+        unsettled = run.phase == orders.HELD_STARTING and not run.calling
+        return unsettled and clock_ms > run.start_expires_ms
+
+    def store_ends(self, numbers: tuple[int, ...], outrun: tuple[int, ...]) -> None:
+        """Note that ends need not be kept; those outrun only once the lease has lapsed."""
+        for number in numbers:
+            if number in self.ends:
+                self.ends[number].stored = True
+        for number in outrun:
+            if number in self.ends:
+                self.ends[number].outrun = True
+
+    def must_lapse(self) -> bool:
+        """Tell whether an end waits for the lease to lapse before it may be let go."""
+        return any(end.outrun and not end.stored for end in self.ends.values())
+
+    def note_lapse(self) -> None:
+        """Note that the lease has lapsed: ends from before it count for nothing."""
+        for end in self.ends.values():
+            if end.outrun:
+                end.stored = True
+
+    def advance_seen(self) -> int:
+        """Return the number up to which the runner may forget its ends."""
+        while self.seen_end + 1 in self.ends and self.ends[self.seen_end + 1].stored:
+            self.seen_end += 1
+            del self.ends[self.seen_end]
+        return self.seen_end
+
+    def held_runs(self, job_ids: frozenset[str] | None = None) -> tuple[orders.HeldRun, ...]:
+        """Return all runs and ends, or those of some jobs."""
+        rows = [
+            orders.HeldRun(run.key.task.text, run.key.attempt, run.epoch, run.phase)
+            for run in self.runs.values()
+            if job_ids is None or run.key.task.job_id in job_ids
+        ]
+        for number, end in self.ends.items():
+            if (job_ids is None or end.key.task.job_id in job_ids) and not end.stored:
+                task = end.key.task.text
+                rows.append(
+                    orders.HeldRun(
+                        task, end.key.attempt, end.epoch, orders.HELD_ENDED, end.end.value, number
+                    )
+                )
+        return tuple(rows)
+
+    def set_gone(self) -> list[tuple[Run, orders.RunEvent]]:
+        """Note that this incarnation is gone with all its runs; return them as lost."""
+        self.gone = True
+        lost = [(run, _event(run, orders.LOST, orders.RUNNER_GONE)) for run in self.runs.values()]
+        for run, _ in lost:
+            self.drop(run.key)
+        return lost
+
+
+def _event(run: Run, kind: str, detail: str = "", end_number: int = 0) -> orders.RunEvent:
+    return orders.RunEvent(run.key.task.text, run.key.attempt, run.epoch, kind, detail, end_number)
+
+
+def not_started(run_key: RunKey, epoch: int, reason: str) -> orders.RunEvent:
+    """Return the event that a run was not started, and never will be."""
+    return orders.RunEvent(run_key.task.text, run_key.attempt, epoch, orders.NOT_STARTED, reason)
--- /dev/null
+++ b/src/gapdrum/core/runner_views.py
@@ -0,0 +1,80 @@
+"""The runners as an entry sees them, by what their agents' streams tell."""
+
+from collections import deque
+
+import attrs
+
+from gapdrum.core import orders
+from gapdrum.core.jobs import Place, Task
+from gapdrum.core.models import NOTHING, Resources
+
+# An agent that was not heard for this long gets no new work: three beats have been missed.
+QUIET_MS = 3 * orders.BEAT_INTERVAL_MS
+
+
+@attrs.define(eq=False)
+class AgentView:
+    """One life of an agent; ``clock_ms`` is the last reading of its clock that was heard."""
+
+    agent: str
+    incarnation: str
+    zone: str
+    clock_ms: int
+    heard_ms: int
+    connected: bool = True
+
+    def is_quiet(self, now_ms: int) -> bool:
+        """Tell whether the agent was not heard for too long to be given work."""
+        return not self.connected or now_ms - self.heard_ms > QUIET_MS
+
+
+@attrs.define(eq=False)
+class RunnerView:
+    """A runner; ``unseen`` are the orders that its last report does not include yet.
+
+    It gets no work before its agent has told on this stream what it holds (``synced``):
+    an order that crossed that statement would look as if it had never arrived.
+    """
+
+    place: Place
+    agent: AgentView
+    upstream: str
+    state: str
+    labels: tuple[str, ...]
+    capacity: Resources
+    reported_free: Resources
+    orders_sent: int = 0
+    unseen: deque[tuple[int, Resources]] = attrs.Factory(deque)
+    free: Resources = NOTHING
+    out: set[Task] = attrs.Factory(set)
+    synced: bool = False
+
+    def take_report(self, report: orders.RunnerReport) -> None:
+        """Take the agent's statement; orders that it includes are no longer counted here."""
+        self.upstream = report.upstream
+        self.state = report.state
+        self.labels = report.labels
+        self.capacity = report.capacity
+        self.reported_free = report.free
+        while self.unseen and self.unseen[0][0] <= report.orders:
+            self.unseen.popleft()
+        self._count()
+
+    def order(self, room: Resources) -> None:
+        """Count an order that was sent."""
+        self.orders_sent += 1
+        self.unseen.append((self.orders_sent, room))
+        self.free = self.free - room
+
+    def restart_count(self) -> None:
+        """Begin counting anew, as the stream is new."""
+        self.orders_sent = 0
+        self.unseen.clear()
+        self.synced = False
+        self._count()
+
+    def _count(self) -> None:
+        free = self.reported_free
+        for _, room in self.unseen:
+            free = free - room
+        self.free = free
--- /dev/null
+++ b/src/gapdrum/entry/acceptance.py
@@ -0,0 +1,184 @@
+"""Accepts jobs: a job counts as accepted once its row is in the store."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from gapdrum.core.configuration import Queue
+from gapdrum.core.jobs import Job, build_job
+from gapdrum.core.models import Step
+from gapdrum.core.records import (
+    OpenJob,
+    dump_record,
+    ended_row,
+    job_part,
+    load_record,
+    open_row,
+    step_row,
+)
+from gapdrum.core.rows import ABSENT, Committed, Conflict, Expectation, Put, Transaction
+from gapdrum.entry.lease import Lease
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.entry.writer import Writer
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import StoreOutcomeUnknownError, StoreRejectedError
+from gapdrum.timers import MS_PER_S, Timers
+
+# A caller waits 1.5 s for its answer; before that it is told to ask again.
+ANSWER_WITHIN_MS = 1_100
+SETTLE_INTERVAL_MS = 300
+
+
+class Acceptance(enum.Enum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"  # it has not run and never will
+    UNSETTLED = "unsettled"  # it may have been accepted
+
+
+class Acceptor:
+    """Writes the rows of new jobs, and settles those whose write was not answered.
+
+    An insert without an answer may take effect seconds later. It is repeated until the store
+    says that it took effect or that the job is already there, so the job is never forgotten;
+    it counts as refused only if no insert was left without an answer.
+    """
+
+    def __init__(
+        self,
+        store: StoreAccess,
+        writer: Writer,
+        lease: Lease,
+        timers: Timers,
+        log: EventLog,
+        own: Callable[[Job], None],
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._lease = lease
+        self._timers = timers
+        self._log = log
+        self._own = own
+        self._settling: dict[str, asyncio.Task] = {}
+
+    async def accept(
+        self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]
+    ) -> Acceptance:
+        """Accept a job, or say truthfully what is known of it."""
+        settling = self._settling.get(job_id)
+        if settling is None:
+            settling = asyncio.ensure_future(self._insert(job_id, queue, spec, steps))
+            self._settling[job_id] = settling
+            settling.add_done_callback(lambda _task: self._settling.pop(job_id, None))
+        done, _ = await asyncio.wait({settling}, timeout=ANSWER_WITHIN_MS / MS_PER_S)
+        if not done:
+            self._log.write("job_unsettled", request=job_id, queue=queue.name)
+            return Acceptance.UNSETTLED
+        return settling.result()
+
+    async def _insert(
+        self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]
+    ) -> Acceptance:
+        began_ms = self._timers.now_ms()
+        unanswered = False
+        while True:
+            owner = self._lease.owner
+            record = first_record(queue, spec, steps, owner, self._timers.wall_ms())
+            try:
+                result = await self._writer.write(job_part(job_id), _insertion(job_id, record))
+            except StoreOutcomeUnknownError:
+                unanswered = True
+            except StoreRejectedError as error:
+                if not unanswered:
+                    self._log.write(
+                        "job_refused", request=job_id, queue=queue.name, reason=error.message
+                    )
+                    return Acceptance.REFUSED
+            else:
+                self._take_result(job_id, queue, record, result, began_ms)
+                return Acceptance.ACCEPTED
+            await asyncio.sleep(SETTLE_INTERVAL_MS / MS_PER_S)
+
+    def _take_result(
+        self,
+        job_id: str,
+        queue: Queue,
+        record: OpenJob,
+        result: Committed | Conflict,
+        began_ms: int,
+    ) -> None:
+        store_ms = self._timers.now_ms() - began_ms
+        if isinstance(result, Committed):
+            self._take_job(job_id, queue, record, result.version, store_ms)
+            return
+        present = next((row for row in result.rows if row.at == open_row(job_id)), None)
+        if present is not None and present.value:
+            found = load_record(present.value)
+            if found.owner == record.owner and found.epoch == record.epoch:
+                self._take_job(job_id, queue, found, present.version, store_ms)
+                return
+        self._log.write("job_known", request=job_id, queue=queue.name, store_ms=store_ms)
+
+    def _take_job(
+        self, job_id: str, queue: Queue, record: OpenJob, version: int, store_ms: int
+    ) -> None:
+        self._log.write(
+            "job_accepted",
+            request=job_id,
+            queue=queue.name,
+            tasks=sum(row.tasks for row in record.steps),
+            version=version,
+            store_ms=store_ms,
+        )
+        if record.owner != self._lease.owner:
+            return  # the lease was lost meanwhile: the job is taken over like any other
+        now_ms = self._timers.now_ms()
+        self._own(job_of_queue(job_id, record, version, queue, now_ms - store_ms))
+
+
+def first_record(
+    queue: Queue, spec: str, steps: tuple[Step, ...], owner: str, wall_ms: int
+) -> OpenJob:
+    """Return the record of a job at its first owner."""
+    return OpenJob(
+        queue=queue.name,
+        upstream=queue.upstream,
+        spec=spec,
+        owner=owner,
+        epoch=1,
+        accepted_wall_ms=wall_ms,
+        steps=tuple(step_row(step) for step in steps),
+    )
+
+
+def _insertion(job_id: str, record: OpenJob) -> Transaction:
+    return Transaction(
+        expectations=(
+            Expectation(open_row(job_id), ABSENT),
+            Expectation(ended_row(job_id), ABSENT),
+        ),
+        puts=(Put(open_row(job_id), dump_record(record)),),
+    )
+
+
+def job_of_queue(
+    job_id: str,
+    record: OpenJob,
+    version: int,
+    queue: Queue | None,
+    now_ms: int,
+    kept: bool = True,
+) -> Job:
+    """Return a job with the policy of its queue; of a queue that is gone, with defaults."""
+    return build_job(
+        job_id,
+        record,
+        version,
+        now_ms,
+        kept=kept,
+        failures_allowed=queue.failures_allowed if queue else 1,
+        priority=queue.priority if queue else 0,
+        latency_factor=queue.latency_factor if queue else 1.0,
+        latency_slack_ms=queue.latency_slack_ms if queue else 0,
+    )
--- /dev/null
+++ b/src/gapdrum/entry/endings.py
@@ -0,0 +1,239 @@
+"""Stores how jobs end, and what is known of long jobs before they do."""
+
+import asyncio
+from collections import OrderedDict
+
+import attrs
+
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import ATTEMPTS_PER_EPOCH, Job, Place
+from gapdrum.core.models import JobState, RunEnd, TaskName
+from gapdrum.core.orders import EndsStored, JobEpoch, JobsClaimed, RunEvent
+from gapdrum.core.records import (
+    EndedJob,
+    Restart,
+    dump_record,
+    ended_row,
+    job_part,
+    load_record,
+    open_row,
+    progress_row,
+)
+from gapdrum.core.rows import ABSENT, Committed, Conflict, Expectation, Put, Row, Transaction
+from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.entry.writer import Writer
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import StoreError
+from gapdrum.timers import MS_PER_S, Timers
+
+RETRY_INTERVAL_MS = 200
+PROGRESS_INTERVAL_MS = 250
+# Ends must be noted within ``ack_ms`` (4 s); shorter jobs note theirs with their own end.
+PROGRESS_AFTER_MS = 1_200
+KEPT_ENDED = 20_000  # states of ended jobs in memory: 2 minutes at 150 jobs a second
+FOREIGN_LOOKUPS = 16  # lookups of jobs of others that may be under way; more are tried later
+
+
+@attrs.frozen
+class KnownEnd:
+    """An ended job as this entry remembers it."""
+
+    record: EndedJob
+    attempts: dict[tuple[int, int], int]
+
+
+class Endings:
+    """Moves ended jobs to their table, and tells agents which ends need not be kept."""
+
+    def __init__(
+        self,
+        store: StoreAccess,
+        writer: Writer,
+        dispatch: Dispatch,
+        links: AgentLinks,
+        timers: Timers,
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._dispatch = dispatch
+        self._links = links
+        self._timers = timers
+        self._log = log
+        self._known: OrderedDict[str, KnownEnd] = OrderedDict()
+        self._tasks: set[asyncio.Task] = set()
+        self._lookups: set[str] = set()
+
+    def known_state(self, job_id: str) -> JobState | None:
+        """Return the final state of a job that this entry knows to have ended."""
+        known = self._known.get(job_id)
+        return known.record.job_state if known is not None else None
+
+    def remember(self, job_id: str, record: EndedJob) -> None:
+        """Remember a job's end."""
+        attempts = {(row.step, row.index): row.attempt for row in record.restarts}
+        self._known[job_id] = KnownEnd(record, attempts)
+        while len(self._known) > KEPT_ENDED:
+            self._known.popitem(last=False)
+
+    # Jobs of this entry.
+
+    def store_end(self, job: Job) -> None:
+        """Begin to store the end of a job, until it is stored or proves to be another's."""
+        self._spawn(self.finish(job))
+
+    async def finish(self, job: Job) -> bool:
+        """Store a job's end; return whether it was this entry that ended the job."""
+        record = EndedJob(job.queue, job.ending.value, job.owner, job.epoch, _restarts(job))
+        transaction = _ending(job.job_id, job.version, record, job.has_progress_row)
+        began_ms = self._timers.now_ms()
+        while self._dispatch.jobs.get(job.job_id) is job:
+            try:
+                result = await self._writer.write(job_part(job.job_id), transaction)
+            except StoreError as error:
+                self._log.write("end_unsettled", request=job.job_id, code=error.code)
+                await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+                continue
+            if isinstance(result, Committed) or _is_ours(result, record):
+                self._take_finished(job, record, began_ms)
+                return True
+            self._dispatch.drop_job(job.job_id, "row_changed_by_another")
+            return False
+        return False
+
+    def _take_finished(self, job: Job, record: EndedJob, began_ms: int) -> None:
+        now_ms = self._timers.now_ms()
+        self._log.write(
+            "job_ended",
+            request=job.job_id,
+            state=record.state,
+            epoch=job.epoch,
+            store_ms=now_ms - began_ms,
+            total_ms=now_ms - job.accepted_ms,
+            objective_ms=job.objective_ms,
+        )
+        self.remember(job.job_id, record)
+        self._dispatch.let_go_stored(job, list(job.unstored_ends))
+        self._dispatch.stop_runs(job)
+        self._dispatch.drop_job(job.job_id, "ended")
+
+    async def store_progress(self) -> None:
+        """Store the ends of tasks of jobs that go on for longer."""
+        limit_ms = self._timers.now_ms() - PROGRESS_AFTER_MS
+        for job in list(self._dispatch.jobs.values()):
+            if job.kept and job.ending is None and 0 < job.progress_dirty_ms <= limit_ms:
+                self._spawn(self._store_job_progress(job))
+
+    async def _store_job_progress(self, job: Job) -> None:
+        job.progress_dirty_ms = 0
+        ends = list(job.unstored_ends)
+        transaction = Transaction(
+            expectations=(Expectation(open_row(job.job_id), job.version),),
+            puts=(Put(progress_row(job.job_id), dump_record(job.progress())),),
+        )
+        job.has_progress_row = True
+        try:
+            result = await self._writer.write(job_part(job.job_id), transaction)
+        except StoreError as error:
+            self._log.write("progress_unsettled", request=job.job_id, code=error.code)
+            job.progress_dirty_ms = self._timers.now_ms() - PROGRESS_AFTER_MS + RETRY_INTERVAL_MS
+            return
+        if isinstance(result, Conflict):
+            if job.ending is None:
+                self._dispatch.drop_job(job.job_id, "row_changed_by_another")
+            return
+        self._log.write("progress_stored", request=job.job_id, ends=len(ends))
+        self._dispatch.let_go_stored(job, ends)
+
+    # Jobs of others.
+
+    async def cancel_foreign(self, job_id: str, row: Row) -> bool:
+        """Cancel an open job of another entry; raises StoreError.
+
+        Returns False if the row has changed meanwhile and must be read again.
+        """
+        found = load_record(row.value)
+        record = EndedJob(found.queue, JobState.CANCELLED.value, found.owner, found.epoch + 1, ())
+        transaction = _ending(job_id, row.version, record, True)
+        result = await self._writer.write(job_part(job_id), transaction)
+        if isinstance(result, Conflict) and not _is_ours(result, record):
+            return False
+        self._log.write("job_cancelled", request=job_id, owner=found.owner, epoch=record.epoch)
+        self.remember(job_id, record)
+        self._links.broadcast(JobsClaimed((JobEpoch(job_id, record.epoch),)))
+        return True
+
+    def take_foreign_end(self, place: Place, event: RunEvent) -> None:
+        """Let an end go at its runner if its job has ended; look that up where it isn't known."""
+        job_id = TaskName.parse(event.task).job_id
+        known = self._known.get(job_id)
+        if known is not None:
+            self._let_go(place, event, known)
+        elif job_id not in self._lookups and len(self._lookups) < FOREIGN_LOOKUPS:
+            self._lookups.add(job_id)
+            self._spawn(self._look_up(place, event, job_id))
+
+    async def _look_up(self, place: Place, event: RunEvent, job_id: str) -> None:
+        try:
+            # The open row is read first: a job moves from there to the ended ones, never back.
+            opened = await self._store.read_row(open_row(job_id))
+            ended = await self._store.read_row(ended_row(job_id))
+        except StoreError as error:
+            self._log.write("lookup_failed", request=job_id, code=error.code)
+            return
+        finally:
+            self._lookups.discard(job_id)
+        if ended is not None:
+            self.remember(job_id, load_record(ended.value))
+            self._let_go(place, event, self._known[job_id])
+        elif opened is None:
+            self._dispatch.let_go(place, (event.end_number,))
+
+    def _let_go(self, place: Place, event: RunEvent, known: KnownEnd) -> None:
+        """Let an end of an ended job go; one that was outrun only after the lease lapsed."""
+        name = TaskName.parse(event.task)
+        counts = known.attempts.get((name.step, name.index), event.attempt)
+        if event.detail == RunEnd.DONE.value and counts > event.attempt:
+            message = EndsStored(place.runner_id, (), (event.end_number,))
+            self._links.send(place.agent, message)
+        else:
+            self._dispatch.let_go(place, (event.end_number,))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _ending(job_id: str, version: int, record: EndedJob, has_progress: bool) -> Transaction:
+    removals = [open_row(job_id)]
+    if has_progress:
+        removals.append(progress_row(job_id))
+    return Transaction(
+        expectations=(
+            Expectation(open_row(job_id), version),
+            Expectation(ended_row(job_id), ABSENT),
+        ),
+        puts=(Put(ended_row(job_id), dump_record(record)),),
+        removals=tuple(removals),
+    )
+
+
+def _is_ours(conflict: Conflict, record: EndedJob) -> bool:
+    """Tell whether the row that is in the way is the one of an earlier, unanswered try."""
+    for row in conflict.rows:
+        if row.value is not None:
+            found = load_record(row.value)
+            if found == record:
+                return True
+    return False
+
+
+def _restarts(job: Job) -> tuple[Restart, ...]:
+    first = (job.epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+    return tuple(
+        Restart(task.name.step, task.name.index, task.attempt)
+        for task in job.tasks
+        if task.attempt != first
+    )
--- /dev/null
+++ b/src/gapdrum/entry/front.py
@@ -0,0 +1,210 @@
+"""The callers' interface: jobs, their states, cancelling, and how many wait in a queue."""
+
+import asyncio
+import math
+
+from gapdrum.core.configuration import Queue
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.models import JobState
+from gapdrum.core.records import ended_row, load_record, open_row
+from gapdrum.entry.acceptance import Acceptance, Acceptor
+from gapdrum.entry.admission import Admission
+from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.endings import Endings
+from gapdrum.entry.lease import Lease
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.entry.waiting_callers import WaitingCallers
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import GapdrumError, StoreError
+from gapdrum.platform.submissions import (
+    SubmittedJob,
+    decode_job,
+    is_job_id,
+    state_response,
+    waiting_response,
+)
+from gapdrum.timers import MS_PER_S
+from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+
+# When a refused caller should come back: outages of the store last seconds.
+RETRY_AFTER_S = 1
+CANCEL_TRIES = 8
+CANCEL_PAUSE_MS = 50
+
+
+class Front:
+    """Answers callers. Each answer says what is known, and nothing more."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationWatch,
+        dispatch: Dispatch,
+        acceptor: Acceptor,
+        admission: Admission,
+        callers: WaitingCallers,
+        endings: Endings,
+        store: StoreAccess,
+        lease: Lease,
+        log: EventLog,
+    ) -> None:
+        self._configuration = configuration
+        self._dispatch = dispatch
+        self._acceptor = acceptor
+        self._admission = admission
+        self._callers = callers
+        self._endings = endings
+        self._store = store
+        self._lease = lease
+        self._log = log
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        try:
+            return await self._route(request)
+        except GapdrumError as error:
+            return self._answer_error(request, error)
+        except Exception as error:  # a fault of ours: the caller must hear that nothing is known
+            self._log.write("request_crashed", path=request.path, error=repr(error)[:300])
+            return json_response(502, {"code": "internal_error"})
+
+    def _answer_error(self, request: HttpRequest, error: GapdrumError) -> HttpResponse:
+        self._log.write(
+            "request_rejected",
+            path=request.path,
+            status=error.http_status,
+            code=error.code,
+            reason=error.message[:200],
+            findings=[finding.place for finding in error.findings][:8],
+        )
+        document = {
+            "code": error.code,
+            "message": error.message,
+            "findings": [[finding.place, finding.message] for finding in error.findings],
+        }
+        retry_after_s = RETRY_AFTER_S if error.http_status == 503 else 0
+        return json_response(error.http_status, document, retry_after_s=retry_after_s)
+
+    async def _route(self, request: HttpRequest) -> HttpResponse:
+        configuration = self._configuration.current
+        if configuration is None:
+            return _refusal(503, "no_configuration", RETRY_AFTER_S)
+        path = request.path.partition("?")[0]
+        queue = configuration.find_queue(_host(request), path)
+        if queue is None:
+            self._log.write(
+                "queue_unknown", path=path, method=request.method, version=configuration.version
+            )
+            return json_response(404, {"code": "queue_unknown"})
+        name = path[len(queue.prefix) :]
+        if not name and request.method == "GET":
+            return self._count_waiting(queue)
+        if not is_job_id(name):
+            return json_response(404, {"code": "no_such_path"})
+        if request.method == "POST":
+            return await self._submit(request, queue, name)
+        if request.method == "GET":
+            return await self._show(name)
+        if request.method == "DELETE":
+            return await self._cancel(name)
+        return json_response(405, {"code": "method_unknown"})
+
+    def _count_waiting(self, queue: Queue) -> HttpResponse:
+        own = self._dispatch.count_waiting().get(queue.name, 0)
+        return waiting_response(own + self._lease.waiting_elsewhere(queue.name))
+
+    # Submitting.
+
+    async def _submit(self, request: HttpRequest, queue: Queue, job_id: str) -> HttpResponse:
+        job = decode_job(request.body)
+        known = job_id in self._dispatch.jobs or self._endings.known_state(job_id) is not None
+        if known and not job.answered_at_end:
+            self._log.write("job_known", request=job_id, queue=queue.name, store_ms=0)
+            return json_response(200, {})
+        refusal = self._refuse(queue, job_id, job)
+        if refusal is not None:
+            return refusal
+        if job.answered_at_end:
+            state = await self._callers.run(job_id, queue, job.spec, job.steps, request.closed)
+            return state_response(state) if state else json_response(502, {"code": "caller_gone"})
+        acceptance = await self._acceptor.accept(job_id, queue, job.spec, job.steps)
+        if acceptance is Acceptance.ACCEPTED:
+            return json_response(200, {})
+        if acceptance is Acceptance.REFUSED:
+            return _refusal(503, "store_unavailable", RETRY_AFTER_S)
+        return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
+
+    def _refuse(self, queue: Queue, job_id: str, job: SubmittedJob) -> HttpResponse | None:
+        """Refuse a job of which nothing was written yet, with the reason and when to come back."""
+        if not job.answered_at_end and not self._store.up:
+            return self._note_refusal(job_id, queue, 503, "store_unavailable", RETRY_AFTER_S)
+        if not job.answered_at_end and not self._lease.valid:
+            return self._note_refusal(job_id, queue, 503, "lease_not_held", RETRY_AFTER_S)
+        wait_ms = self._admission.must_wait_ms(queue, job.steps)
+        if wait_ms:
+            retry_after_s = max(1, math.ceil(wait_ms / MS_PER_S))
+            return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s)
+        return None
+
+    def _note_refusal(
+        self, job_id: str, queue: Queue, status: int, reason: str, retry_after_s: int
+    ) -> HttpResponse:
+        self._log.write("job_refused", request=job_id, queue=queue.name, reason=reason)
+        return _refusal(status, reason, retry_after_s)
+
+    # Asking.
+
+    async def _show(self, job_id: str) -> HttpResponse:
+        state = self._endings.known_state(job_id)
+        if state is None:
+            state = await self._find_state(job_id)
+        if state is None:
+            return json_response(410, {"code": "no_such_job"})
+        return state_response(state)
+
+    async def _find_state(self, job_id: str) -> JobState | None:
+        job = self._dispatch.jobs.get(job_id)
+        if job is not None and self._lease.valid:
+            return JobState.RUNNING if job.begun else JobState.PENDING
+        # The open row is read first: a job moves from there to the ended ones, never back.
+        opened = await self._store.read_row(open_row(job_id))
+        if opened is not None:
+            return JobState.RUNNING
+        ended = await self._store.read_row(ended_row(job_id))
+        if ended is None:
+            return None
+        record = load_record(ended.value)
+        self._endings.remember(job_id, record)
+        return record.job_state
+
+    # Cancelling.
+
+    async def _cancel(self, job_id: str) -> HttpResponse:
+        """Cancel a job; raises StoreError if that can't be settled in time."""
+        for _ in range(CANCEL_TRIES):
+            if self._endings.known_state(job_id) is not None:
+                return json_response(200, {})
+            job = self._dispatch.jobs.get(job_id)
+            if job is not None and job.ending is None:
+                job.ending = JobState.CANCELLED
+                self._log.write("job_cancelled", request=job_id, owner=job.owner, epoch=job.epoch)
+                await self._endings.finish(job)
+            elif job is None and await self._cancel_in_store(job_id):
+                return json_response(200, {})
+            elif job is None and await self._find_state(job_id) is None:
+                return json_response(410, {"code": "no_such_job"})
+            else:
+                await asyncio.sleep(CANCEL_PAUSE_MS / MS_PER_S)
+        raise StoreError("the cancellation could not be settled")
+
+    async def _cancel_in_store(self, job_id: str) -> bool:
+        row = await self._store.read_row(open_row(job_id))
+        return row is not None and await self._endings.cancel_foreign(job_id, row)
+
+
+def _host(request: HttpRequest) -> str:
+    return request.headers.get("host", "").partition(":")[0].lower()
+
+
+def _refusal(status: int, code: str, retry_after_s: int) -> HttpResponse:
+    document = {"code": code, "not_run": True, "retry_after_s": retry_after_s}
+    return json_response(status, document, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/gapdrum/entry/links.py
@@ -0,0 +1,120 @@
+"""The entry's stream listener: each agent connects here on one stream."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+from gapdrum.core import orders
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.runner_views import AgentView
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import FrameError, StreamClosedError
+from gapdrum.streams import Stream
+from gapdrum.timers import Timers
+
+# A stream without a beat for this long is cut; the agent connects again.
+SILENT_STREAM_MS = 2_000
+
+
+class AgentLinks:
+    """All agents' streams, and what their messages cause."""
+
+    def __init__(self, timers: Timers, log: EventLog, sent: Counter, received: Counter) -> None:
+        self._timers = timers
+        self._log = log
+        self._sent = sent
+        self._received = received
+        self._streams: dict[str, Stream] = {}
+        self.dispatch: Dispatch | None = None
+        self.owner: Callable[[], str] = str
+        self.holds_lease: Callable[[], bool] = lambda: False
+        self.unsettled_claims: Callable[[], tuple[orders.JobEpoch, ...]] = tuple
+
+    @property
+    def connected(self) -> int:
+        """Return how many agents are connected."""
+        return len(self._streams)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Listen for agents; raises OSError if the address is taken."""
+        await asyncio.start_server(self._accept, host, port)
+
+    def send(self, agent: str, message: object) -> bool:
+        """Send to an agent; return whether its stream took the message."""
+        stream = self._streams.get(agent)
+        if stream is None:
+            return False
+        try:
+            stream.send(message)
+        except StreamClosedError:
+            return False
+        return True
+
+    def broadcast(self, message: object) -> None:
+        """Send to all connected agents."""
+        for agent in list(self._streams):
+            self.send(agent, message)
+
+    def close_all(self) -> None:
+        """End all streams: the agents connect anew and learn who this entry is now."""
+        for stream in list(self._streams.values()):
+            stream.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        stream = Stream(reader, writer, self._sent, self._received)
+        try:
+            await self._serve(stream)
+        except FrameError as error:
+            self._log.write("stream_rejected", code=error.code, reason=error.message)
+        finally:
+            stream.close()
+
+    async def _serve(self, stream: Stream) -> None:
+        messages = aiter(stream)
+        greeting = await anext(messages, None)
+        if not isinstance(greeting, orders.AgentGreeting):
+            raise FrameError("a stream must start with an agent's greeting")
+        previous = self._streams.pop(greeting.agent, None)
+        if previous is not None:
+            previous.close()
+        view = self.dispatch.agent_joined(greeting, self._timers.now_ms())
+        self._streams[greeting.agent] = stream
+        stream.send(orders.EntryGreeting(self.owner()))
+        claims = self.unsettled_claims()
+        if claims:
+            stream.send(orders.JobsClaimed(claims))
+        try:
+            async for message in messages:
+                if self._streams.get(greeting.agent) is not stream:
+                    return
+                self._take(view, message)
+        finally:
+            if self._streams.get(greeting.agent) is stream:
+                del self._streams[greeting.agent]
+                self.dispatch.agent_left(view)
+
+    def _take(self, view: AgentView, message: object) -> None:
+        now_ms = self._timers.now_ms()
+        dispatch = self.dispatch
+        if isinstance(message, orders.AgentBeat):
+            view.heard_ms = now_ms
+            view.clock_ms = message.clock_ms
+            self.send(view.agent, orders.BeatEcho(message.clock_ms, self.holds_lease()))
+        elif isinstance(message, orders.RunEvents):
+            dispatch.take_events(view, message, now_ms)
+        elif isinstance(message, orders.RunnerReport):
+            dispatch.take_report(view, message, now_ms)
+        elif isinstance(message, orders.Holdings):
+            dispatch.take_holdings(view, message, now_ms)
+        elif isinstance(message, orders.JobLost):
+            dispatch.lose_job(message)
+        else:
+            raise FrameError(f"unexpected message {type(message).__name__}")
+
+    def cut_silent(self) -> None:
+        """Cut streams whose agent was not heard for too long."""
+        limit_ms = self._timers.now_ms() - SILENT_STREAM_MS
+        for agent, stream in list(self._streams.items()):
+            view = self.dispatch.agents.get(agent)
+            if view is None or view.heard_ms < limit_ms:
+                stream.close()
--- /dev/null
+++ b/src/gapdrum/entry/program.py
@@ -0,0 +1,223 @@
+"""The entry process: its parts, their wiring, its start and its shutdown."""
+
+import asyncio
+import signal
+from collections import Counter
+
+from gapdrum.core import orders
+from gapdrum.core.configuration import Configuration
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import Job, Place
+from gapdrum.core.records import EntryAddress
+from gapdrum.entry.acceptance import Acceptor
+from gapdrum.entry.admission import Admission
+from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.endings import PROGRESS_INTERVAL_MS, Endings
+from gapdrum.entry.front import Front
+from gapdrum.entry.lease import Lease
+from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.entry.takeover import Takeover
+from gapdrum.entry.waiting_callers import WaitingCallers
+from gapdrum.entry.writer import Writer
+from gapdrum.event_log import EventLog, run_program
+from gapdrum.platform.boot import Boot, load_boot
+from gapdrum.platform.rows import RowStore
+from gapdrum.timers import MS_PER_S, Timers
+from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+from gapdrum.transport.http_server import HttpLimits, HttpListener
+
+TICK_INTERVAL_MS = 100
+LINK_CHECK_INTERVAL_MS = 500
+TAKEOVER_INTERVAL_MS = 100
+# The balancer takes an instance out after two misses, a second apart; callers that have an
+# open connection are served for a while longer.
+KEEP_SERVING_MS = 2_500
+# What is open at a shutdown goes on until so long before the end of the time allowed.
+LEAVE_BEFORE_END_MS = 2_000
+BUSY_POLL_MS = 20
+
+
+class Entry:
+    """The parts of one entry process."""
+
+    def __init__(self, boot: Boot, timers: Timers, log: EventLog) -> None:
+        self.boot = boot
+        self.timers = timers
+        self.log = log
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.leaving = False
+        rows = RowStore(boot.store)
+        self.store = StoreAccess(rows, timers, log)
+        self.writer = Writer(self.store)
+        self.configuration = ConfigurationWatch(RowStore(boot.store), timers, log)
+        address = EntryAddress("", boot.zone, boot.host, boot.streams_port)
+        self.lease = Lease(boot.instance, address, self.store, timers, log)
+        self.links = AgentLinks(timers, log, self.sent, self.received)
+        self.dispatch = Dispatch(boot.zone, self, lambda: self.lease.valid)
+        self.endings = Endings(self.store, self.writer, self.dispatch, self.links, timers, log)
+        self.takeover = Takeover(
+            self.store,
+            self.writer,
+            self.lease,
+            self.dispatch,
+            self.links,
+            self.configuration,
+            timers,
+            log,
+        )
+        self.acceptor = Acceptor(self.store, self.writer, self.lease, timers, log, self._own)
+        self.callers = WaitingCallers(self.dispatch, self.lease, timers, log)
+        self.front = Front(
+            self.configuration,
+            self.dispatch,
+            self.acceptor,
+            Admission(self.dispatch),
+            self.callers,
+            self.endings,
+            self.store,
+            self.lease,
+            log,
+        )
+        self.limits = HttpLimits()
+        self.listener = HttpListener(self.front.handle, self.limits, timers)
+        self.readiness = HttpListener(self._show_readiness, HttpLimits(), timers)
+        self._wire()
+
+    def _wire(self) -> None:
+        self.configuration.on_change = self._take_configuration
+        self.lease.count_waiting = self.dispatch.count_waiting
+        self.lease.on_orphans = self.takeover.ask
+        self.lease.on_lost = self._lose_lease
+        self.links.dispatch = self.dispatch
+        self.links.owner = lambda: self.lease.owner
+        self.links.holds_lease = lambda: self.lease.valid
+        self.links.unsettled_claims = self.takeover.unsettled_claims
+
+    # What decisions lead to, see ``core.dispatch.Outside``.
+
+    def send(self, agent: str, message: object) -> bool:
+        """Send a message to an agent."""
+        return self.links.send(agent, message)
+
+    def job_ended(self, job: Job) -> None:
+        """Store a job's end, or answer the callers that wait for it."""
+        if job.kept:
+            self.endings.store_end(job)
+        else:
+            self.callers.take_end(job)
+
+    def foreign_end(self, place: Place, event: orders.RunEvent) -> None:
+        """Find out about an end of another's job."""
+        self.endings.take_foreign_end(place, event)
+
+    def has_ended(self, job_id: str) -> bool:
+        """Tell whether a job is known to have ended."""
+        return self.endings.known_state(job_id) is not None
+
+    def note(self, event: str, **fields: object) -> None:
+        """Record a decision."""
+        self.log.write(event, **fields)
+
+    # Events.
+
+    def _own(self, job: Job) -> None:
+        self.dispatch.add_job(job, self.timers.now_ms())
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        self.limits.max_header_bytes = configuration.max_header_bytes
+        self.limits.max_body_bytes = configuration.max_body_bytes
+        self.limits.header_timeout_ms = configuration.header_timeout_ms
+        self.limits.idle_timeout_ms = configuration.idle_timeout_ms
+        for job in self.dispatch.jobs.values():
+            queue = configuration.queue_named(job.queue)
+            if queue is not None:
+                job.upstream = queue.upstream
+
+    def _lose_lease(self) -> None:
+        """Let go of everything: another entry has ended this life and owns the jobs."""
+        for job in list(self.dispatch.jobs.values()):
+            if job.kept:
+                self.dispatch.drop_job(job.job_id, "lease_lost")
+        self.links.close_all()
+        self.takeover.ask()
+
+    def _show_readiness(self, _request: HttpRequest) -> HttpResponse:
+        ready = not self.leaving and self.configuration.known and self.lease.valid and self.store.up
+        return json_response(200 if ready else 503, {"ready": ready})
+
+    def _tick(self) -> None:
+        now_ms = self.timers.now_ms()
+        self.dispatch.check_silence(now_ms)
+        self.dispatch.settle_unknown(now_ms)
+        self.dispatch.place_waiting(now_ms)
+
+    async def _keep_lease(self) -> None:
+        while True:
+            pause_ms = await self.lease.keep()
+            await asyncio.sleep(pause_ms / MS_PER_S)
+
+    # Start and end.
+
+    async def run(self) -> int:
+        """Serve until SIGTERM."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        boot = self.boot
+        await self.links.listen(boot.host, boot.streams_port)
+        await self.readiness.open(boot.readiness.host, boot.readiness.port)
+        background = [
+            asyncio.ensure_future(self.configuration.follow()),
+            asyncio.ensure_future(self._keep_lease()),
+        ]
+        await self.listener.open(boot.callers.host, boot.callers.port)
+        self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
+        self.timers.subscribe(LINK_CHECK_INTERVAL_MS, self.links.cut_silent)
+        self.timers.subscribe(TAKEOVER_INTERVAL_MS, self.takeover.scan_if_wanted)
+        self.timers.subscribe(PROGRESS_INTERVAL_MS, self.endings.store_progress)
+        self.log.write("started", role="entry", zone=boot.zone, owner=self.lease.owner)
+        await stopping.wait()
+        await self._shut_down()
+        for task in background:
+            task.cancel()
+        return 0
+
+    def _note_reload(self) -> None:
+        self.log.write("settings_signal", note="read again at the next start")
+
+    async def _shut_down(self) -> None:
+        """Leave the balancer, answer what is open, and hand the jobs over."""
+        began_ms = self.timers.now_ms()
+        self.leaving = True
+        self.log.write("stopping", jobs=len(self.dispatch.jobs))
+        await asyncio.sleep(KEEP_SERVING_MS / MS_PER_S)
+        self.listener.start_closing()
+        limit_ms = began_ms + self.boot.shutdown_ms - LEAVE_BEFORE_END_MS
+        while self._has_work() and self.timers.now_ms() < limit_ms:
+            await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
+        jobs_left = len(self.dispatch.jobs)
+        await self.lease.leave()
+        while self.listener.busy_connections() and self.timers.now_ms() < limit_ms + MS_PER_S:
+            await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
+        self.log.write("stopped", jobs_handed_over=jobs_left)
+        self.log.flush()
+
+    def _has_work(self) -> bool:
+        return bool(self.dispatch.jobs) or bool(self.listener.busy_connections())
+
+
+async def main() -> int:
+    """Run the entry process."""
+    boot = load_boot()
+    timers = Timers()
+    log = EventLog(boot.instance, timers)
+    log.open()
+    return await Entry(boot, timers, log).run()
+
+
+def start() -> None:
+    """Run the entry program."""
+    run_program(main)
--- /dev/null
+++ b/src/gapdrum/entry/store_access.py
@@ -0,0 +1,97 @@
+"""The entry's access to the store: what it believes of it, and how long calls take."""
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from gapdrum.core.rows import Committed, Conflict, Page, Row, RowKey, Transaction
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import StoreError, StoreRejectedError
+from gapdrum.platform.rows import RowStore
+from gapdrum.timers import Timers
+
+T = TypeVar("T")
+
+# A slowed store answers in 0.3 s; one that does not answer for longer is taken as away.
+CALL_TIMEOUT_MS = 1_000
+SILENT_AFTER_MS = 500
+FAILURES_UNTIL_DOWN = 2
+
+
+class StoreAccess:
+    """Calls the store and keeps a belief of whether it can be reached.
+
+    New work is refused at once while it can't, instead of being held for a time-out.
+    """
+
+    def __init__(self, rows: RowStore, timers: Timers, log: EventLog) -> None:
+        self._rows = rows
+        self._timers = timers
+        self._log = log
+        self._failures = 0
+        self._pending: dict[int, int] = {}
+        self._next_call = 0
+        self._succeeded_ms = timers.now_ms()
+        self._was_up = True
+        self.calls = 0
+
+    @property
+    def up(self) -> bool:
+        """Tell whether the store is taken to answer."""
+        return self._failures < FAILURES_UNTIL_DOWN and not self._is_silent()
+
+    def _is_silent(self) -> bool:
+        if not self._pending:
+            return False
+        oldest_ms = next(iter(self._pending.values()))
+        limit_ms = self._timers.now_ms() - SILENT_AFTER_MS
+        return oldest_ms < limit_ms and self._succeeded_ms < limit_ms
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        """Try a transaction once; raises StoreError."""
+        return await self._watch(self._rows.transact(transaction, CALL_TIMEOUT_MS))
+
+    async def read(self, table: str, part: str, first: str = "") -> Page:
+        """Read a page of rows; raises StoreError."""
+        return await self._watch(self._rows.read(table, part, CALL_TIMEOUT_MS, first=first))
+
+    async def read_all(self, table: str, part: str) -> list[Row]:
+        """Read all rows of a part, page by page; raises StoreError."""
+        rows: list[Row] = []
+        page = await self.read(table, part)
+        rows.extend(page.rows)
+        while page.has_more:
+            page = await self.read(table, part, rows[-1].at.key + "\0")
+            rows.extend(page.rows)
+        return rows
+
+    async def read_row(self, at: RowKey) -> Row | None:
+        """Read one row, None if it does not exist; raises StoreError."""
+        return await self._watch(self._rows.read_row(at, CALL_TIMEOUT_MS))
+
+    async def _watch(self, call: Awaitable[T]) -> T:
+        number = self._next_call = self._next_call + 1
+        self.calls += 1
+        self._pending[number] = self._timers.now_ms()
+        try:
+            result = await call
+        except StoreError as error:
+            self._failures += 1
+            self._note_change(error.message)
+            raise
+        finally:
+            del self._pending[number]
+        self._failures = 0
+        self._succeeded_ms = self._timers.now_ms()
+        self._note_change("answered")
+        return result
+
+    def _note_change(self, reason: str) -> None:
+        up = self._failures < FAILURES_UNTIL_DOWN
+        if up != self._was_up:
+            self._was_up = up
+            self._log.write("store_regained" if up else "store_lost", reason=reason)
+
+    def check_up(self) -> None:
+        """Raise StoreRejectedError if the store is taken to be away."""
+        if not self.up:
+            raise StoreRejectedError("the store does not answer")
--- /dev/null
+++ b/src/gapdrum/entry/takeover.py
@@ -0,0 +1,146 @@
+"""Takes over the open jobs of entries whose lease has ended, without being asked."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import TaskPhase
+from gapdrum.core.orders import SILENCE_LIMIT_MS, JobEpoch, JobsClaimed
+from gapdrum.core.records import (
+    JOB_PARTS,
+    OPEN_TABLE,
+    PROGRESS_TABLE,
+    OpenJob,
+    dump_record,
+    load_record,
+)
+from gapdrum.core.rows import Conflict, Expectation, Put, Row, Transaction
+from gapdrum.entry.acceptance import job_of_queue
+from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.lease import Lease
+from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.entry.writer import Writer
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import StoreError
+from gapdrum.timers import Timers
+
+# Jobs claimed in one transaction; a row has up to 6 KB, and others may be after the same jobs.
+CLAIM_BATCH = 25
+# A scan without a sign of a lost entry, for what a lost sign would leave behind.
+SCAN_INTERVAL_MS = 10_000
+
+
+class Takeover:
+    """Finds open jobs without a living owner and claims them with the next epoch."""
+
+    def __init__(
+        self,
+        store: StoreAccess,
+        writer: Writer,
+        lease: Lease,
+        dispatch: Dispatch,
+        links: AgentLinks,
+        configuration: ConfigurationWatch,
+        timers: Timers,
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._lease = lease
+        self._dispatch = dispatch
+        self._links = links
+        self._configuration = configuration
+        self._timers = timers
+        self._log = log
+        self._wanted = True
+        self._scanned_ms = 0
+        self.on_claimed: Callable[[], None] = lambda: None
+
+    def ask(self) -> None:
+        """Ask for a scan soon, as an owner has gone."""
+        self._wanted = True
+
+    async def scan_if_wanted(self) -> None:
+        """Scan if an owner has gone, or the last scan is long ago."""
+        now_ms = self._timers.now_ms()
+        due = self._wanted or now_ms - self._scanned_ms > SCAN_INTERVAL_MS
+        if not due or not self._lease.valid or not self._configuration.known:
+            return
+        self._wanted = False
+        self._scanned_ms = now_ms
+        try:
+            await self._scan()
+        except StoreError as error:
+            self._wanted = True
+            self._log.write("takeover_failed", code=error.code, reason=error.message)
+
+    async def _scan(self) -> None:
+        """Read the open jobs first and the leases after, as an owner registers before it owns."""
+        rows: dict[str, list[Row]] = {}
+        for part in random.sample(JOB_PARTS, len(JOB_PARTS)):
+            rows[part] = await self._store.read_all(OPEN_TABLE, part)
+        owners = await self._lease.look()
+        for part, found in rows.items():
+            orphans = [row for row in found if self._is_orphan(row, owners)]
+            for begin in range(0, len(orphans), CLAIM_BATCH):
+                await self._claim(part, orphans[begin : begin + CLAIM_BATCH])
+
+    def _is_orphan(self, row: Row, owners: frozenset[str]) -> bool:
+        owner = load_record(row.value).owner
+        if owner == self._lease.owner:
+            return False
+        return owner not in owners
+
+    async def _claim(self, part: str, rows: list[Row]) -> None:
+        claims = [(row, self._claimed(row)) for row in rows]
+        transaction = Transaction(
+            tuple(Expectation(row.at, row.version) for row in rows),
+            tuple(Put(row.at, dump_record(record)) for row, record in claims),
+        )
+        result = await self._writer.write(part, transaction)
+        if isinstance(result, Conflict):
+            self._wanted = True  # another entry was faster with some of them
+            if len(rows) > 1:
+                for row in rows:
+                    await self._claim(part, [row])
+            return
+        progress = {row.at.key: row for row in await self._store.read_all(PROGRESS_TABLE, part)}
+        for row, record in claims:
+            self._take(row.at.key, record, result.version, progress.get(row.at.key))
+        epochs = tuple(JobEpoch(row.at.key, record.epoch) for row, record in claims)
+        self._links.broadcast(JobsClaimed(epochs))
+
+    def _claimed(self, row: Row) -> OpenJob:
+        record = load_record(row.value)
+        return attrs.evolve(record, owner=self._lease.owner, epoch=record.epoch + 1)
+
+    def _take(self, job_id: str, record: OpenJob, version: int, progress: Row | None) -> None:
+        now_ms = self._timers.now_ms()
+        queue = self._configuration.current.queue_named(record.queue)
+        job = job_of_queue(job_id, record, version, queue, now_ms)
+        job.unknown_until_ms = now_ms + SILENCE_LIMIT_MS
+        for task in job.tasks:
+            task.phase = TaskPhase.UNKNOWN
+        if progress is not None:
+            job.has_progress_row = True
+            job.restore(load_record(progress.value))
+        self._log.write(
+            "job_taken_over",
+            request=job_id,
+            epoch=record.epoch,
+            version=version,
+            done=sum(task.phase is TaskPhase.DONE for task in job.tasks),
+            tasks=len(job.tasks),
+        )
+        self._dispatch.add_job(job, now_ms)
+
+    def unsettled_claims(self) -> tuple[JobEpoch, ...]:
+        """Return the jobs of which agents that connect now may hold runs of earlier owners."""
+        return tuple(
+            JobEpoch(job.job_id, job.epoch)
+            for job in self._dispatch.jobs.values()
+            if job.kept and job.unknown_until_ms
+        )
--- /dev/null
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -0,0 +1,99 @@
+"""Jobs that are not stored: their caller waits for the end, and sends them again without one."""
+
+import asyncio
+from collections import OrderedDict
+
+from gapdrum.core.configuration import Queue
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import Job
+from gapdrum.core.models import JobState, Step
+from gapdrum.entry.acceptance import first_record, job_of_queue
+from gapdrum.entry.lease import Lease
+from gapdrum.event_log import EventLog
+from gapdrum.timers import Timers
+
+# A job that is sent again after its answer gets the same answer here.
+KEPT_ANSWERS = 10_000
+
+
+class WaitingCallers:
+    """Runs jobs for callers that wait, and stops a job that nobody waits for any more.
+
+    A caller whose connection has gone sends the job again after a pause, to any entry. What
+    runs of it is stopped at once, so that no task runs twice at the same time.
+    """
+
+    def __init__(self, dispatch: Dispatch, lease: Lease, timers: Timers, log: EventLog) -> None:
+        self._dispatch = dispatch
+        self._lease = lease
+        self._timers = timers
+        self._log = log
+        self._callers: dict[str, set[asyncio.Future]] = {}
+        self._answers: OrderedDict[str, JobState] = OrderedDict()
+
+    async def run(
+        self,
+        job_id: str,
+        queue: Queue,
+        spec: str,
+        steps: tuple[Step, ...],
+        closed: asyncio.Future,
+    ) -> JobState | None:
+        """Run a job to its end; None if the caller has gone before."""
+        known = self._answers.get(job_id)
+        if known is not None:
+            return known
+        ended = asyncio.get_running_loop().create_future()
+        self._callers.setdefault(job_id, set()).add(ended)
+        if job_id not in self._dispatch.jobs:
+            self._begin(job_id, queue, spec, steps)
+        await asyncio.wait({ended, closed}, return_when=asyncio.FIRST_COMPLETED)
+        if ended.done():
+            return ended.result()
+        self._leave(job_id, ended)
+        return None
+
+    def _begin(self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]) -> None:
+        now_ms = self._timers.now_ms()
+        record = first_record(queue, spec, steps, self._lease.owner, self._timers.wall_ms())
+        job = job_of_queue(job_id, record, 0, queue, now_ms, kept=False)
+        self._log.write(
+            "job_begun",
+            request=job_id,
+            queue=queue.name,
+            tasks=len(job.tasks),
+            objective_ms=job.objective_ms,
+        )
+        self._dispatch.add_job(job, now_ms)
+
+    def _leave(self, job_id: str, ended: asyncio.Future) -> None:
+        callers = self._callers.get(job_id, set())
+        callers.discard(ended)
+        job = self._dispatch.jobs.get(job_id)
+        if callers or job is None:
+            return
+        self._callers.pop(job_id, None)
+        job.ending = JobState.CANCELLED
+        self._dispatch.stop_runs(job)
+        self._dispatch.drop_job(job_id, "caller_gone")
+
+    def take_end(self, job: Job) -> None:
+        """Answer the callers of a job that has ended."""
+        state = job.ending
+        self._log.write(
+            "job_ended",
+            request=job.job_id,
+            state=state.value,
+            epoch=job.epoch,
+            store_ms=0,
+            total_ms=self._timers.now_ms() - job.accepted_ms,
+            objective_ms=job.objective_ms,
+        )
+        self._answers[job.job_id] = state
+        while len(self._answers) > KEPT_ANSWERS:
+            self._answers.popitem(last=False)
+        self._dispatch.stop_runs(job)
+        self._dispatch.drop_job(job.job_id, "ended")
+        for ended in self._callers.pop(job.job_id, set()):
+            if not ended.done():
+                ended.set_result(state)
--- /dev/null
+++ b/src/gapdrum/entry/writer.py
@@ -0,0 +1,136 @@
+"""Group commit: changes to rows of one part share a transaction while the last one is under way."""
+
+import asyncio
+from collections import deque
+
+import attrs
+
+from gapdrum.core.rows import ABSENT, Committed, Conflict, Row, RowKey, Transaction
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.exceptions import StoreError
+
+# The store takes 100 entries and 1 MB a call; a change has up to five entries and 8 KB.
+MAX_ENTRIES = 100
+MAX_BYTES = 800_000
+ENTRY_OVERHEAD_BYTES = 200
+
+
+@attrs.define(eq=False)
+class _Change:
+    transaction: Transaction
+    done: asyncio.Future
+
+    @property
+    def entries(self) -> int:
+        change = self.transaction
+        return len(change.expectations) + len(change.puts) + len(change.removals)
+
+    @property
+    def size(self) -> int:
+        values = sum(len(put.value) * 4 // 3 for put in self.transaction.puts)
+        return values + self.entries * ENTRY_OVERHEAD_BYTES
+
+
+class Writer:
+    """Writes small changes, those of one part together.
+
+    ::
+
+        result = await writer.write("3", transaction)   # Committed or Conflict
+    """
+
+    def __init__(self, store: StoreAccess) -> None:
+        self._store = store
+        self._lanes: dict[str, deque[_Change]] = {}
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def write(self, part: str, transaction: Transaction) -> Committed | Conflict:
+        """Write one change; raises StoreError, or the outcome of the call that it shared."""
+        change = _Change(transaction, asyncio.get_running_loop().create_future())
+        self._lanes.setdefault(part, deque()).append(change)
+        if part not in self._busy:
+            self._busy.add(part)
+            task = asyncio.ensure_future(self._drain(part))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return await change.done
+
+    async def _drain(self, part: str) -> None:
+        lane = self._lanes[part]
+        try:
+            while lane:
+                await self._commit(_take_batch(lane))
+        finally:
+            self._busy.discard(part)
+
+    async def _commit(self, batch: list[_Change]) -> None:
+        while batch:
+            try:
+                result = await self._store.transact(_join(batch))
+            except StoreError as error:
+                for change in batch:
+                    _settle(change, error)
+                return
+            if isinstance(result, Committed):
+                for change in batch:
+                    _settle(change, result)
+                return
+            batch = _settle_conflicts(batch, result)
+
+
+def _take_batch(lane: deque[_Change]) -> list[_Change]:
+    batch = [lane.popleft()]
+    entries = batch[0].entries
+    size = batch[0].size
+    while lane and entries + lane[0].entries <= MAX_ENTRIES and size + lane[0].size <= MAX_BYTES:
+        change = lane.popleft()
+        entries += change.entries
+        size += change.size
+        batch.append(change)
+    return batch
+
+
+def _join(batch: list[_Change]) -> Transaction:
+    return Transaction(
+        tuple(item for change in batch for item in change.transaction.expectations),
+        tuple(put for change in batch for put in change.transaction.puts),
+        tuple(at for change in batch for at in change.transaction.removals),
+    )
+
+
+def _settle_conflicts(batch: list[_Change], conflict: Conflict) -> list[_Change]:
+    """Settle the changes whose conditions did not hold; return the others, to be tried again."""
+    rows = {row.at: row for row in conflict.rows}
+    rest = []
+    for change in batch:
+        if _holds(change, rows):
+            rest.append(change)
+        else:
+            own = tuple(
+                rows[item.at] for item in change.transaction.expectations if item.at in rows
+            )
+            _settle(change, Conflict(own))
+    if len(rest) == len(batch):
+        for change in rest:
+            _settle(change, conflict)
+        return []
+    return rest
+
+
+def _holds(change: _Change, rows: dict[RowKey, Row]) -> bool:
+    for item in change.transaction.expectations:
+        row = rows.get(item.at)
+        version = row.version if row is not None and row.value is not None else ABSENT
+        if version != item.version:
+            return False
+    return True
+
+
+def _settle(change: _Change, outcome: Committed | Conflict | StoreError) -> None:
+    if change.done.done():
+        return
+    if isinstance(outcome, StoreError):
+        change.done.set_exception(outcome)
+    else:
+        change.done.set_result(outcome)
--- /dev/null
+++ b/src/gapdrum/event_log.py
@@ -0,0 +1,96 @@
+"""Structured log lines on standard output: one JSON object each, bounded and never blocking."""
+
+import asyncio
+import json
+import os
+import sys
+from collections import Counter, deque
+from typing import Any
+
+from loguru import logger
+
+from gapdrum.timers import Timers
+
+STDOUT = 1
+# Lines that wait for a slow reader of standard output; about 2 MB, a few seconds at full load.
+MAX_WAITING_LINES = 8_192
+# Lines a second from one process; decisions of the busiest second measured stay below this.
+MAX_LINES_PER_S = 4_000
+FLUSH_INTERVAL_MS = 50
+FLUSH_BYTES = 64 * 1024
+
+
+class EventLog:
+    """Writes decisions and changes of belief; counts what it has to drop, by event.
+
+    ::
+
+        log = EventLog("entry-1", timers)
+        log.write("job_accepted", request="5c0e7a21d94b36f8", queue="photos", store_ms=6)
+    """
+
+    def __init__(self, instance: str, timers: Timers) -> None:
+        self.dropped: Counter[str] = Counter()
+        self.written: Counter[str] = Counter()
+        self._instance = instance
+        self._timers = timers
+        self._lines: deque[bytes] = deque()
+        self._left = MAX_LINES_PER_S
+        self._rest = b""
+
+    def open(self) -> None:
+        """Send the lines of this and of the logging library to standard output from now on."""
+        os.set_blocking(STDOUT, False)
+        logger.remove()
+        logger.add(self._take_line, format="{message}", serialize=False, backtrace=False)
+        self._timers.subscribe(FLUSH_INTERVAL_MS, self.flush)
+        self._timers.subscribe(1_000, self._refill)
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write a line, unless too many have been written or wait."""
+        if self._left <= 0 or len(self._lines) >= MAX_WAITING_LINES:
+            self.dropped[event] += 1
+            return
+        self._left -= 1
+        self.written[event] += 1
+        line = {"t_ms": self._timers.wall_ms(), "at": self._instance, "event": event, **fields}
+        self._lines.append(json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n")
+
+    def _take_line(self, message: Any) -> None:
+        """Take a line of the logging library, such as an unexpected exception."""
+        record = message.record
+        detail = str(message).strip()[-2_000:]
+        self.write("unexpected" if record["exception"] else "note", text=detail)
+
+    def _refill(self) -> None:
+        self._left = MAX_LINES_PER_S
+        if self.dropped:
+            self.write("lines_dropped", total=sum(self.dropped.values()))
+
+    def flush(self) -> None:
+        """Write what waits, as far as standard output takes it at once."""
+        while self._rest or self._lines:
+            chunk = self._rest or self._gather()
+            try:
+                written = os.write(STDOUT, chunk)
+            except BlockingIOError:
+                self._rest = chunk
+                return
+            except OSError:
+                self._lines.clear()  # nobody reads any more: there is nowhere left to say so
+                self._rest = b""
+                return
+            self._rest = chunk[written:]
+
+    def _gather(self) -> bytes:
+        parts = []
+        size = 0
+        while self._lines and size < FLUSH_BYTES:
+            parts.append(self._lines.popleft())
+            size += len(parts[-1])
+        return b"".join(parts)
+
+
+def run_program(main: Any) -> None:
+    """Run a program's coroutine function until it ends, and pass on its exit code."""
+    sys.exit(asyncio.run(main()) or 0)
--- a/src/gapdrum/exceptions.py
+++ b/src/gapdrum/exceptions.py
@@ -150,3 +150,22 @@
     """A state chart is malformed or has no transition for an event."""
 
     code = "bad_transition"
+
+
+class StoreRejectedError(StoreError):
+    """The store did nothing: it was not reached, or said that it is busy or away."""
+
+    code = "store_rejected"
+
+
+class StoreHistoryGoneError(StoreError):
+    """The store no longer has the changes that were asked for; read the rows anew."""
+
+    code = "store_history_gone"
+
+
+class UnsupportedJobError(GapdrumError):
+    """The job asks for something that is not built; nothing of it was accepted."""
+
+    code = "unsupported_job"
+    http_status = 501
--- /dev/null
+++ b/src/gapdrum/platform/boot.py
@@ -0,0 +1,84 @@
+"""The settings file that the platform places on each instance."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from gapdrum.core.endpoints import Endpoint, parse_endpoint
+
+SETTINGS_VARIABLE = "GAPDRUM_SETTINGS"
+
+
+@attrs.frozen
+class StoreLimits:
+    """What the platform's store allows all instances together."""
+
+    writes_per_s: float
+    reads_per_s: float
+    row_bytes: int
+
+
+@attrs.frozen
+class Boot:
+    """What a process learns from its settings file."""
+
+    instance: str
+    zone: str
+    host: str
+    streams_port: int
+    store: Endpoint
+    store_limits: StoreLimits
+    run_lease_ms: int
+    shutdown_ms: int
+    callers: Endpoint | None
+    readiness: Endpoint | None
+    runner_reports: Endpoint | None
+    runner: Endpoint | None
+
+
+def load_boot(path: str | None = None) -> Boot:
+    """Read the settings file; raises OSError, or ValueError if a field is missing or wrong."""
+    source = Path(path or os.environ[SETTINGS_VARIABLE])
+    with source.open("rb") as file:
+        document = tomllib.load(file)
+    try:
+        return decode_boot(document)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"{source}: field missing or wrong: {error}") from error
+
+
+def decode_boot(document: dict[str, Any]) -> Boot:
+    """Return the settings from the parsed file; raises KeyError or ValueError."""
+    listen = document.get("listen", {})
+    bounds = document["bounds"]
+    platform = document["platform"]
+    return Boot(
+        instance=document["node_name"],
+        zone=document["zone"],
+        host=document["ip"],
+        # The first port of the range that is free for traffic between our own processes.
+        streams_port=int(document["port_range"][0]),
+        store=parse_endpoint(platform["address"]),
+        store_limits=StoreLimits(
+            float(platform["writes_per_s"]),
+            float(platform["reads_per_s"]),
+            int(platform["row_bytes"]),
+        ),
+        # ``hold_max_ms`` is the longest lease that a runner grants its tasks.
+        run_lease_ms=int(bounds["hold_max_ms"]),
+        # ``grace_s`` is the time from SIGTERM to SIGKILL.
+        shutdown_ms=int(bounds["grace_s"] * 1000),
+        callers=_optional(listen.get("front")),
+        readiness=_optional(listen.get("ready")),
+        # ``control`` is where the runner on the same machine sends its heartbeats.
+        runner_reports=_optional(listen.get("control")),
+        # ``app`` is the address of the runner on the same machine.
+        runner=_optional(document.get("app")),
+    )
+
+
+def _optional(text: str | None) -> Endpoint | None:
+    return parse_endpoint(text) if text else None
--- /dev/null
+++ b/src/gapdrum/platform/configuration.py
@@ -0,0 +1,47 @@
+"""The operators' configuration: queues, upstreams and limits of the callers' interface."""
+
+import json
+from typing import Any
+
+from gapdrum.core.configuration import Configuration, Queue
+from gapdrum.core.rows import Row, RowKey
+
+# The row that holds the newest configuration in full.
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_ROW = RowKey(CONFIGURATION_TABLE, "", "config")
+
+
+def decode_configuration(row: Row) -> Configuration:
+    """Return the configuration in its row; raises ValueError."""
+    try:
+        return _decode(json.loads(row.value))
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"the configuration is malformed: {error}") from error
+
+
+def _decode(document: dict[str, Any]) -> Configuration:
+    limits = document["limits"]
+    return Configuration(
+        version=int(document["version"]),
+        queues=tuple(_decode_queue(route) for route in document["routes"]),
+        max_header_bytes=int(limits["max_header_bytes"]),
+        max_body_bytes=int(limits["max_body_bytes"]),
+        header_timeout_ms=int(limits["header_timeout_ms"]),
+        idle_timeout_ms=int(limits["idle_timeout_ms"]),
+    )
+
+
+def _decode_queue(route: dict[str, Any]) -> Queue:
+    return Queue(
+        name=route["name"],
+        host=route["host"].lower(),
+        prefix=route["prefix"],
+        upstream=route["service"],
+        priority=int(route.get("priority", 0)),
+        # ``attempts`` counts only runs that ended as failed, not starts.
+        failures_allowed=max(1, int(route.get("attempts", 1))),
+        latency_factor=float(route.get("stretch", 1.0)),
+        # ``target_latency_ms`` comes on top of the stretched work; it is not the whole target.
+        latency_slack_ms=int(route.get("target_latency_ms", 0)),
+        timeout_ms=int(route.get("timeout_ms", 0)),
+    )
--- /dev/null
+++ b/src/gapdrum/platform/runner_calls.py
@@ -0,0 +1,156 @@
+"""What a runner is told and tells: heartbeats, starts, stops, and looks at what it runs."""
+
+import json
+from typing import Any
+
+from gapdrum.core.endpoints import Endpoint, parse_endpoint
+from gapdrum.core.models import Resources, RunEnd, RunKey, TaskName
+from gapdrum.core.runner_models import EndedRun, Heartbeat, RunnerLook, RunningTask
+from gapdrum.exceptions import GapdrumError
+from gapdrum.transport.http_client import HttpClient
+from gapdrum.transport.http_messages import HttpReply
+
+HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
+DEREGISTER_PREFIX = "/Instances.Deregister/"
+IDENTITY_HEADER = "x-instance-id"
+TARGET_HEADER = "X-Target-Instance"
+
+
+class RunnerReplacedError(GapdrumError):
+    """Another incarnation of the runner listens at the address."""
+
+    code = "runner_replaced"
+
+
+class RunnerRejectedError(GapdrumError):
+    """The runner did not do what it was told; ``reason`` says why, ``clock_ms`` is its clock."""
+
+    code = "runner_rejected"
+
+    def __init__(self, status: int, reason: str, clock_ms: int | None) -> None:
+        super().__init__(f"the runner answered {status} {reason}")
+        self.status = status
+        self.reason = reason
+        self.clock_ms = clock_ms
+
+
+# Reasons of a rejection.
+REASON_FENCED = "fence"
+REASON_SUPERSEDED = "old"
+REASON_LATE = "late"
+REASON_NO_ROOM = "room"
+
+
+def decode_heartbeat(runner_id: str, body: bytes) -> Heartbeat:
+    """Return the heartbeat in a body; raises ValueError."""
+    try:
+        document = json.loads(body)
+        capacity = document.get("capacity", {})
+        return Heartbeat(
+            runner_id=runner_id,
+            upstream=document["service"],
+            address=parse_endpoint(document["address"]),
+            zone=document.get("zone", ""),
+            draining=document["state"] == "draining",
+            capacity=Resources(
+                capacity.get("cpu", 0), capacity.get("mem_mb", 0), capacity.get("gpu", 0)
+            ),
+            # The runner's kind and its rack.
+            labels=tuple(document.get("labels", ())),
+            sequence=int(document.get("sequence", 0)),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"the heartbeat is malformed: {error}") from error
+
+
+class RunnerCalls:
+    """Calls one incarnation of a runner. Raises NotSentError and NoReplyError, too."""
+
+    def __init__(self, address: Endpoint, runner_id: str) -> None:
+        self.runner_id = runner_id
+        self._client = HttpClient(address.host, address.port)
+        self._headers = {TARGET_HEADER: runner_id}
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._client.close()
+
+    async def start(
+        self, run: RunKey, spec: str, expires_ms: int, fence: int, timeout_ms: int
+    ) -> int:
+        """Start a run, unless its clock is past ``expires_ms``; returns the runner's clock."""
+        body = {
+            "task": run.task.text,
+            "attempt": run.attempt,
+            "spec": spec,
+            # Also extends the lease of all that runs there, never shortens it.
+            "deadline_ms": expires_ms,
+            "fencing_token": fence,
+        }
+        return _clock(await self._post("/run-start", body, timeout_ms))
+
+    async def stop(self, run: RunKey, fence: int, timeout_ms: int) -> int:
+        """Stop a run, and refuse it if it has not come yet; returns the runner's clock."""
+        body = {"task": run.task.text, "attempt": run.attempt, "fencing_token": fence}
+        return _clock(await self._post("/run-stop", body, timeout_ms))
+
+    async def look(
+        self, lease_until_ms: int, seen_end: int, fence: int, wait_ms: int, timeout_ms: int
+    ) -> RunnerLook:
+        """Renew the lease until a time on the runner's clock, and see what runs and has ended.
+
+        Ends up to ``seen_end`` are forgotten there. Waits up to ``wait_ms`` for a new end.
+        ``lease_until_ms`` of 0 renews nothing.
+        """
+        body = {"fencing_token": fence, "seen_upto": seen_end, "wait_ms": wait_ms}
+        if lease_until_ms:
+            body["deadline_ms"] = lease_until_ms
+        document = await self._post("/hold", body, timeout_ms)
+        return RunnerLook(
+            _clock(document),
+            tuple(_decode_running(row) for row in document["running"]),
+            tuple(_decode_ended(row) for row in document["ended"]),
+        )
+
+    async def _post(self, path: str, body: dict[str, Any], timeout_ms: int) -> dict[str, Any]:
+        encoded = json.dumps(body).encode()
+        reply = await self._client.call("POST", path, encoded, self._headers, timeout_ms=timeout_ms)
+        return _check(reply)
+
+
+async def fetch_identity(address: Endpoint, timeout_ms: int) -> str:
+    """Return the identity of the runner that listens at an address, empty if it says none."""
+    client = HttpClient(address.host, address.port)
+    try:
+        reply = await client.call("GET", "/healthz", timeout_ms=timeout_ms)
+    finally:
+        client.close()
+    return reply.headers.get(IDENTITY_HEADER, "")
+
+
+def _check(reply: HttpReply) -> dict[str, Any]:
+    if reply.status == 421:
+        raise RunnerReplacedError("another incarnation of the runner answered")
+    try:
+        document = reply.document() if reply.body else {}
+    except ValueError:
+        document = {}
+    if reply.status != 200:
+        reason = document.get("reason", "")
+        raise RunnerRejectedError(reply.status, reason, document.get("clock_ms"))
+    return document
+
+
+def _clock(document: dict[str, Any]) -> int:
+    return int(document["clock_ms"])
+
+
+def _decode_running(row: list[Any]) -> RunningTask:
+    # [task, run, saved, percent, ...]: ``run`` is the attempt's number.
+    return RunningTask(RunKey(TaskName.parse(row[0]), int(row[1])), int(row[3]))
+
+
+def _decode_ended(row: list[Any]) -> EndedRun:
+    # [number, task, run, how, saved]: ``run`` is the attempt's number.
+    run = RunKey(TaskName.parse(row[1]), int(row[2]))
+    return EndedRun(int(row[0]), run, RunEnd(row[3]))
--- /dev/null
+++ b/src/gapdrum/platform/submissions.py
@@ -0,0 +1,156 @@
+"""Jobs as callers hand them in, and the answers that tell their state."""
+
+import json
+from typing import Any
+
+import attrs
+
+from gapdrum.core.models import JobState, Resources, Step
+from gapdrum.exceptions import Finding, InvalidInputError, UnsupportedJobError
+from gapdrum.transport.http_messages import HttpResponse, json_response
+
+JOB_ID_LENGTH = 16
+MAX_SPEC_BYTES = 4_000
+MAX_TASKS = 10_000  # far above the 390 that users state; bounds the work of one body
+MAX_COUNT = 2**31
+
+# Fields of a step that change what must happen and are not built. Copies of a task and
+# checkpoints are permissions, not duties, so they need nothing.
+UNSUPPORTED_STEP_FIELDS = ("gang", "same_rack", "long_running", "fills", "may_miss", "target_ms")
+UNSUPPORTED_JOB_FIELDS = ("times", "start_at_ms", "interval_ms")
+JOB_FIELDS = {"spec", "steps", "best_effort", *UNSUPPORTED_JOB_FIELDS}
+STEP_FIELDS = {
+    "count", "cpu", "mem_mb", "gpu", "estimate_ms", "after", "requires", "affinity",
+    "anti_affinity", "saves_progress", "speculative", "image", *UNSUPPORTED_STEP_FIELDS,
+}  # fmt: skip
+
+
+@attrs.frozen
+class SubmittedJob:
+    """A job's body, decoded and checked.
+
+    The answer to one that is ``answered_at_end`` comes when it has ended; it is not stored, and
+    the caller sends it again if no answer comes.
+    """
+
+    spec: str
+    steps: tuple[Step, ...]
+    answered_at_end: bool
+
+
+def is_job_id(text: str) -> bool:
+    """Tell whether a path ends in a job's identity: 16 hexadecimal digits."""
+    return len(text) == JOB_ID_LENGTH and all(letter in "0123456789abcdefABCDEF" for letter in text)
+
+
+def decode_job(body: bytes) -> SubmittedJob:
+    """Return the job in a body; raises InvalidInputError or UnsupportedJobError."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise InvalidInputError(f"the body is not JSON: {error}") from error
+    findings = _JobChecker(document).check()
+    if findings:
+        raise InvalidInputError("the job has findings", findings=tuple(findings))
+    _refuse_unsupported(document)
+    return SubmittedJob(
+        spec=document["spec"],
+        steps=tuple(_decode_step(step) for step in document["steps"]),
+        # ``best_effort`` says nothing of effort: the job need not be stored.
+        answered_at_end=bool(document.get("best_effort")),
+    )
+
+
+class _JobChecker:
+    """Collects what is wrong with a job's body, each finding with its place."""
+
+    def __init__(self, document: Any) -> None:
+        self._document = document
+        self._findings: list[Finding] = []
+
+    def check(self) -> list[Finding]:
+        document = self._document
+        if not isinstance(document, dict):
+            self._add("$", "expected an object")
+            return self._findings
+        self._check_names(document, JOB_FIELDS, "$")
+        spec = document.get("spec")
+        if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
+            self._add("$.spec", f"expected a string of at most {MAX_SPEC_BYTES} bytes")
+        steps = document.get("steps")
+        if not isinstance(steps, list) or not steps:
+            self._add("$.steps", "expected a list with at least one step")
+            return self._findings
+        for number, step in enumerate(steps):
+            self._check_step(number, step)
+        if not self._findings and sum(step["count"] for step in steps) > MAX_TASKS:
+            self._add("$.steps", f"more than {MAX_TASKS} tasks")
+        return self._findings
+
+    def _check_names(self, document: dict, known: set[str], place: str) -> None:
+        for name in document.keys() - known:
+            self._add(f"{place}.{name}", "unknown field")
+
+    def _check_step(self, number: int, step: Any) -> None:
+        place = f"$.steps[{number}]"
+        if not isinstance(step, dict):
+            self._add(place, "expected an object")
+            return
+        self._check_names(step, STEP_FIELDS, place)
+        self._check_count(step, "count", place, minimum=1, required=True)
+        for name in ("cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity"):
+            self._check_count(step, name, place)
+        for name in ("requires", "affinity", "image"):
+            if not isinstance(step.get(name, ""), str):
+                self._add(f"{place}.{name}", "expected a string")
+        after = step.get("after", [])
+        if not isinstance(after, list) or not all(
+            type(other) is int and 0 <= other < number for other in after
+        ):
+            self._add(f"{place}.after", "expected numbers of earlier steps")
+
+    def _check_count(
+        self, step: dict, name: str, place: str, minimum: int = 0, required: bool = False
+    ) -> None:
+        value = step.get(name, None if required else minimum)
+        if type(value) is not int or not minimum <= value <= MAX_COUNT:
+            self._add(f"{place}.{name}", f"expected a whole number from {minimum}")
+
+    def _add(self, place: str, message: str) -> None:
+        self._findings.append(Finding(place, message))
+
+
+def _refuse_unsupported(document: dict[str, Any]) -> None:
+    places = [f"$.{name}" for name in UNSUPPORTED_JOB_FIELDS if document.get(name)]
+    for number, step in enumerate(document["steps"]):
+        places += [
+            f"$.steps[{number}].{name}" for name in UNSUPPORTED_STEP_FIELDS if step.get(name)
+        ]
+    if places:
+        findings = tuple(Finding(place, "not supported") for place in places)
+        raise UnsupportedJobError("the job asks for what is not supported", findings=findings)
+
+
+def _decode_step(step: dict[str, Any]) -> Step:
+    return Step(
+        tasks=step["count"],
+        # ``cpu`` is in thousandths of a core.
+        resources=Resources(step.get("cpu", 0), step.get("mem_mb", 0), step.get("gpu", 0)),
+        estimate_ms=step.get("estimate_ms", 0),
+        after=tuple(step.get("after", ())),
+        required_label=step.get("requires", ""),
+        # ``affinity`` names the rack where the data lies.
+        data_rack=step.get("affinity", ""),
+        # ``anti_affinity`` is the most tasks of the step that may run on one runner.
+        runner_limit=step.get("anti_affinity", 0),
+    )
+
+
+def state_response(state: JobState) -> HttpResponse:
+    """Return the answer to a question after a job's state."""
+    return json_response(200, {"state": state.value})
+
+
+def waiting_response(jobs: int) -> HttpResponse:
+    """Return the answer to a question after a queue: how many jobs have not begun."""
+    return json_response(200, {"waiting": jobs})
--- a/src/gapdrum/streams.py
+++ b/src/gapdrum/streams.py
@@ -75,11 +75,18 @@
             return b""
 
 
-async def open_stream(host: str, port: int, sent: Counter, received: Counter, tls=None) -> Stream:
+async def open_stream(
+    host: str,
+    port: int,
+    sent: Counter,
+    received: Counter,
+    tls=None,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+) -> Stream:
     """Connect to a stream listener; raises StreamClosedError if it can't be reached."""
     try:
         connecting = asyncio.open_connection(host, port, ssl=tls)
-        reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        reader, writer = await asyncio.wait_for(connecting, timeout_s)
     except (OSError, TimeoutError) as error:
         raise StreamClosedError(f"no connection to {host}:{port}") from error
     return Stream(reader, writer, sent, received)
--- /dev/null
+++ b/src/gapdrum/transport/http_messages.py
@@ -0,0 +1,75 @@
+"""Requests and responses of the HTTP server, and replies of the HTTP client."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+
+JSON_TYPE = "application/json"
+
+
+@attrs.frozen
+class HttpRequest:
+    """A whole request as it arrived; header names are in lower case.
+
+    ``received_ms`` is this process's steady clock when the last byte had come, and ``closed``
+    is done once the caller's connection is gone.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    received_ms: int
+    closed: asyncio.Future
+
+
+@attrs.frozen
+class HttpResponse:
+    """What the server sends back; a ``retry_after_s`` of 0 sends no such header."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = JSON_TYPE
+    retry_after_s: int = 0
+    close: bool = False
+
+    def encode(self, keep_alive: bool) -> bytes:
+        """Return the bytes of the response; ``close`` or a lost keep-alive ends the connection."""
+        lines = [f"HTTP/1.1 {self.status} {_phrase(self.status)}"]
+        if self.body:
+            lines.append(f"content-type: {self.content_type}")
+        lines.append(f"content-length: {len(self.body)}")
+        if self.retry_after_s:
+            lines.append(f"retry-after: {self.retry_after_s}")
+        if self.close or not keep_alive:
+            lines.append("connection: close")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + self.body
+
+
+def json_response(status: int, document: Any, **options: Any) -> HttpResponse:
+    """Return a response whose body is the document as JSON."""
+    return HttpResponse(status, json.dumps(document, separators=(",", ":")).encode(), **options)
+
+
+@attrs.frozen
+class HttpReply:
+    """A whole reply that the client received."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def document(self) -> Any:
+        """Return the body's JSON; raises ValueError if it is none."""
+        return json.loads(self.body)
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
