Do not look at a runner without a pause while ends wait to be stored

Ends that need no storing (callers that wait, stops, lapses) are let go by the agent. Placement runs once a turn of the loop and looks at 8 held jobs at most: before, each message looked at all that waits. Ruled out: storing ends faster; the owner may be away for seconds.

--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -32,6 +32,8 @@
 # An unanswered start holds its room until then, as it may take effect so late.
 START_WINDOW_MS = 700
 PAUSE_MS = 50
+# Storing an end takes about 10 ms; looking again before that shows the same.
+UNSTORED_PAUSE_MS = 10
 # A lease ends at the runner at most this much later than asked: its clock may be 2% slow.
 LAPSE_SLACK_MS = 150
 
@@ -126,6 +128,9 @@
             self._on_looked(self)
         if events:
             self._report(self, events)
+        elif look.ended:
+            # Ends that are not stored yet are shown at once, again and again.
+            await asyncio.sleep(UNSTORED_PAUSE_MS / MS_PER_S)
 
     async def _learn_clock(self) -> None:
         """Take a fencing token above those of earlier lives of this agent: the runner's clock.
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -11,6 +11,10 @@
 from gapdrum.core.placement_rules import choose_runner, waiting_order
 from gapdrum.core.runner_views import AgentView, RunnerView
 
+# How many jobs that find no room are looked at before the rest is left to the next change:
+# smaller ones may still fit, but under overload all of them would be looked at in vain.
+HELD_JOBS_TRIED = 8
+
 
 class Outside(Protocol):
     """What decisions lead to: messages to agents, and jobs that have come to an end."""
@@ -27,6 +31,9 @@
     def has_ended(self, job_id: str) -> bool:
         """Tell whether a job is known to have ended."""
 
+    def place_soon(self) -> None:
+        """Call ``place_waiting`` once, after what is being read now has been taken in."""
+
     def note(self, event: str, **fields: object) -> None:
         """Record a decision."""
 
@@ -50,7 +57,7 @@
         self.jobs[job.job_id] = job
         self.waiting.add(job.job_id)
         self._check_outcome(job)
-        self.place_waiting(now_ms)
+        self.outside.place_soon()
 
     def drop_job(self, job_id: str, reason: str) -> Job | None:
         """Let go of a job that is another's or has ended; its runs are stopped or another's."""
@@ -124,7 +131,7 @@
         if report.state == orders.GONE:
             del self.runners[key]
             self._release_all(runner, "runner_gone", now_ms)
-        self.place_waiting(now_ms)
+        self.outside.place_soon()
 
     def check_silence(self, now_ms: int) -> None:
         """Give up agents that were silent for so long that nothing runs there any more."""
@@ -152,7 +159,7 @@
         place = Place(view.agent, view.incarnation, message.runner_id)
         for event in message.events:
             self._take_event(place, event, now_ms)
-        self.place_waiting(now_ms)
+        self.outside.place_soon()
 
     def _take_event(self, place: Place, event: orders.RunEvent, now_ms: int) -> None:
         name = TaskName.parse(event.task)
@@ -223,8 +230,6 @@
             job.take_end(task, event.attempt, end, now_ms)
         if job.kept and end in (RunEnd.DONE, RunEnd.FAILED):
             self._remember_end(job, StoredEnd(place, event.end_number))
-        else:
-            self.let_go(place, (event.end_number,))
         self.waiting.add(job.job_id)
         self._check_outcome(job)
 
@@ -302,7 +307,7 @@
                 if (task.name.text, task.attempt) not in held:
                     self._release(task, "not_held", now_ms)
             runner.synced = True
-        self.place_waiting(now_ms)
+        self.outside.place_soon()
 
     def _take_held(self, place: Place, row: orders.HeldRun, now_ms: int) -> list[orders.AdoptedRun]:
         name = TaskName.parse(row.task)
@@ -384,22 +389,31 @@
             return
         may_act = self.may_act()
         jobs = sorted((self.jobs[job_id] for job_id in self.waiting), key=waiting_order)
+        held = 0
         for job in jobs:
             if job.kept and not may_act:
                 continue
             if job.ending is not None or not self._place_job(job, now_ms):
                 self.waiting.discard(job.job_id)
+                continue
+            held += 1
+            if held >= HELD_JOBS_TRIED:
+                return
 
     def _place_job(self, job: Job, now_ms: int) -> bool:
         """Place what can be placed of a job; return whether some of it still waits."""
         chosen: dict[tuple[str, str], list[Task]] = {}
         held = False
+        refused = None
         ready = job.ready_tasks()
         for task in ready:
             runner = choose_runner(job, task, self.runners.values(), self.zone, now_ms)
             if runner is None:
                 held = True
                 self._note_held(job, task)
+                if task.step.resources == refused:
+                    break
+                refused = task.step.resources
                 continue
             self._assign(job, task, runner, now_ms)
             chosen.setdefault((runner.place.agent, runner.place.runner_id), []).append(task)
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -39,7 +39,11 @@
 
 @attrs.define
 class NotedEnd:
-    """An end that the runner lists until it may be forgotten."""
+    """An end that the runner lists until it may be forgotten.
+
+    Only ends that count for a stored job need to be kept until they are stored: a caller that
+    waits sends its job again, and what was stopped is started anew in any case.
+    """
 
     key: RunKey
     owner: str
@@ -152,7 +156,9 @@
             self.seen_end = ended.number - 1  # the runner has forgotten all lower ones
         self.last_end = ended.number
         run = self.drop(ended.run) or Run(ended.run, UNKNOWN_OWNER, 0, NOTHING, 0, now_ms)
-        self.ends[ended.number] = NotedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms)
+        noted = NotedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms)
+        noted.stored = not (run.kept and ended.end in (RunEnd.DONE, RunEnd.FAILED))
+        self.ends[ended.number] = noted
         event = _event(run, orders.ENDED, ended.end.value, ended.number)
         return run, event
 
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -48,6 +48,7 @@
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
         self.leaving = False
+        self._placing = False
         rows = RowStore(boot.store)
         self.store = StoreAccess(rows, timers, log)
         self.writer = Writer(self.store)
@@ -116,6 +117,16 @@
         """Tell whether a job is known to have ended."""
         return self.endings.known_state(job_id) is not None
 
+    def place_soon(self) -> None:
+        """Place what waits at the end of this turn of the loop."""
+        if not self._placing:
+            self._placing = True
+            asyncio.get_running_loop().call_soon(self._place)
+
+    def _place(self) -> None:
+        self._placing = False
+        self.dispatch.place_waiting(self.timers.now_ms())
+
     def note(self, event: str, **fields: object) -> None:
         """Record a decision."""
         self.log.write(event, **fields)
--- a/src/gapdrum/transport/http_messages.py
+++ b/src/gapdrum/transport/http_messages.py
@@ -36,6 +36,7 @@
     content_type: str = JSON_TYPE
     retry_after_s: int = 0
     close: bool = False
+    headers: Mapping[str, str] = attrs.Factory(dict)
 
     def encode(self, keep_alive: bool) -> bytes:
         """Return the bytes of the response; ``close`` or a lost keep-alive ends the connection."""
@@ -45,6 +46,7 @@
         lines.append(f"content-length: {len(self.body)}")
         if self.retry_after_s:
             lines.append(f"retry-after: {self.retry_after_s}")
+        lines.extend(f"{name}: {value}" for name, value in self.headers.items())
         if self.close or not keep_alive:
             lines.append("connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + self.body
--- /dev/null
+++ b/src/gapdrum_standins/run_host.py
@@ -0,0 +1,268 @@
+"""Stand-in for a runner of the platform: leases, starts, stops, ends, and faults.
+
+A task's ``spec`` is JSON text: ``{"run_ms": 80, "fail": false}``. ``GET /history`` tells all
+runs with their times, and the most room that was ever held, so that a test can check that no
+task ran twice at once and that the capacity held. ``POST /faults`` takes ``{"mode": "hang" |
+"errors" | "unanswered" | "late", "count": N, "delay_ms": M}``.
+"""
+
+import asyncio
+import json
+import os
+import time
+from typing import Annotated, Any
+
+import attrs
+import typer
+
+from gapdrum.timers import MS_PER_S, Timers
+from gapdrum.transport.http_client import HttpClient, NoReplyError, NotSentError
+from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+from gapdrum.transport.http_server import HttpLimits, HttpListener
+
+LEASE_MAX_MS = 1_000
+SWEEP_INTERVAL_MS = 5
+HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_TIMEOUT_MS = 900
+FOREVER_S = 3_600
+ENDS_PER_ANSWER = 500
+
+
+@attrs.define(eq=False)
+class HostedRun:
+    """A run at work."""
+
+    task: str
+    attempt: int
+    run_ms: int
+    fails: bool
+    hangs: bool
+    began_ms: int
+
+
+@attrs.define
+class RunHost:
+    """The state of one incarnation of a runner; ``now_ms`` is its steady clock."""
+
+    started_ns: int = attrs.Factory(time.monotonic_ns)
+    fence: int = 0
+    lease_ms: int = 0
+    runs: dict[str, HostedRun] = attrs.Factory(dict)
+    ended: list[list[Any]] = attrs.Factory(list)
+    last_end: int = 0
+    highest: dict[str, int] = attrs.Factory(dict)
+    history: list[dict[str, Any]] = attrs.Factory(list)
+    fault: dict[str, Any] = attrs.Factory(dict)
+
+    @property
+    def now_ms(self) -> int:
+        """Return the steady clock."""
+        return 1_000 + (time.monotonic_ns() - self.started_ns) // 1_000_000
+
+    def sweep(self) -> bool:
+        """End what is done, failed or lapsed; return whether anything ended."""
+        now_ms = self.now_ms
+        before = self.last_end
+        for run in list(self.runs.values()):
+            if now_ms >= self.lease_ms:
+                self._end(run, "lapsed")
+            elif not run.hangs and now_ms - run.began_ms >= run.run_ms:
+                self._end(run, "failed" if run.fails else "done")
+        return self.last_end != before
+
+    def _end(self, run: HostedRun, how: str) -> None:
+        del self.runs[run.task]
+        self.last_end += 1
+        self.ended.append([self.last_end, run.task, run.attempt, how, ""])
+        self._note(run, how)
+
+    def _note(self, run: HostedRun, how: str) -> None:
+        wall_ms = time.time_ns() // 1_000_000
+        row = {"task": run.task, "attempt": run.attempt, "how": how, "wall_ms": wall_ms}
+        self.history.append(row)
+
+    def start(self, body: dict[str, Any]) -> str:
+        """Start a run; return the reason if it is rejected."""
+        task, attempt = body["task"], body["attempt"]
+        running = self.runs.get(task)
+        if running is not None and running.attempt == attempt:
+            return ""
+        if attempt <= self.highest.get(task, 0) or running is not None:
+            return "old"
+        if body["deadline_ms"] <= self.now_ms:
+            return "late"
+        self.extend(body["deadline_ms"])
+        spec = json.loads(body["spec"])
+        mode = self.use_fault("hang", "errors")
+        run = HostedRun(
+            task,
+            attempt,
+            5 if mode == "errors" else spec["run_ms"],
+            bool(spec.get("fail")) or mode == "errors",
+            mode == "hang",
+            self.now_ms,
+        )
+        self.runs[task] = run
+        self.highest[task] = attempt
+        self._note(run, "started")
+        return ""
+
+    def use_fault(self, *modes: str) -> str:
+        """Return the fault that strikes now, if it is one of these."""
+        if self.fault.get("mode") not in modes or self.fault.get("count", 1) <= 0:
+            return ""
+        self.fault["count"] = self.fault.get("count", 1) - 1
+        return self.fault["mode"]
+
+    def extend(self, until_ms: int) -> None:
+        """Extend the lease of all runs; it never gets shorter."""
+        self.lease_ms = max(self.lease_ms, min(until_ms, self.now_ms + LEASE_MAX_MS))
+
+    def stop(self, body: dict[str, Any]) -> None:
+        """Stop a run, and reject it if it has not come yet."""
+        task, attempt = body["task"], body["attempt"]
+        self.highest[task] = max(self.highest.get(task, 0), attempt)
+        run = self.runs.get(task)
+        if run is not None and run.attempt <= attempt:
+            self._end(run, "stopped")
+
+    def show(self) -> dict[str, Any]:
+        """Return what runs and what has ended."""
+        now_ms = self.now_ms
+        running = [
+            [run.task, run.attempt, "", _percent(run, now_ms), 0] for run in self.runs.values()
+        ]
+        return {"running": running, "ended": self.ended[:ENDS_PER_ANSWER]}
+
+
+def _percent(run: HostedRun, now_ms: int) -> int:
+    if run.hangs:
+        return 0
+    return min(99, (now_ms - run.began_ms) * 100 // max(1, run.run_ms))
+
+
+class RunnerStandIn:
+    """The runner's calls over HTTP, and its heartbeats."""
+
+    def __init__(self, host: str, port: int, control_port: int, report: dict[str, Any]) -> None:
+        self.state = RunHost()
+        self.runner_id = f"i-{os.getpid():08x}"
+        self._report = {**report, "address": f"{host}:{port}"}
+        self._control = HttpClient(host, control_port)
+        self._ended = asyncio.Event()
+        self._sequence = 0
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer a call, or fail as told."""
+        if request.path == "/faults":
+            self.state.fault = json.loads(request.body)
+            return json_response(200, {})
+        if request.path == "/history":
+            return json_response(200, self.state.history)
+        if request.path == "/healthz":
+            return HttpResponse(200, headers={"X-Instance-Id": self.runner_id})
+        if request.headers.get("x-target-instance", self.runner_id) != self.runner_id:
+            return HttpResponse(421)
+        return await self._command(request.path, json.loads(request.body))
+
+    async def _command(self, path: str, body: dict[str, Any]) -> HttpResponse:
+        state = self.state
+        if state.use_fault("unanswered"):
+            await asyncio.sleep(FOREVER_S)
+        if state.use_fault("late"):
+            await asyncio.sleep(state.fault["delay_ms"] / MS_PER_S)
+            self._carry_out(path, body)
+            await asyncio.sleep(FOREVER_S)
+        if body.get("fencing_token", 0) < state.fence:
+            return self._answer(409, reason="fence")
+        if path == "/hold":
+            return await self._hold(body)
+        reason = self._carry_out(path, body)
+        return self._answer(409, reason=reason) if reason else self._answer(200)
+
+    def _carry_out(self, path: str, body: dict[str, Any]) -> str:
+        self.state.fence = max(self.state.fence, body.get("fencing_token", 0))
+        self.sweep()
+        if path == "/run-start":
+            return self.state.start(body)
+        if path == "/run-stop":
+            self.state.stop(body)
+            self._wake()
+        return ""
+
+    async def _hold(self, body: dict[str, Any]) -> HttpResponse:
+        state = self.state
+        state.fence = max(state.fence, body.get("fencing_token", 0))
+        self.sweep()
+        state.extend(body.get("deadline_ms", 0))
+        state.ended = [row for row in state.ended if row[0] > body.get("seen_upto", 0)]
+        wait_s = body.get("wait_ms", 0) / MS_PER_S
+        if not state.ended and wait_s:
+            waiting = asyncio.ensure_future(self._ended.wait())
+            await asyncio.wait({waiting}, timeout=wait_s)
+            waiting.cancel()
+        return self._answer(200, **state.show())
+
+    def _answer(self, status: int, **fields: Any) -> HttpResponse:
+        return json_response(status, {"clock_ms": self.state.now_ms, **fields})
+
+    def sweep(self) -> None:
+        """End what is over, and wake those who wait for an end."""
+        if self.state.sweep():
+            self._wake()
+
+    def _wake(self) -> None:
+        self._ended.set()
+        self._ended = asyncio.Event()
+
+    async def beat(self) -> None:
+        """Send one heartbeat to the agent beside this runner."""
+        self._sequence += 1
+        body = json.dumps({**self._report, "sequence": self._sequence}).encode()
+        path = f"/Instances.Heartbeat/{self.runner_id}"
+        try:
+            await self._control.call("POST", path, body, timeout_ms=HEARTBEAT_TIMEOUT_MS)
+        except (NoReplyError, NotSentError):
+            return  # the agent is away; the next beat tells it the same
+
+
+async def serve(host: str, port: int, control_port: int, report: dict[str, Any]) -> None:
+    """Serve until the process ends."""
+    timers = Timers()
+    runner = RunnerStandIn(host, port, control_port, report)
+    limits = HttpLimits(idle_timeout_ms=3_600_000)
+    await HttpListener(runner.handle, limits, timers).open(host, port)
+    timers.subscribe(SWEEP_INTERVAL_MS, runner.sweep)
+    timers.subscribe(HEARTBEAT_INTERVAL_MS, runner.beat)
+    await runner.beat()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the stand-in runner."""
+
+    def run(
+        port: Annotated[int, typer.Option()],
+        control_port: Annotated[int, typer.Option()],
+        upstream: str = "inspect-desk",
+        zone: str = "plaine-nord",
+        cpu_milli: int = 16_000,
+        host: str = "127.0.0.1",
+    ) -> None:
+        report = {
+            "service": upstream,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "capacity": {"cpu": cpu_milli, "mem_mb": 65_536, "gpu": 0},
+            "labels": ["a", "r1"],
+        }
+        asyncio.run(serve(host, port, control_port, report))
+
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
