Stand-ins of the platform's store and runners, and scenarios of the whole path on them

Cause: the path on the users' platform had no test of its own. Change: gapdrum_standins.row_store and run_host speak the users' protocol with faults; tools/platform_system.py runs entries and agents against them.

--- /dev/null
+++ b/features/platform_failures.feature
@@ -0,0 +1,136 @@
+Feature: the platform path under failure
+  Signals, outages of the store and faults of runners, with real processes.
+
+  Scenario: another entry finishes the stored jobs of one that was killed
+    Given a platform with 2 entries and 2 agents
+    When the stored job "00000000000000c1" of 4 tasks of 1500 ms is submitted at entry 0
+    And 4 tasks have started
+    And process entry-0 is killed
+    Then the job "00000000000000c1" becomes "succeeded" at entry 1
+    And no task ran twice at the same time
+
+  Scenario: an entry that was frozen answers what the others answer
+    Given a platform with 2 entries and 2 agents
+    When the stored job "00000000000000c2" of 8 tasks of 600 ms is submitted at entry 0
+    And 8 tasks have started
+    And process entry-0 is frozen for 9 s
+    Then the job "00000000000000c2" becomes "succeeded" at entry 1
+    And the job "00000000000000c2" is not told as ended otherwise at entry 0
+    And no task ran twice at the same time
+
+  Scenario: a restarted entry takes its own jobs up again
+    Given a platform with 1 entries and 2 agents
+    When the stored job "00000000000000c3" of 4 tasks of 1500 ms is submitted at entry 0
+    And 4 tasks have started
+    And process entry-0 is killed and started again
+    Then the job "00000000000000c3" becomes "succeeded" at entry 0
+    And no task ran twice at the same time
+
+  Scenario: an entry that shuts down hands its jobs over
+    Given a platform with 2 entries and 2 agents
+    When the stored job "00000000000000c4" of 4 tasks of 6000 ms is submitted at entry 0
+    And 4 tasks have started
+    And process entry-0 is asked to stop
+    Then the job "00000000000000c4" becomes "succeeded" at entry 1
+    And no task ran twice at the same time
+
+  Scenario: an entry that shuts down answers the callers that wait
+    Given a platform with 2 entries and 2 agents
+    When the waiting job "00000000000000c5" of 2 tasks of 1500 ms is on its way at entry 0
+    And 2 tasks have started
+    And process entry-0 is asked to stop
+    Then the waiting caller is told "succeeded"
+
+  Scenario: tasks outlive a restart of the agent beside them
+    Given a platform with 2 entries and 1 agents
+    When the waiting job "00000000000000c6" of 4 tasks of 3000 ms is on its way at entry 0
+    And 4 tasks have started
+    And process agent-0 is asked to stop and started again
+    Then the waiting caller is told "succeeded"
+    And no task ran twice at the same time
+
+  Scenario: tasks of an agent that is lost are placed at another
+    Given a platform with 1 entries and 2 agents
+    When the waiting job "00000000000000c7" of 12 tasks of 800 ms is on its way at entry 0
+    And 12 tasks have started
+    And process agent-0 is killed
+    Then the waiting caller is told "succeeded"
+    And no task ran twice at the same time
+
+  Scenario: tasks of an agent that is frozen are placed at another, and not twice when it wakes
+    Given a platform with 1 entries and 2 agents
+    When the waiting job "00000000000000c8" of 12 tasks of 2500 ms is on its way at entry 0
+    And 12 tasks have started
+    And process agent-0 is frozen for 4 s
+    Then the waiting caller is told "succeeded"
+    And no task ran twice at the same time
+
+  Scenario: tasks of a runner that crashed are placed anew
+    Given a platform with 1 entries and 2 agents
+    When the waiting job "00000000000000c9" of 12 tasks of 800 ms is on its way at entry 0
+    And 12 tasks have started
+    And process runner-0 is killed
+    Then the waiting caller is told "succeeded"
+
+  Scenario Outline: orders that the runner leaves unanswered do not double a task
+    Given a platform with 1 entries and 1 agents
+    When runner 0 leaves 3 calls <fault>
+    And the waiting job "00000000000000d1" of 4 tasks of 300 ms is submitted at entry 0
+    Then the answer tells the state "succeeded"
+    And no task ran twice at the same time
+    And the room of no runner was exceeded
+
+    Examples:
+      | fault                                  |
+      | unanswered                             |
+      | unanswered and carries them out late   |
+
+  Scenario: a task that stands still is placed anew
+    Given a platform with 1 entries and 2 agents
+    When runner 0 lets 2 tasks stand still
+    And the waiting job "00000000000000d2" of 8 tasks of 200 ms is submitted at entry 0
+    Then the answer tells the state "succeeded"
+    And no task ran twice at the same time
+
+  Scenario: without the store, callers that wait are served and stored jobs refused at once
+    Given a platform with 2 entries and 2 agents
+    When the store is in "outage"
+    And the store's outage is noticed by entry 0
+    And the stored job "00000000000000d3" of 1 tasks of 10 ms is submitted at entry 0
+    Then the answer has status 503
+    When the waiting job "00000000000000d4" of 2 tasks of 10 ms is submitted at entry 0
+    Then the answer tells the state "succeeded"
+    When the store is well again
+    Then nobody knows the job "00000000000000d3" at entry 1
+
+  Scenario: an accepted job runs on while the store is away, and its end is told after
+    Given a platform with 2 entries and 2 agents
+    When the stored job "00000000000000d5" of 4 tasks of 300 ms is submitted at entry 0
+    And the store is in "outage"
+    And 4 tasks have ended
+    And the store is well again
+    Then the job "00000000000000d5" becomes "succeeded" at entry 0
+    And each task of "00000000000000d5" was started 1 time
+
+  Scenario: an insert whose answer is lost is settled, and the job runs once
+    Given a platform with 2 entries and 2 agents
+    When the store is in "lost" for 1 calls that write a job
+    And the stored job "00000000000000d6" of 3 tasks of 50 ms is submitted at entry 0
+    And the store is well again
+    Then the job "00000000000000d6" becomes "succeeded" at entry 1
+    And each task of "00000000000000d6" was started 1 time
+
+  Scenario: the feed's history is forgotten and a configuration still comes into force
+    Given a platform with 2 entries and 2 agents
+    When the store is in "forget"
+    And the store is well again
+    And version 3 of the configuration adds the queue "/news/"
+    Then the stored job "00000000000000d7" is soon accepted in the queue "/news/"
+
+  Scenario: all processes are killed at once, and accepted jobs end without anyone asking
+    Given a platform with 2 entries and 2 agents
+    When the stored job "00000000000000d8" of 6 tasks of 1500 ms is submitted at entry 0
+    And 6 tasks have started
+    And all entries and agents are killed and started again
+    Then the job "00000000000000d8" becomes "succeeded" at entry 1
+    And no task ran twice at the same time
--- a/src/gapdrum_standins/row_store.py
+++ b/src/gapdrum_standins/row_store.py
@@ -1,8 +1,8 @@
 """Stand-in for the platform's store of rows: transactions, reads, the feed, and faults.
 
 It keeps everything in memory. ``POST /faults`` takes ``{"mode": "outage" | "silent" | "lost" |
-"late" | "slow" | "forget", "host": "", "delay_ms": 300, "count": 1}``; an empty mode ends the
-fault. ``host`` limits it to callers from one IP number.
+"late" | "slow" | "forget", "delay_ms": 300, "count": 1, "table": ""}``; an empty mode ends the
+fault. A ``table`` limits it to calls whose body names that table.
 """
 
 import asyncio
@@ -36,6 +36,7 @@
     mode: str = ""
     delay_ms: int = 0
     count: int = 1_000_000
+    table: str = ""
 
 
 @attrs.define(eq=False)
@@ -124,7 +125,10 @@
 
     def _set_fault(self, document: dict[str, Any]) -> HttpResponse:
         self.fault = Fault(
-            document.get("mode", ""), document.get("delay_ms", 0), document.get("count", 1_000_000)
+            document.get("mode", ""),
+            document.get("delay_ms", 0),
+            document.get("count", 1_000_000),
+            document.get("table", ""),
         )
         if self.fault.mode == "forget":
             self.table.forgotten = self.table.version
@@ -159,6 +163,8 @@
             return ""
         if not fault.mode or fault.count <= 0:
             return ""
+        if fault.table and f'"table": "{fault.table}"'.encode() not in request.body:
+            return ""
         fault.count -= 1
         return fault.mode
 
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -66,11 +66,14 @@
     port: int
     log_path: Path
     popen: subprocess.Popen | None = None
+    environment: dict[str, str] | None = None
 
     def start(self) -> None:
         """Start it, with its log in a file."""
         with self.log_path.open("ab") as log:
-            self.popen = subprocess.Popen(self.command, stdout=log, stderr=log)
+            self.popen = subprocess.Popen(
+                self.command, stdout=log, stderr=log, env=self.environment
+            )
 
     def signal(self, number: int) -> None:
         """Send it a signal."""
@@ -88,6 +91,15 @@
             self.popen.wait()
 
 
+def wait_for(condition, what: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Wait until a condition holds; fails loudly after a generous bound."""
+    limit = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > limit:
+            raise TimeoutError(f"waited in vain for: {what}")
+        time.sleep(POLL_S)
+
+
 class LocalSystem:
     """A platform stand-in, entries, and runners with their agents.
 
@@ -204,11 +216,7 @@
 
     def wait_for(self, condition, what: str, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until a condition holds; fails loudly after a generous bound."""
-        limit = time.monotonic() + timeout_s
-        while not condition():
-            if time.monotonic() > limit:
-                raise TimeoutError(f"waited in vain for: {what} (logs in {self.folder})")
-            time.sleep(POLL_S)
+        wait_for(condition, f"{what} (logs in {self.folder})", timeout_s)
 
     def _gauge(self, process: Process, name: str) -> float:
         text = self.pool.request("GET", self.url(process, "/metrics")).data.decode()
--- /dev/null
+++ b/tools/platform_system.py
@@ -0,0 +1,227 @@
+"""Starts entries, agents and stand-ins of the users' platform on loopback, for tests and demo."""
+
+import base64
+import json
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+import urllib3
+from local_system import HOST, Process, find_port, wait_for
+
+ZONES = ("plaine-nord", "moka-hall", "curepipe-hall")
+UPSTREAM = "inspect-desk"
+CALLER_HOST = "inspections.example"
+QUEUES = (("flags", "/flags/", 0, 3), ("tags", "/tags/", 1, 2))
+RUNNER_CPU_MILLI = 16_000
+CALL_TIMEOUT_S = 30
+
+
+class PlatformSystem:
+    """A row store, entries, and agents with their runners; leaving it ends all it started.
+
+    ::
+
+        with PlatformSystem(entries=2, agents=2) as system:
+            status, answer = system.submit("0123456789abcdef", [{"count": 2, "cpu": 500}])
+    """
+
+    def __init__(self, entries: int = 2, agents: int = 2) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="gapdrum-platform-"))
+        self.pool = urllib3.PoolManager(maxsize=64, retries=False, timeout=CALL_TIMEOUT_S)
+        self.store = self._module("store", "gapdrum_standins.row_store", find_port(), [])
+        self.entries: list[Process] = []
+        self.ready_ports: list[int] = []
+        self.agents: list[Process] = []
+        self.runners: list[Process] = []
+        for number in range(entries):
+            self._add_entry(number)
+        for number in range(agents):
+            self._add_agent(number)
+
+    def __enter__(self) -> "PlatformSystem":
+        """Start everything and wait until work is taken."""
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End everything."""
+        for process in [*self.runners, *self.agents, *self.entries, self.store]:
+            process.kill()
+
+    def _start_all(self) -> None:
+        self.store.start()
+        wait_for(lambda: self._status(self.store.port, "/calls") == 200, "the store")
+        self.put_configuration(1)
+        for process in [*self.entries, *self.runners, *self.agents]:
+            process.start()
+        for port in self.ready_ports:
+            wait_for(lambda port=port: self._status(port, "/readyz") == 200, "an entry is ready")
+        for number in range(len(self.agents)):
+            wait_for(lambda number=number: self._is_joined(number), f"agent {number} has joined")
+
+    def _is_joined(self, number: int) -> bool:
+        """Tell whether an agent knows its runner's room and all entries."""
+        name = f"agent-{number}"
+        joined = {row["entry"] for row in self.events(name, "entry_joined")}
+        return len(joined) == len(self.entries) and bool(self.events(name, "runner_reported"))
+
+    def put_configuration(self, version: int, queues=QUEUES) -> None:
+        """Write a version of the configuration, as operators do."""
+        routes = [
+            {
+                "name": name,
+                "host": CALLER_HOST,
+                "prefix": prefix,
+                "priority": priority,
+                "service": UPSTREAM,
+                "attempts": attempts,
+                "stretch": 1.6,
+                "target_latency_ms": 60,
+                "timeout_ms": 1500,
+            }
+            for name, prefix, priority, attempts in queues
+        ]
+        limits = {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 65_536,
+            "header_timeout_ms": 1_000,
+            "idle_timeout_ms": 15_000,
+        }
+        document = {"version": version, "routes": routes, "services": [], "limits": limits}
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        put = {"table": "op", "part": "", "key": "config", "value": value}
+        self.call(self.store.port, "POST", "/rows-tx", {"expect": [], "puts": [put], "remove": []})
+
+    # Calls.
+
+    def call(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        document: object = None,
+        headers: dict | None = None,
+    ) -> tuple[int, dict]:
+        """Call a process and return status and document."""
+        body = json.dumps(document).encode() if document is not None else None
+        response = self.pool.request(
+            method, f"http://{HOST}:{port}{path}", body=body, headers=headers or {}
+        )
+        return response.status, json.loads(response.data) if response.data else {}
+
+    def submit(
+        self,
+        job_id: str,
+        steps: list[dict],
+        *,
+        entry: int = 0,
+        run_ms: int = 50,
+        waits: bool = False,
+        queue: str = "/flags/",
+        **spec: object,
+    ) -> tuple[int, dict]:
+        """Submit a job whose tasks each run so long."""
+        document = {"spec": json.dumps({"run_ms": run_ms, **spec}), "steps": steps}
+        if waits:
+            document["best_effort"] = True
+        return self.caller("POST", queue + job_id, document, entry=entry)
+
+    def caller(
+        self, method: str, path: str, document: object = None, *, entry: int = 0
+    ) -> tuple[int, dict]:
+        """Call an entry as a caller does."""
+        port = self.entries[entry].port
+        return self.call(port, method, path, document, {"Host": CALLER_HOST})
+
+    def state(self, job_id: str, entry: int = 0) -> str:
+        """Return a job's state, or the status of the answer if it is none."""
+        status, document = self.caller("GET", f"/flags/{job_id}", entry=entry)
+        return document.get("state", str(status)) if status == 200 else str(status)
+
+    def set_store_fault(self, **fault: object) -> None:
+        """Set a fault of the store; none clears it."""
+        self.call(self.store.port, "POST", "/faults", fault)
+
+    def set_runner_fault(self, runner: int, **fault: object) -> None:
+        """Set a fault of a runner; none clears it."""
+        self.call(self.runners[runner].port, "POST", "/faults", fault)
+
+    def history(self) -> list[dict]:
+        """Return all starts and ends that the living runners have seen, in order of time."""
+        rows: list[dict] = []
+        for runner in self.runners:
+            if runner.popen is not None and runner.popen.poll() is None:
+                rows.extend(self.call(runner.port, "GET", "/history")[1])
+        return sorted(rows, key=lambda row: row["wall_ms"])
+
+    def events(self, name: str, event: str) -> list[dict]:
+        """Return the lines of one event in a process's log."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        rows = [json.loads(line) for line in lines if line.startswith("{")]
+        return [row for row in rows if row.get("event") == event]
+
+    def _status(self, port: int, path: str) -> int:
+        try:
+            return self.call(port, "GET", path)[0]
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+    # Processes.
+
+    def _add_entry(self, number: int) -> None:
+        port, ready = find_port(), find_port()
+        self.ready_ports.append(ready)
+        listen = f'front = "{HOST}:{port}"\nready = "{HOST}:{ready}"\n'
+        settings = self._write_settings(f"entry-{number}", number, listen, "")
+        self.entries.append(self._module(f"entry-{number}", "gapdrum.entry", port, [], settings))
+
+    def _add_agent(self, number: int) -> None:
+        control, port = find_port(), find_port()
+        listen = f'control = "{HOST}:{control}"\n'
+        name = f"agent-{number}"
+        settings = self._write_settings(name, number, listen, f'app = "{HOST}:{port}"\n')
+        self.agents.append(self._module(name, "gapdrum.agent", control, [], settings))
+        arguments = ["--port", str(port), "--control-port", str(control)]
+        arguments += ["--upstream", UPSTREAM, "--cpu-milli", str(RUNNER_CPU_MILLI)]
+        self.runners.append(
+            self._module(f"runner-{number}", "gapdrum_standins.run_host", port, arguments)
+        )
+
+    def _module(
+        self, name: str, module: str, port: int, arguments: list[str], settings: Path | None = None
+    ) -> Process:
+        command = [sys.executable, "-m", module, *arguments]
+        if module.endswith("row_store"):
+            command += ["--port", str(port)]
+        environment = dict(os.environ)
+        if settings is not None:
+            environment["GAPDRUM_SETTINGS"] = str(settings)
+        return Process(name, command, port, self.folder / f"{name}.log", environment=environment)
+
+    def _write_settings(self, name: str, number: int, listen: str, top: str) -> Path:
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f"""node_name = "{name}"
+zone = "{ZONES[number % len(ZONES)]}"
+ip = "{HOST}"
+port_range = [{find_port()}, 0]
+{top}
+[listen]
+{listen}
+[bounds]
+hold_max_ms = 1000
+grace_s = 6
+[platform]
+address = "{HOST}:{self.store.port}"
+writes_per_s = 800
+reads_per_s = 2000
+row_bytes = 65536
+"""
+        )
+        return path
