Shutdown: refuse what would not end in time, and answer every caller before the end

Also: a runner that is gone for good kept its runs, as each failed renewal counted as a lease. Ruled out: leaving at once; the balancer sends new connections for two more seconds.

--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -84,6 +84,7 @@
     async def keep(self) -> None:
         """Look and renew until this incarnation is gone."""
         while not self.ledger.gone:
+            lease_ends_ms = self._lease_ends_ms
             try:
                 await self._step()
             except RunnerReplacedError:
@@ -92,6 +93,8 @@
                 self._take_rejection(error)
                 await asyncio.sleep(PAUSE_MS / MS_PER_S)
             except NotSentError:
+                # Nothing was renewed: the lease ends when it would have ended before.
+                self._lease_ends_ms = lease_ends_ms
                 self._check_lapse()
                 await asyncio.sleep(PAUSE_MS / MS_PER_S)
             except NoReplyError:
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -5,6 +5,7 @@
 
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import longest_chain_ms
 from gapdrum.core.models import JobState
 from gapdrum.core.records import ended_row, load_record, open_row
 from gapdrum.entry.acceptance import Acceptance, Acceptor
@@ -29,6 +30,10 @@
 # When a refused caller should come back: outages of the store last seconds.
 RETRY_AFTER_S = 1
 CANCEL_TRIES = 8
+# A job is taken during a shutdown if this many times its stated work, and a bit, still fits:
+# stated work is 40% off, and the slowest runners take a quarter longer.
+LEAVING_FACTOR = 2
+LEAVING_SLACK_MS = 200
 CANCEL_PAUSE_MS = 50
 
 
@@ -56,6 +61,11 @@
         self._store = store
         self._lease = lease
         self._log = log
+        self._ends_ms: int | None = None
+
+    def refuse_from(self, time_ms: int) -> None:
+        """Refuse jobs that would not have ended by a time, as the process ends then."""
+        self._ends_ms = time_ms
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -120,12 +130,14 @@
         if known and not job.answered_at_end:
             self._log.write("job_known", request=job_id, queue=queue.name, store_ms=0)
             return json_response(200, {})
-        refusal = self._refuse(queue, job_id, job)
+        refusal = self._refuse(request, queue, job_id, job)
         if refusal is not None:
             return refusal
         if job.answered_at_end:
             state = await self._callers.run(job_id, queue, job.spec, job.steps, request.closed)
-            return state_response(state) if state else json_response(502, {"code": "caller_gone"})
+            if state is None:
+                return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
+            return state_response(state)
         acceptance = await self._acceptor.accept(job_id, queue, job.spec, job.steps)
         if acceptance is Acceptance.ACCEPTED:
             return json_response(200, {})
@@ -133,8 +145,15 @@
             return _refusal(503, "store_unavailable", RETRY_AFTER_S)
         return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
 
-    def _refuse(self, queue: Queue, job_id: str, job: SubmittedJob) -> HttpResponse | None:
+    def _refuse(
+        self, request: HttpRequest, queue: Queue, job_id: str, job: SubmittedJob
+    ) -> HttpResponse | None:
         """Refuse a job of which nothing was written yet, with the reason and when to come back."""
+        if self._ends_ms is not None:
+            left_ms = self._ends_ms - request.received_ms
+            needed_ms = LEAVING_FACTOR * longest_chain_ms(job.steps) + LEAVING_SLACK_MS
+            if left_ms < needed_ms:
+                return self._note_refusal(job_id, queue, 503, "leaving", RETRY_AFTER_S)
         if not job.answered_at_end and not self._store.up:
             return self._note_refusal(job_id, queue, 503, "store_unavailable", RETRY_AFTER_S)
         if not job.answered_at_end and not self._lease.valid:
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from collections import Counter
+from collections.abc import Callable
 
 from gapdrum.core import orders
 from gapdrum.core.configuration import Configuration
@@ -30,11 +31,13 @@
 TICK_INTERVAL_MS = 100
 LINK_CHECK_INTERVAL_MS = 500
 TAKEOVER_INTERVAL_MS = 100
-# The balancer takes an instance out after two misses, a second apart; callers that have an
-# open connection are served for a while longer.
+# The balancer takes an instance out after two misses, a second apart; until then, work comes.
 KEEP_SERVING_MS = 2_500
-# What is open at a shutdown goes on until so long before the end of the time allowed.
-LEAVE_BEFORE_END_MS = 2_000
+# Stored jobs are handed over so long before the end of the time allowed: others need time to
+# find them, and the lease must have been given up before.
+HAND_OVER_BEFORE_END_MS = 1_500
+# Callers that still wait so long before the end are told that nothing is known.
+ANSWER_BEFORE_END_MS = 500
 BUSY_POLL_MS = 20
 
 
@@ -204,20 +207,23 @@
         began_ms = self.timers.now_ms()
         self.leaving = True
         self.log.write("stopping", jobs=len(self.dispatch.jobs))
+        end_ms = began_ms + self.boot.shutdown_ms
+        self.front.refuse_from(end_ms - ANSWER_BEFORE_END_MS)
         await asyncio.sleep(KEEP_SERVING_MS / MS_PER_S)
+        self.front.refuse_from(self.timers.now_ms())
         self.listener.start_closing()
-        limit_ms = began_ms + self.boot.shutdown_ms - LEAVE_BEFORE_END_MS
-        while self._has_work() and self.timers.now_ms() < limit_ms:
-            await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
-        jobs_left = len(self.dispatch.jobs)
+        await self._wait_while(lambda: self.dispatch.jobs, end_ms - HAND_OVER_BEFORE_END_MS)
+        jobs_left = sum(job.kept for job in self.dispatch.jobs.values())
         await self.lease.leave()
-        while self.listener.busy_connections() and self.timers.now_ms() < limit_ms + MS_PER_S:
-            await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
+        await self._wait_while(self.listener.busy_connections, end_ms - ANSWER_BEFORE_END_MS)
+        self.callers.give_up()
+        await self._wait_while(self.listener.busy_connections, end_ms)
         self.log.write("stopped", jobs_handed_over=jobs_left)
         self.log.flush()
 
-    def _has_work(self) -> bool:
-        return bool(self.dispatch.jobs) or bool(self.listener.busy_connections())
+    async def _wait_while(self, is_busy: Callable[[], object], limit_ms: int) -> None:
+        while is_busy() and self.timers.now_ms() < limit_ms:
+            await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
 
 
 async def main() -> int:
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -77,6 +77,14 @@
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job_id, "caller_gone")
 
+    def give_up(self) -> None:
+        """Tell all callers that nothing is known of their jobs, and stop what runs."""
+        for job_id, callers in list(self._callers.items()):
+            for ended in list(callers):
+                self._leave(job_id, ended)
+                if not ended.done():
+                    ended.set_result(None)
+
     def take_end(self, job: Job) -> None:
         """Answer the callers of a job that has ended."""
         state = job.ending
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -141,7 +141,10 @@
 
     def state(self, job_id: str, entry: int = 0) -> str:
         """Return a job's state, or the status of the answer if it is none."""
-        status, document = self.caller("GET", f"/flags/{job_id}", entry=entry)
+        try:
+            status, document = self.caller("GET", f"/flags/{job_id}", entry=entry)
+        except urllib3.exceptions.HTTPError:
+            return "no answer"
         return document.get("state", str(status)) if status == 200 else str(status)
 
     def set_store_fault(self, **fault: object) -> None:
