Move runs that stand still or crawl; let suspect runners rest and avoid slow ones

Cause: a task on a runner whose tasks stand still was waited for until the caller left, and more were placed there; a runner that fails everything cost each job an attempt. Change: the agent judges pace and ends of its runner, tells owners of stragglers once and entries of its rest and slowness; owners move a run if another runner has room, within a budget.

--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -157,6 +157,7 @@
             free.memory_mb,
             free.accelerators,
             link.orders,
+            ledger.health.slowness_permille(self.timers.now_ms()),
         )
 
     def _send_reports(self) -> None:
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -106,6 +106,7 @@
             await self._learn_clock()
             return
         now_ms = self._timers.now_ms()
+        self._check_rest(now_ms)
         self._stop_what_must(now_ms)
         until_ms = self._choose_lease(now_ms)
         wait_ms = LOOK_WAIT_MS if self.ledger.looked else 0
@@ -114,12 +115,17 @@
         )
         now_ms = self._timers.now_ms()
         first = not self.ledger.looked
+        was_resting = bool(self.ledger.health.resting_until_ms)
         self.ledger.note_clock(look.clock_ms, now_ms)
         self.ledger.reachable = True
         events = self.ledger.take_look(look, now_ms)
         if self.ledger.must_lapse() and look.clock_ms > self._lease_until_ms:
             self.ledger.note_lapse()
             self._log.write("lease_let_lapse", runner=self.runner_id, clock_ms=look.clock_ms)
+        if self.ledger.health.resting_until_ms and not was_resting:
+            self._log.write(
+                "runner_suspect", runner=self.runner_id, rest_ms=self.ledger.health.rest_ms
+            )
         if first:
             self._log.write(
                 "runner_looked",
@@ -135,6 +141,13 @@
             # Ends that are not stored yet are shown at once, again and again.
             await asyncio.sleep(UNSTORED_PAUSE_MS / MS_PER_S)
 
+    def _check_rest(self, now_ms: int) -> None:
+        """Tell the entries when a suspect runner may be tried again."""
+        was_resting = bool(self.ledger.health.resting_until_ms)
+        if was_resting and not self.ledger.health.is_resting(now_ms):
+            self._log.write("runner_on_trial", runner=self.runner_id)
+            self._report(self, [])
+
     async def _learn_clock(self) -> None:
         """Take a fencing token above those of earlier lives of this agent: the runner's clock.
 
@@ -232,7 +245,7 @@
             if reason:
                 refused.append(not_started(key, order.epoch, reason))
             else:
-                self._begin(owner, order, key, room, now_ms)
+                self._begin(owner, order, row, now_ms)
         return refused
 
     def _refuse(
@@ -251,13 +264,23 @@
         return None
 
     def _begin(
-        self, owner: str, order: orders.StartOrder, key: RunKey, room: Resources, now_ms: int
+        self, owner: str, order: orders.StartOrder, row: orders.OrderedRun, now_ms: int
     ) -> None:
         # The start also renews the lease of all, so it is bound by the same limits.
         limit_ms = self._grants.lease_limit_ms(owner, order.kept) - now_ms
         left_ms = min(START_WINDOW_MS, self._lease_left_ms(now_ms), limit_ms)
         expires_ms = self._note_lease(now_ms, max(1, left_ms))
-        run = Run(key, owner, order.epoch, room, expires_ms, now_ms, kept=order.kept, calling=True)
+        run = Run(
+            RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
+            owner,
+            order.epoch,
+            Resources(row.cpu_milli, row.memory_mb, row.accelerators),
+            expires_ms,
+            now_ms,
+            kept=order.kept,
+            calling=True,
+            estimate_ms=row.estimate_ms,
+        )
         self.ledger.begin(run)
         self._spawn(self._start(run, order.spec))
 
@@ -317,7 +340,7 @@
             event = not_started(run.key, run.epoch, orders.RUNNER_REJECTED)
             self._report(self, [(run, event)])
         elif settled == orders.STARTED and run.phase == orders.HELD_STARTING:
-            run.phase = orders.HELD_RUNNING
+            self.ledger.note_started(run, self._timers.now_ms())
             event = orders.RunEvent(run.key.task.text, run.key.attempt, run.epoch, orders.STARTED)
             self._report(self, [(run, event)])
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -5,15 +5,20 @@
 
 import attrs
 
+from gapdrum.budgets import RatioBudget
 from gapdrum.core import orders
 from gapdrum.core.jobs import Job, Place, StoredEnd, Task, TaskPhase
 from gapdrum.core.models import Resources, RunEnd, RunKey, TaskName
-from gapdrum.core.placement_rules import choose_runner, waiting_order
+from gapdrum.core.placement_rules import Field, build_field, choose_runner, waiting_order
 from gapdrum.core.runner_views import AgentView, RunnerView
 
 # How many jobs that find no room are looked at before the rest is left to the next change:
 # smaller ones may still fit, but under overload all of them would be looked at in vain.
 HELD_JOBS_TRIED = 8
+# How often a task is moved away from where it straggles, and the share of all starts that
+# moves may take, so that a slow day does not become a flood of restarts.
+MAX_MOVES = 3
+MOVE_BUDGET_PERCENT = 15
 
 
 class Outside(Protocol):
@@ -49,6 +54,7 @@
     agents: dict[str, AgentView] = attrs.Factory(dict)
     runners: dict[tuple[str, str], RunnerView] = attrs.Factory(dict)
     waiting: set[str] = attrs.Factory(set)
+    move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     # Jobs.
 
@@ -177,10 +183,9 @@
             return
         elif event.kind == orders.STARTED:
             self._note_started(job, task, now_ms)
-        elif event.kind == orders.PROGRESS:
+        elif event.kind == orders.STRAGGLING:
             self._note_started(job, task, now_ms)
-            task.percent = event.percent
-            task.percent_ms = now_ms
+            self._move(job, task, event, now_ms)
         elif event.detail == orders.JOB_SUPERSEDED:
             self.drop_job(job.job_id, event.detail)
         else:
@@ -196,7 +201,6 @@
         if task.phase is TaskPhase.ORDERED:
             task.phase = TaskPhase.RUNNING
             task.started_ms = now_ms
-            task.percent_ms = now_ms
             job.begun = True
             self.outside.note(
                 "task_started",
@@ -220,13 +224,16 @@
             ran_ms=now_ms - task.started_ms if task.started_ms else 0,
         )
         if event.attempt != task.attempt and end is RunEnd.DONE:
-            self._let_go_outrun(place, event.end_number)
-            return
+            if job.kept:
+                self._let_go_outrun(place, event.end_number)
+                return
+            self._stop_if_out(task)
         job.begun = True
         if task.phase is not TaskPhase.DONE:
-            self._take_away(task, event.attempt)
+            if end is RunEnd.DONE or event.attempt == task.attempt:
+                self._take_away(task)
             if end is RunEnd.FAILED:
-                task.failed_at.add(place.runner_id)
+                task.avoided.add(place.runner_id)
             job.take_end(task, event.attempt, end, now_ms)
         if job.kept and end in (RunEnd.DONE, RunEnd.FAILED):
             self._remember_end(job, StoredEnd(place, event.end_number))
@@ -270,14 +277,43 @@
         job.release(task, now_ms)
         self.waiting.add(job.job_id)
 
-    def _take_away(self, task: Task, attempt: int | None = None) -> None:
+    def _take_away(self, task: Task) -> None:
         """Take a task off the runner that it was placed at."""
-        if task.place is None or (attempt is not None and attempt != task.attempt):
+        if task.place is None:
             return
         runner = self.runners.get((task.place.agent, task.place.runner_id))
         if runner is not None:
             runner.out.discard(task)
 
+    def _move(self, job: Job, task: Task, event: orders.RunEvent, now_ms: int) -> None:
+        """Stop a run that straggles if another runner has room for it; it is placed anew then."""
+        task.avoided.add(task.place.runner_id)
+        field = build_field(self.runners.values(), job.upstream)
+        target = choose_runner(job, task, field, self.zone, now_ms)
+        may_move = (
+            task.moves < MAX_MOVES
+            and target is not None
+            and target.place.runner_id not in task.avoided
+            and self.move_budget.spend()
+        )
+        self.outside.note(
+            "task_straggles",
+            request=job.job_id,
+            task=task.name.text,
+            attempt=task.attempt,
+            runner=task.place.runner_id,
+            reason=event.detail,
+            percent=event.percent,
+            moved=may_move,
+        )
+        if may_move:
+            task.moves += 1
+            self._stop(task.place, task.run)
+
+    def _stop_if_out(self, task: Task) -> None:
+        if task.phase in (TaskPhase.ORDERED, TaskPhase.RUNNING):
+            self._stop(task.place, task.run)
+
     def _stop(self, place: Place, run: RunKey) -> None:
         named = orders.NamedRun(run.task.text, run.attempt)
         self.outside.send(place.agent, orders.StopOrder(place.runner_id, (named,)))
@@ -362,7 +398,6 @@
             )
             task.phase = TaskPhase.RUNNING
             task.started_ms = now_ms
-            task.percent_ms = now_ms
             job.begun = True
         task.attempt = attempt
         task.place = place
@@ -388,26 +423,29 @@
         if not self.waiting:
             return
         may_act = self.may_act()
+        fields: dict[str, Field] = {}
         jobs = sorted((self.jobs[job_id] for job_id in self.waiting), key=waiting_order)
         held = 0
         for job in jobs:
             if job.kept and not may_act:
                 continue
-            if job.ending is not None or not self._place_job(job, now_ms):
+            if job.upstream not in fields:
+                fields[job.upstream] = build_field(self.runners.values(), job.upstream)
+            if job.ending is not None or not self._place_job(job, fields[job.upstream], now_ms):
                 self.waiting.discard(job.job_id)
                 continue
             held += 1
             if held >= HELD_JOBS_TRIED:
                 return
 
-    def _place_job(self, job: Job, now_ms: int) -> bool:
+    def _place_job(self, job: Job, field: Field, now_ms: int) -> bool:
         """Place what can be placed of a job; return whether some of it still waits."""
         chosen: dict[tuple[str, str], list[Task]] = {}
         held = False
         refused = None
         ready = job.ready_tasks()
         for task in ready:
-            runner = choose_runner(job, task, self.runners.values(), self.zone, now_ms)
+            runner = choose_runner(job, task, field, self.zone, now_ms)
             if runner is None:
                 held = True
                 self._note_held(job, task)
@@ -435,6 +473,7 @@
         task.changed_ms = now_ms
         task.started_ms = 0
         runner.order(task.step.resources)
+        self.move_budget.earn()
         runner.out.add(task)
 
     def _send_order(self, job: Job, runner: RunnerView, tasks: list[Task], now_ms: int) -> None:
@@ -480,4 +519,5 @@
         room.cpu_milli,
         room.memory_mb,
         room.accelerators,
+        task.step.estimate_ms,
     )
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -11,6 +11,8 @@
 # Attempts of one epoch lie above those of all earlier ones, so that a new owner, who does not
 # know how often a task was started, never numbers a start as an earlier one.
 ATTEMPTS_PER_EPOCH = 1_000
+# Callers value a job that ends within this many times its objective as late, later not at all.
+LATE_FACTOR = 3
 
 
 class TaskPhase(enum.Enum):
@@ -52,9 +54,8 @@
     place: Place | None = None
     changed_ms: int = 0
     started_ms: int = 0
-    percent: int = 0
-    percent_ms: int = 0
-    failed_at: set[str] = attrs.Factory(set)
+    moves: int = 0
+    avoided: set[str] = attrs.Factory(set)
     held_noted: bool = False
 
     @property
@@ -94,6 +95,11 @@
     unstored_ends: list[StoredEnd] = attrs.Factory(list)
     unknown_until_ms: int = 0
 
+    @property
+    def useless_from_ms(self) -> int:
+        """Return from when on an end of the job is worth nothing to its caller."""
+        return self.accepted_ms + LATE_FACTOR * self.objective_ms
+
     def ready_tasks(self) -> list[Task]:
         """Return the waiting tasks whose turn has come."""
         open_steps = {task.name.step for task in self.tasks if task.phase is not TaskPhase.DONE}
@@ -127,7 +133,6 @@
             return
         task.phase = TaskPhase.WAITING
         task.place = None
-        task.percent = 0
         task.changed_ms = now_ms
         task.held_noted = False
 
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -34,7 +34,7 @@
 NOT_STARTED = "not_started"
 ENDED = "ended"
 LOST = "lost"
-PROGRESS = "progress"
+STRAGGLING = "straggling"
 
 # Phases of a run that an agent holds.
 HELD_STARTING = "starting"
@@ -53,6 +53,7 @@
 # States of a runner.
 READY = "ready"
 DRAINING = "draining"
+SUSPECT = "suspect"
 GONE = "gone"
 
 
@@ -78,7 +79,10 @@
 @message(42)
 @attrs.frozen
 class RunnerReport:
-    """A runner's state and room. ``orders`` counts the runs ordered on this stream so far."""
+    """A runner's state and room. ``orders`` counts the runs ordered on this stream so far.
+
+    ``slowness_permille`` is how long its runs take against their estimates, 0 if not known.
+    """
 
     runner_id: str = text_field()
     upstream: str = text_field()
@@ -91,6 +95,7 @@
     free_memory_mb: int = signed_field()
     free_accelerators: int = signed_field()
     orders: int = count_field()
+    slowness_permille: int = count_field()
 
     @property
     def capacity(self) -> Resources:
@@ -107,9 +112,10 @@
 
 @attrs.frozen
 class RunEvent:
-    """What happened to a run; ``detail`` is how it ended, or why it did not start.
+    """What happened to a run; ``detail`` is how it ended, why it did not start, or straggles.
 
-    ``end_number`` is the runner's number of the end, ``percent`` how much of its work is done.
+    ``end_number`` is the runner's number of the end, ``percent`` how much of the work of a
+    straggling run is done.
     """
 
     task: str
@@ -192,6 +198,7 @@
     cpu_milli: int
     memory_mb: int
     accelerators: int
+    estimate_ms: int
 
 
 @message(52)
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -1,13 +1,49 @@
 """Which runner a task goes to, and in which order tasks wait."""
 
+import statistics
 from collections.abc import Iterable
 
+import attrs
+
 from gapdrum.core import orders
 from gapdrum.core.jobs import Job, Task
 from gapdrum.core.runner_views import RunnerView
 
 # Freeness is compared in steps of this share, so that the own zone decides between equals.
 FREE_SHARE_STEPS = 8
+# If more than this share of the runners is suspect, the tasks are at fault and not the runners.
+MAX_SUSPECT_SHARE = 0.5
+# A runner counts as slow from this many times the usual slowness on; sound ones differ by 1.6.
+SLOW_FACTOR = 2.5
+PERMILLE = 1_000
+
+
+@attrs.frozen
+class Field:
+    """The runners of an upstream at one moment, and what is usual among them."""
+
+    runners: tuple[RunnerView, ...]
+    suspects_allowed: bool
+    usual_slowness_permille: float
+
+    def is_slow(self, view: RunnerView) -> bool:
+        """Tell whether a runner is much slower than is usual."""
+        usual = self.usual_slowness_permille
+        return bool(usual) and view.slowness_permille > SLOW_FACTOR * usual
+
+
+def build_field(runners: Iterable[RunnerView], upstream: str) -> Field:
+    """Return the runners of an upstream that may be considered."""
+    states = (orders.READY, orders.SUSPECT)
+    views = tuple(
+        view
+        for view in runners
+        if view.upstream == upstream and view.synced and view.state in states
+    )
+    suspects = sum(view.state == orders.SUSPECT for view in views)
+    known = [view.slowness_permille for view in views if view.slowness_permille]
+    usual = statistics.median(known) if known else 0.0
+    return Field(views, suspects > len(views) * MAX_SUSPECT_SHARE, usual)
 
 
 def waiting_order(job: Job) -> tuple[int, int, str]:
@@ -15,26 +51,26 @@
     return (job.priority, job.accepted_ms, job.job_id)
 
 
-def choose_runner(
-    job: Job, task: Task, runners: Iterable[RunnerView], zone: str, now_ms: int
-) -> RunnerView | None:
+def choose_runner(job: Job, task: Task, field: Field, zone: str, now_ms: int) -> RunnerView | None:
     """Return the best runner with room for a task, None if it has to wait."""
     best = None
     best_score = None
-    for view in runners:
-        if not _may_take(view, job, task, now_ms):
+    for view in field.runners:
+        if not _may_take(view, job, task, field, now_ms):
             continue
-        score = _score(view, task, zone)
+        score = _score(view, task, field, zone)
         if best_score is None or score > best_score:
             best, best_score = view, score
     return best
 
 
-def _may_take(view: RunnerView, job: Job, task: Task, now_ms: int) -> bool:
-    if view.state != orders.READY or view.upstream != job.upstream or not view.synced:
+def _may_take(view: RunnerView, job: Job, task: Task, field: Field, now_ms: int) -> bool:
+    if view.state == orders.SUSPECT and not field.suspects_allowed:
         return False
     if not view.free.holds(task.step.resources) or view.agent.is_quiet(now_ms):
         return False
+    if field.is_slow(view) and _would_be_useless(view, job, task, now_ms):
+        return False
     label = task.step.required_label
     if label and label not in view.labels:
         return False
@@ -42,6 +78,12 @@
     return not limit or _count_same_step(view, task) < limit
 
 
+def _would_be_useless(view: RunnerView, job: Job, task: Task, now_ms: int) -> bool:
+    """Tell whether a slow runner would be done only after the job is of no use any more."""
+    expected_ms = task.step.estimate_ms * view.slowness_permille / PERMILLE
+    return now_ms + expected_ms > job.useless_from_ms
+
+
 def _count_same_step(view: RunnerView, task: Task) -> int:
     name = task.name
     return sum(
@@ -49,11 +91,14 @@
     )
 
 
-def _score(view: RunnerView, task: Task, zone: str) -> tuple[bool, bool, int, bool, int]:
-    """Return what is compared: no failure there, data near, room, own zone, exact room."""
+def _score(
+    view: RunnerView, task: Task, field: Field, zone: str
+) -> tuple[bool, bool, bool, int, bool, int]:
+    """Return what is compared: not avoided, not slow, data near, room, own zone, exact room."""
     capacity = max(1, view.capacity.cpu_milli)
     return (
-        view.place.runner_id not in task.failed_at,
+        view.place.runner_id not in task.avoided,
+        not field.is_slow(view),
         not task.step.data_rack or task.step.data_rack in view.labels,
         view.free.cpu_milli * FREE_SHARE_STEPS // capacity,
         view.agent.zone == zone,
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -9,9 +9,19 @@
 
 from gapdrum.core import orders
 from gapdrum.core.models import NOTHING, Resources, RunEnd, RunKey
+from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_models import EndedRun, RunnerLook
 
 UNKNOWN_OWNER = ""
+# A run whose share of work done has not changed for so long stands still: it is shown in whole
+# percents, and looked at every 0.2 s.
+STALL_MS = 450
+STALL_SHARE = 0.05
+# A run crawls if at its pace it will take this many times its estimate, which is 40% off; the
+# slowest sound runners take a quarter longer. A younger run shows too few percents to tell.
+CRAWL_FACTOR = 3
+CRAWL_SLACK_MS = 100
+CRAWL_AFTER_MS = 150
 # Runners' steady clocks may be this much slow against ours.
 CLOCK_RATE_FLOOR = 0.98
 
@@ -35,6 +45,10 @@
     calling: bool = False
     stopping: bool = False
     percent: int = 0
+    percent_ms: int = 0
+    estimate_ms: int = 0
+    started_ms: int = 0
+    straggles: bool = False
 
 
 @attrs.define
@@ -73,6 +87,7 @@
     runs: dict[RunKey, Run] = attrs.Factory(dict)
     ends: dict[int, NotedEnd] = attrs.Factory(dict)
     used: Resources = NOTHING
+    health: RunnerHealth = attrs.Factory(RunnerHealth)
     unknown_runs: int = 0
 
     @property
@@ -80,13 +95,15 @@
         """Return the runner's state as entries are told it."""
         if self.gone:
             return orders.GONE
-        return orders.DRAINING if self.draining else orders.READY
+        if self.draining:
+            return orders.DRAINING
+        return orders.SUSPECT if self.health.resting_until_ms else orders.READY
 
     @property
     def free(self) -> Resources:
         """Return the room that nothing holds; none while a run's room is unknown."""
         known = self.looked and self.reachable and self.capacity is not None
-        if not known or self.unknown_runs:
+        if not known or self.unknown_runs or (self.health.on_trial and self.runs):
             return NOTHING
         return self.capacity - self.used
 
@@ -145,6 +162,7 @@
         shown = {running.run: running.percent for running in look.running}
         for key, percent in shown.items():
             events.extend(self._note_running(key, percent, now_ms))
+            events.extend(self._judge_pace(self.runs[key], now_ms))
         for run in list(self.runs.values()):
             if run.key not in shown and self._never_started(run, look.clock_ms):
                 self.drop(run.key)
@@ -157,6 +175,7 @@
         self.last_end = ended.number
         run = self.drop(ended.run) or Run(ended.run, UNKNOWN_OWNER, 0, NOTHING, 0, now_ms)
         noted = NotedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms)
+        self._judge_end(run, ended.end, now_ms)
         noted.stored = not (run.kept and ended.end in (RunEnd.DONE, RunEnd.FAILED))
         self.ends[ended.number] = noted
         event = _event(run, orders.ENDED, ended.end.value, ended.number)
@@ -169,14 +188,48 @@
         if run is None:
             run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=orders.HELD_RUNNING)
             self.begin(run)
-        if run.phase == orders.HELD_STARTING:
-            run.phase = orders.HELD_RUNNING
+        if percent != run.percent:
             run.percent = percent
+            run.percent_ms = now_ms
+        if run.phase == orders.HELD_STARTING:
+            self.note_started(run, now_ms)
             return [(run, _event(run, orders.STARTED))]
-        if percent == run.percent:
+        return []
+
+    @staticmethod
+    def note_started(run: Run, now_ms: int) -> None:
+        """Note that a run is at work."""
+        run.phase = orders.HELD_RUNNING
+        run.started_ms = now_ms
+        run.percent_ms = now_ms
+
+    def _judge_end(self, run: Run, end: RunEnd, now_ms: int) -> None:
+        """Learn from an end whether the runner does its work, and how fast."""
+        if end is RunEnd.DONE:
+            ran_ms = now_ms - run.started_ms if run.started_ms else 0
+            self.health.note_done(ran_ms, run.estimate_ms if ran_ms else 0, now_ms)
+        elif end is RunEnd.FAILED:
+            self.health.note_strike(now_ms)
+
+    def _judge_pace(self, run: Run, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
+        """Tell the owner once of a run that stands still or crawls."""
+        if run.straggles or run.stopping or not run.started_ms:
+            return []
+        age_ms = now_ms - run.started_ms
+        reason = ""
+        if now_ms - run.percent_ms > max(STALL_MS, run.estimate_ms * STALL_SHARE):
+            reason = "stands_still"
+            self.health.note_strike(now_ms)
+        elif run.percent and age_ms > CRAWL_AFTER_MS:
+            total_ms = age_ms * 100 // run.percent
+            if total_ms > CRAWL_FACTOR * run.estimate_ms + CRAWL_SLACK_MS:
+                reason = "crawls"
+                self.health.note_projection(total_ms, run.estimate_ms, now_ms)
+        if not reason:
             return []
-        run.percent = percent
-        return [(run, attrs.evolve(_event(run, orders.PROGRESS), percent=percent))]
+        run.straggles = True
+        event = _event(run, orders.STRAGGLING, reason)
+        return [(run, attrs.evolve(event, percent=run.percent))]
 
     @staticmethod
     def _never_started(run: Run, clock_ms: int) -> bool:
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -48,6 +48,7 @@
     free: Resources = NOTHING
     out: set[Task] = attrs.Factory(set)
     synced: bool = False
+    slowness_permille: int = 0
 
     def take_report(self, report: orders.RunnerReport) -> None:
         """Take the agent's statement; orders that it includes are no longer counted here."""
@@ -56,6 +57,7 @@
         self.labels = report.labels
         self.capacity = report.capacity
         self.reported_free = report.free
+        self.slowness_permille = report.slowness_permille
         while self.unseen and self.unseen[0][0] <= report.orders:
             self.unseen.popleft()
         self._count()
