Overload: place by latest start, refuse at once what would only wait; keep entries without a row

An entry that the store turned away lost its row to another's judgement, and its agents left it although it served. Change: waiting jobs that can still meet their objective come first, the one that must start first before the others; a new job that would wait too long is refused with a time to come back, and one that has not begun is given up once it can't meet its objective. Agents keep the stream to an entry without a row; a new life of a lease is told on it.

--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 from gapdrum.core import orders
 from gapdrum.core.records import ADDRESS_TABLE, WHOLE_PART, EntryAddress, load_record
@@ -23,8 +24,14 @@
 READ_TIMEOUT_MS = 1_000
 RETRY_INTERVAL_MS = 200
 CONNECT_TIMEOUT_S = 0.6
+# An owner whose stream has ended and does not return within this time has probably died; the
+# callers that waited there send their jobs again 1.3 s after their connections broke.
+AWAY_ALLOWANCE_MS = 600
 # An entry that does not echo for this long is connected anew.
 SILENT_ENTRY_MS = 2_000
+# An entry without a row is tried for so long after it was last heard: it may be cut off from
+# the store only, and then still serves callers that wait.
+UNLISTED_KEPT_MS = 10_000
 
 
 class EntryLink:
@@ -37,6 +44,7 @@
         self.stream: Stream | None = None
         self.orders = 0
         self.heard_ms = 0
+        self.listed = True
         self.task: asyncio.Task | None = None
 
     def send(self, message: object) -> None:
@@ -64,6 +72,8 @@
         self._received = received
         self._links: dict[str, EntryLink] = {}
         self.on_joined: Callable[[EntryLink], None] = lambda _link: None
+        self.on_renamed: Callable[[str, str], None] = lambda _former, _owner: None
+        self.on_away: Callable[[str], None] = lambda _owner: None
         self.on_message: Callable[[EntryLink, object], None] = lambda _link, _message: None
 
     def __iter__(self):
@@ -106,7 +116,7 @@
         if after is None:
             page = await self._rows.read(ADDRESS_TABLE, WHOLE_PART, READ_TIMEOUT_MS)
             for entry in set(self._links) - {row.at.key for row in page.rows}:
-                self._forget(entry)
+                self._unlist(entry)
             self._take(page.rows)
             return page.version
         changes = await self._rows.watch(ADDRESS_TABLE, after, FEED_WAIT_MS)
@@ -116,11 +126,12 @@
     def _take(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.value is None:
-                self._forget(row.at.key)
+                self._unlist(row.at.key)
                 continue
             address = load_record(row.value)
             link = self._links.get(row.at.key)
-            if link is not None and link.address == address:
+            if link is not None and _same_place(link.address, address):
+                link.listed = True
                 continue
             if link is not None:
                 self._forget(row.at.key)
@@ -131,6 +142,12 @@
         self._log.write("entry_found", entry=link.entry, at=f"{link.address.host}")
         link.task = asyncio.ensure_future(self._keep(link))
 
+    def _unlist(self, entry: str) -> None:
+        """Note that an entry's row is gone: it ended, or can't reach the store but still serves."""
+        link = self._links.get(entry)
+        if link is not None:
+            link.listed = False
+
     def _forget(self, entry: str) -> None:
         link = self._links.pop(entry, None)
         if link is not None:
@@ -141,6 +158,15 @@
 
     # Streams.
 
+    def _greeted(self, link: EntryLink, owner: str) -> None:
+        former = link.owner
+        link.owner = owner
+        self._log.write("entry_joined", entry=link.entry, owner=owner)
+        if former:
+            self.on_renamed(former, owner)
+        else:
+            self.on_joined(link)
+
     async def _keep(self, link: EntryLink) -> None:
         while True:
             try:
@@ -149,12 +175,26 @@
                 if link.owner:
                     self._log.write("entry_lost", entry=link.entry, code=error.code)
             finally:
-                if link.stream is not None:
-                    link.stream.close()
-                link.stream = None
-                link.owner = ""
+                self._end_stream(link)
+            silent_ms = self._timers.now_ms() - link.heard_ms
+            if not link.listed and silent_ms > UNLISTED_KEPT_MS:
+                self._links.pop(link.entry, None)
+                self._log.write("entry_forgotten", entry=link.entry)
+                return
             await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
 
+    def _end_stream(self, link: EntryLink) -> None:
+        if link.stream is not None:
+            link.stream.close()
+        if link.owner:
+            self._timers.call_after(AWAY_ALLOWANCE_MS, partial(self._check_away, link.owner))
+        link.stream = None
+        link.owner = ""
+
+    def _check_away(self, owner: str) -> None:
+        if self.of_owner(owner) is None:
+            self.on_away(owner)
+
     async def _serve(self, link: EntryLink) -> None:
         address = link.address
         stream = await open_stream(
@@ -167,9 +207,12 @@
         async for message in stream:
             link.heard_ms = self._timers.now_ms()
             if isinstance(message, orders.EntryGreeting):
-                link.owner = message.owner
-                self._log.write("entry_joined", entry=link.entry, owner=link.owner)
-                self.on_joined(link)
+                self._greeted(link, message.owner)
             else:
                 self.on_message(link, message)
         raise StreamClosedError("the entry ended the stream")
+
+
+def _same_place(one: EntryAddress, other: EntryAddress) -> bool:
+    """Tell whether two records name the same address, whatever life of the entry."""
+    return (one.host, one.port) == (other.host, other.port)
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -53,6 +53,8 @@
             RowStore(boot.store), self._greet, timers, log, self.sent, self.received
         )
         self.links.on_joined = self._tell_everything
+        self.links.on_renamed = self._rename_owner
+        self.links.on_away = self._stop_unwaited
         self.links.on_message = self._take_message
         self.control = HttpListener(self._take_report, HttpLimits(), timers)
         self._epochs: OrderedDict[str, int] = OrderedDict()
@@ -172,7 +174,15 @@
                 link.send(self._describe(keeper, link))
 
     def _tell_everything(self, link: EntryLink) -> None:
-        """Tell an entry that has just joined what is held here."""
+        """Tell an entry that has just joined what is held here; its earlier lives are over."""
+        former = {
+            run.owner
+            for keeper in self.keepers.values()
+            for run in keeper.ledger.runs.values()
+            if run.owner.startswith(f"{link.entry}/") and run.owner != link.owner
+        }
+        for owner in former:
+            self._stop_unwaited(owner)
         for keeper in self.keepers.values():
             self._tell_one(keeper, link)
 
@@ -205,6 +215,27 @@
             for link in self.links if rows else ():
                 link.send(orders.RunEvents(keeper.runner_id, rows))
 
+    def _rename_owner(self, former: str, owner: str) -> None:
+        """Let what runs for callers that wait go on for the same entry's new life."""
+        for keeper in self.keepers.values():
+            for run in keeper.ledger.runs.values():
+                if run.owner == former and not run.kept:
+                    run.owner = owner
+
+    def _stop_unwaited(self, owner: str) -> None:
+        """Stop what runs for callers that waited at a life of an entry that is gone."""
+        for keeper in self.keepers.values():
+            for run in list(keeper.ledger.runs.values()):
+                if run.owner == owner and not run.kept:
+                    self.log.write(
+                        "run_stopped_for_owner",
+                        request=run.key.task.job_id,
+                        task=run.key.task.text,
+                        attempt=run.key.attempt,
+                        owner=owner,
+                    )
+                    keeper.stop(run.key)
+
     # What entries tell.
 
     def _take_message(self, link: EntryLink, message: object) -> None:
--- /dev/null
+++ b/src/gapdrum/core/backlog.py
@@ -0,0 +1,64 @@
+"""How much work waits at an entry, how fast it is placed, and whether more still has a chance."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from gapdrum.core.jobs import Job, TaskPhase
+from gapdrum.core.models import Step
+
+# Over this time the rate of placed work is measured: longer than most tasks, shorter than the
+# bursts that matter.
+RATE_WINDOW_MS = 1_000
+# Room that is free already takes this share of a job's own work off the wait.
+OWN_SHARE = 0.3
+
+
+def work_of(steps: Iterable[Step]) -> int:
+    """Return the stated work of steps in core-milliseconds, times a thousand."""
+    return sum(step.tasks * step.resources.cpu_milli * step.estimate_ms for step in steps)
+
+
+@attrs.define
+class Backlog:
+    """Measures at which rate waiting work has been placed."""
+
+    _placed: deque[tuple[int, int]] = attrs.Factory(deque)
+    _sum: int = 0
+
+    def note_placed(self, work: int, now_ms: int) -> None:
+        """Note work that was handed to a runner."""
+        self._placed.append((now_ms, work))
+        self._sum += work
+        self._trim(now_ms)
+
+    def note_returned(self, work: int, now_ms: int) -> None:
+        """Note work that came back unstarted."""
+        self.note_placed(-work, now_ms)
+
+    def _trim(self, now_ms: int) -> None:
+        while self._placed and self._placed[0][0] < now_ms - RATE_WINDOW_MS:
+            self._sum -= self._placed.popleft()[1]
+
+    def rate(self, now_ms: int) -> float:
+        """Return how much work was placed a millisecond, lately."""
+        self._trim(now_ms)
+        return max(0, self._sum) / RATE_WINDOW_MS
+
+    def wait_ms(self, work_ahead: float, now_ms: int) -> int:
+        """Return how long so much work takes to be placed; 0 if nothing is known yet."""
+        rate = self.rate(now_ms)
+        return int(work_ahead / rate) if rate else 0
+
+
+def waiting_work(jobs: Iterable[Job], before_ms: int) -> int:
+    """Return the work of waiting tasks of jobs that must start before a time."""
+    total = 0
+    for job in jobs:
+        if job.latest_start_ms > before_ms:
+            continue
+        for task in job.tasks:
+            if task.phase is TaskPhase.WAITING:
+                total += task.step.resources.cpu_milli * task.step.estimate_ms
+    return total
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -7,8 +7,9 @@
 
 from gapdrum.budgets import RatioBudget
 from gapdrum.core import orders
+from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of
 from gapdrum.core.jobs import Job, Place, StoredEnd, Task, TaskPhase
-from gapdrum.core.models import Resources, RunEnd, RunKey, TaskName
+from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.placement_rules import Field, build_field, choose_runner, waiting_order
 from gapdrum.core.runner_views import AgentView, RunnerView
 
@@ -19,6 +20,8 @@
 # moves may take, so that a slow day does not become a flood of restarts.
 MAX_MOVES = 3
 MOVE_BUDGET_PERCENT = 15
+# How long a job that can't meet its objective any more still waits for room that others leave.
+HOPE_MS = 50
 
 
 class Outside(Protocol):
@@ -30,6 +33,9 @@
     def job_ended(self, job: Job) -> None:
         """Store the end of a job."""
 
+    def job_refused(self, job: Job) -> None:
+        """Tell the callers of a job that it has not run and will not."""
+
     def foreign_end(self, place: Place, event: orders.RunEvent) -> None:
         """Find out about an end of a job that this entry does not own."""
 
@@ -54,6 +60,7 @@
     agents: dict[str, AgentView] = attrs.Factory(dict)
     runners: dict[tuple[str, str], RunnerView] = attrs.Factory(dict)
     waiting: set[str] = attrs.Factory(set)
+    backlog: Backlog = attrs.Factory(Backlog)
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     # Jobs.
@@ -156,7 +163,14 @@
 
     def _release_all(self, runner: RunnerView, reason: str, now_ms: int) -> None:
         for task in list(runner.out):
-            self._release(task, reason, now_ms)
+            self._release_unproven(task, reason, now_ms)
+
+    def _release_unproven(self, task: Task, reason: str, now_ms: int) -> None:
+        """Let a task wait again whose last run is over, and may have begun."""
+        job = self.jobs.get(task.name.job_id)
+        if job is not None:
+            job.begun = True
+        self._release(task, reason, now_ms)
 
     # Runs.
 
@@ -188,7 +202,10 @@
             self._move(job, task, event, now_ms)
         elif event.detail == orders.JOB_SUPERSEDED:
             self.drop_job(job.job_id, event.detail)
+        elif event.kind == orders.NOT_STARTED:
+            self._release(task, event.detail, now_ms)
         else:
+            job.begun = True
             self._release(task, event.detail, now_ms)
 
     def lose_job(self, lost: orders.JobLost) -> None:
@@ -273,6 +290,8 @@
             runner=task.place.runner_id,
             reason=reason,
         )
+        if task.phase is TaskPhase.ORDERED:
+            self.backlog.note_returned(_work(task), now_ms)
         self._take_away(task)
         job.release(task, now_ms)
         self.waiting.add(job.job_id)
@@ -341,7 +360,7 @@
         if runner is not None and not holdings.jobs:
             for task in list(runner.out):
                 if (task.name.text, task.attempt) not in held:
-                    self._release(task, "not_held", now_ms)
+                    self._release_unproven(task, "not_held", now_ms)
             runner.synced = True
         self.outside.place_soon()
 
@@ -416,6 +435,29 @@
                     job.release(task, now_ms)
             self.waiting.add(job.job_id)
 
+    # Overload.
+
+    def expected_wait_ms(self, steps: tuple[Step, ...], latest_start_ms: int, now_ms: int) -> int:
+        """Return how long a new job would wait for room behind those that must start before it."""
+        if not self.waiting:
+            return 0
+        jobs = (self.jobs[job_id] for job_id in self.waiting)
+        ahead = waiting_work(jobs, latest_start_ms) + OWN_SHARE * work_of(steps)
+        return self.backlog.wait_ms(ahead, now_ms)
+
+    def refuse_hopeless(self, now_ms: int) -> None:
+        """Give up waiting jobs that no longer can meet their objective and have not begun."""
+        for job_id in list(self.waiting):
+            job = self.jobs[job_id]
+            if job.kept or not job.untouched or now_ms <= job.latest_start_ms + HOPE_MS:
+                continue
+            waited_ms = now_ms - job.accepted_ms
+            self.outside.note(
+                "job_given_up", request=job_id, waited_ms=waited_ms, objective_ms=job.objective_ms
+            )
+            self.outside.job_refused(job)
+            self.drop_job(job_id, "no_room_in_time")
+
     # Placement.
 
     def place_waiting(self, now_ms: int) -> None:
@@ -424,7 +466,8 @@
             return
         may_act = self.may_act()
         fields: dict[str, Field] = {}
-        jobs = sorted((self.jobs[job_id] for job_id in self.waiting), key=waiting_order)
+        jobs = [self.jobs[job_id] for job_id in self.waiting]
+        jobs.sort(key=lambda job: waiting_order(job, now_ms))
         held = 0
         for job in jobs:
             if job.kept and not may_act:
@@ -473,6 +516,7 @@
         task.changed_ms = now_ms
         task.started_ms = 0
         runner.order(task.step.resources)
+        self.backlog.note_placed(_work(task), now_ms)
         self.move_budget.earn()
         runner.out.add(task)
 
@@ -511,6 +555,10 @@
             self.outside.job_ended(job)
 
 
+def _work(task: Task) -> int:
+    return task.step.resources.cpu_milli * task.step.estimate_ms
+
+
 def _ordered_run(task: Task, room: Resources) -> orders.OrderedRun:
     return orders.OrderedRun(
         task.name.step,
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -13,6 +13,9 @@
 ATTEMPTS_PER_EPOCH = 1_000
 # Callers value a job that ends within this many times its objective as late, later not at all.
 LATE_FACTOR = 3
+# What a job needs beside waiting and working: its way here and back, the order to the agent,
+# the look that shows its end.
+OVERHEAD_MS = 30
 
 
 class TaskPhase(enum.Enum):
@@ -95,6 +98,16 @@
     unstored_ends: list[StoredEnd] = attrs.Factory(list)
     unknown_until_ms: int = 0
 
+    @property
+    def latest_start_ms(self) -> int:
+        """Return until when its tasks must have started for the job to meet its objective."""
+        return self.accepted_ms + self.objective_ms - longest_chain_ms(self.steps) - OVERHEAD_MS
+
+    @property
+    def untouched(self) -> bool:
+        """Tell whether none of its tasks has started or may yet start."""
+        return not self.begun and all(task.phase is TaskPhase.WAITING for task in self.tasks)
+
     @property
     def useless_from_ms(self) -> int:
         """Return from when on an end of the job is worth nothing to its caller."""
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -46,9 +46,16 @@
     return Field(views, suspects > len(views) * MAX_SUSPECT_SHARE, usual)
 
 
-def waiting_order(job: Job) -> tuple[int, int, str]:
-    """Return the key by which jobs wait: the queue's priority, then age."""
-    return (job.priority, job.accepted_ms, job.job_id)
+def waiting_order(job: Job, now_ms: int) -> tuple[int, bool, int, int, str]:
+    """Return the key by which jobs wait.
+
+    Jobs that can still meet their objective come first, the one that must start first before
+    the others; then those that would be late, then those whose end is of no use any more.
+    """
+    rank = 0
+    if now_ms > job.latest_start_ms:
+        rank = 1 if now_ms < job.useless_from_ms else 2
+    return (rank, not job.begun, job.latest_start_ms, job.priority, job.job_id)
 
 
 def choose_runner(job: Job, task: Task, field: Field, zone: str, now_ms: int) -> RunnerView | None:
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -134,10 +134,7 @@
         if refusal is not None:
             return refusal
         if job.answered_at_end:
-            state = await self._callers.run(job_id, queue, job.spec, job.steps, request.closed)
-            if state is None:
-                return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
-            return state_response(state)
+            return await self._run_to_end(request, queue, job_id, job)
         acceptance = await self._acceptor.accept(job_id, queue, job.spec, job.steps)
         if acceptance is Acceptance.ACCEPTED:
             return json_response(200, {})
@@ -145,6 +142,16 @@
             return _refusal(503, "store_unavailable", RETRY_AFTER_S)
         return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
 
+    async def _run_to_end(
+        self, request: HttpRequest, queue: Queue, job_id: str, job: SubmittedJob
+    ) -> HttpResponse:
+        end = await self._callers.run(job_id, queue, job.spec, job.steps, request.closed)
+        if end.state is not None:
+            return state_response(end.state)
+        if end.not_run:
+            return _refusal(503, "no_room_in_time", RETRY_AFTER_S)
+        return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
+
     def _refuse(
         self, request: HttpRequest, queue: Queue, job_id: str, job: SubmittedJob
     ) -> HttpResponse | None:
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -55,11 +55,6 @@
         for agent in list(self._streams):
             self.send(agent, message)
 
-    def close_all(self) -> None:
-        """End all streams: the agents connect anew and learn who this entry is now."""
-        for stream in list(self._streams.values()):
-            stream.close()
-
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         stream = Stream(reader, writer, self._sent, self._received)
         try:
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -28,7 +28,7 @@
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 
-TICK_INTERVAL_MS = 100
+TICK_INTERVAL_MS = 50
 LINK_CHECK_INTERVAL_MS = 500
 TAKEOVER_INTERVAL_MS = 100
 # The balancer takes an instance out after two misses, a second apart; until then, work comes.
@@ -77,7 +77,7 @@
             self.configuration,
             self.dispatch,
             self.acceptor,
-            Admission(self.dispatch),
+            Admission(self.dispatch, timers),
             self.callers,
             self.endings,
             self.store,
@@ -112,6 +112,10 @@
         else:
             self.callers.take_end(job)
 
+    def job_refused(self, job: Job) -> None:
+        """Tell the callers of a job that it has not run and will not."""
+        self.callers.refuse(job)
+
     def foreign_end(self, place: Place, event: orders.RunEvent) -> None:
         """Find out about an end of another's job."""
         self.endings.take_foreign_end(place, event)
@@ -154,7 +158,7 @@
         for job in list(self.dispatch.jobs.values()):
             if job.kept:
                 self.dispatch.drop_job(job.job_id, "lease_lost")
-        self.links.close_all()
+        self.links.broadcast(orders.EntryGreeting(self.lease.owner))
         self.takeover.ask()
 
     def _show_readiness(self, _request: HttpRequest) -> HttpResponse:
@@ -166,6 +170,7 @@
         self.dispatch.check_silence(now_ms)
         self.dispatch.settle_unknown(now_ms)
         self.dispatch.place_waiting(now_ms)
+        self.dispatch.refuse_hopeless(now_ms)
 
     async def _keep_lease(self) -> None:
         while True:
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import OrderedDict
 
+import attrs
+
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import Job
@@ -16,6 +18,14 @@
 KEPT_ANSWERS = 10_000
 
 
+@attrs.frozen
+class WaitEnd:
+    """What a waiting caller is told: the job's final state, that it has not run, or neither."""
+
+    state: JobState | None = None
+    not_run: bool = False
+
+
 class WaitingCallers:
     """Runs jobs for callers that wait, and stops a job that nobody waits for any more.
 
@@ -28,7 +38,7 @@
         self._lease = lease
         self._timers = timers
         self._log = log
-        self._callers: dict[str, set[asyncio.Future]] = {}
+        self._callers: dict[str, set[asyncio.Future[WaitEnd]]] = {}
         self._answers: OrderedDict[str, JobState] = OrderedDict()
 
     async def run(
@@ -38,11 +48,11 @@
         spec: str,
         steps: tuple[Step, ...],
         closed: asyncio.Future,
-    ) -> JobState | None:
-        """Run a job to its end; None if the caller has gone before."""
+    ) -> WaitEnd:
+        """Run a job to its end, or as far as it gets."""
         known = self._answers.get(job_id)
         if known is not None:
-            return known
+            return WaitEnd(known)
         ended = asyncio.get_running_loop().create_future()
         self._callers.setdefault(job_id, set()).add(ended)
         if job_id not in self._dispatch.jobs:
@@ -51,7 +61,7 @@
         if ended.done():
             return ended.result()
         self._leave(job_id, ended)
-        return None
+        return WaitEnd()
 
     def _begin(self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]) -> None:
         now_ms = self._timers.now_ms()
@@ -83,7 +93,13 @@
             for ended in list(callers):
                 self._leave(job_id, ended)
                 if not ended.done():
-                    ended.set_result(None)
+                    ended.set_result(WaitEnd())
+
+    def refuse(self, job: Job) -> None:
+        """Tell the callers of a job that it has not run and will not."""
+        for ended in self._callers.pop(job.job_id, set()):
+            if not ended.done():
+                ended.set_result(WaitEnd(not_run=True))
 
     def take_end(self, job: Job) -> None:
         """Answer the callers of a job that has ended."""
@@ -104,4 +120,4 @@
         self._dispatch.drop_job(job.job_id, "ended")
         for ended in self._callers.pop(job.job_id, set()):
             if not ended.done():
-                ended.set_result(state)
+                ended.set_result(WaitEnd(state))
