Count and list every event, serve figures, test the deciding parts without processes

Change: events.py lists each event with its fields (docs/LOGS.md is generated, a test compares code and list); measures.py serves counters and histograms at the metrics address; lines are written in pieces that a pipe takes whole; agents tell of a straggler again after 0.3 s.

--- /dev/null
+++ b/features/platform_core.feature
@@ -0,0 +1,143 @@
+Feature: decisions of the platform path, without processes
+  The ledger of an agent, the owner's dispatch, group commit, leases and acceptance, driven
+  with a manual clock and a fake store.
+
+  Scenario: a start without an answer holds its room until it can't take effect any more
+    Given a ledger of a runner with 2000 thousandths of a core
+    When a run of 1500 is started that expires at 700 on the runner's clock
+    And its call ends without an answer
+    Then the free room is 500
+    When a look at 690 shows nothing
+    Then the free room is 500
+    When a look at 701 shows nothing
+    Then the free room is 2000
+    And the run is told as not started
+
+  Scenario: a start whose answer is lost but that took effect runs
+    Given a ledger of a runner with 2000 thousandths of a core
+    When a run of 1500 is started that expires at 700 on the runner's clock
+    And its call ends without an answer
+    And a look at 750 shows the run at work
+    Then the free room is 500
+    And the run is told as started
+
+  Scenario: runs of unknown size leave no room until their owner tells it
+    Given a ledger of a runner with 2000 thousandths of a core
+    When a look at 100 shows the run at work
+    Then the free room is 0
+    When the owner adopts the run with 500
+    Then the free room is 1500
+
+  Scenario: ends are let go in order, and only once they are stored
+    Given a ledger of a runner with 2000 thousandths of a core
+    When a look at 100 shows the ends 4, 5 and 6 of stored jobs
+    Then ends up to 3 may be forgotten
+    When the ends 5 and 6 are stored
+    Then ends up to 3 may be forgotten
+    When the ends 4 and 5 are stored
+    Then ends up to 6 may be forgotten
+
+  Scenario: an end that was outrun is let go only after the lease has lapsed
+    Given a ledger of a runner with 2000 thousandths of a core
+    When a look at 100 shows the ends 1, 2 and 3 of stored jobs
+    And the end 1 was outrun
+    Then the lease must lapse, and ends up to 0 may be forgotten
+    When the lease has lapsed
+    Then ends up to 1 may be forgotten
+
+  Scenario: a runner that fails what it starts rests, is tried, and rests longer
+    Given a runner's health
+    When it fails 2 runs at 1000
+    Then it rests at 1001 and at 2400, and is on trial at 2600
+    When it fails 1 runs at 2700
+    Then it rests at 2701 and at 5600, and is on trial at 5800
+    When it does a run at 5900
+    Then it does not rest at 6000
+
+  Scenario: nothing is placed at a runner before its agent has told what it holds
+    Given an owner that sees one runner
+    And a job of 2 tasks
+    Then nothing is ordered
+    When the agent tells that it holds nothing
+    Then 2 tasks are ordered
+
+  Scenario: an order that the agent does not hold is placed anew with a higher attempt
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks
+    When the agent joins again and tells that it holds nothing
+    Then the task is ordered again with attempt 2
+
+  Scenario: a silent agent's tasks are placed anew only when nothing can run there
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks
+    When the agent is silent until just before the limit
+    Then the task is still at the agent
+    When the agent is silent beyond the limit
+    Then the task waits
+
+  Scenario: attempts of a new owner lie above all of earlier ones
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks that was taken over with epoch 3
+    Then nothing is ordered
+    When the agents' runs can't be left any more
+    Then the task is ordered again with attempt 2001
+
+  Scenario: a failed end that is told twice counts once
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks that may fail 2 times
+    When the end "failed" of attempt 1 is told twice
+    Then the job is open
+    When the end "failed" of attempt 2 is told twice
+    Then the job has "failed"
+
+  Scenario: a done end of an earlier attempt does not count for a stored job
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks
+    When the agent joins again and tells that it holds nothing
+    And the end "done" of attempt 1 is told twice
+    Then the job is open
+    And the agent is told that the end was outrun
+
+  Scenario: one change that conflicts does not hold up those that share its transaction
+    Given a writer on a fake store with the row "b" taken
+    When the rows "a", "b" and "c" are inserted at once
+    Then "a" and "c" are committed and "b" conflicts
+
+  Scenario: an insert without an answer is never told as refused
+    Given an acceptor on a fake store
+    When the store leaves the first insert unanswered and rejects the second
+    Then the job is accepted in the end
+
+  Scenario: an insert that the store rejects is told as refused
+    Given an acceptor on a fake store
+    When the store rejects every insert
+    Then the job is refused
+
+  Scenario: a lease is ended only after it was seen unchanged for its whole time
+    Given two entries with leases in a fake store
+    When the second entry renews nothing for 4500 ms
+    Then the first entry still counts it as an owner
+    When the second entry renews nothing for 400 ms
+    Then the first entry has ended its lease
+    And the second entry learns at its next renewal that it lost its lease
+
+  Scenario: an outage of the store ends no lease
+    Given two entries with leases in a fake store
+    When the store is away for 20000 ms
+    Then the first entry still counts it as an owner
+
+  Scenario: grants for stored jobs end with the owner's lease
+    Given grants of an agent
+    When an owner without a lease echoes the clock 5000
+    Then what callers wait for may run until 6300 and stored jobs not at all
+
+  Scenario: every event that the code writes is listed with its fields
+    Then each event in the code is in the list, with exactly its fields
+
+  Scenario: the page of events is what the list makes of it
+    Then the page LOGS.md is as generated
--- /dev/null
+++ b/features/steps/platform_core_steps.py
@@ -0,0 +1,615 @@
+"""Steps on the parts of the platform path that decide: no processes, the time is given."""
+
+import ast
+import asyncio
+from pathlib import Path
+
+from behave import given, then, when
+
+from gapdrum.agent.grants import Grants
+from gapdrum.core import orders
+from gapdrum.core.configuration import Queue
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import TaskPhase, build_job
+from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
+from gapdrum.core.records import EntryAddress, OpenJob, step_row
+from gapdrum.core.rows import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Expectation,
+    Page,
+    Put,
+    Row,
+    RowKey,
+    Transaction,
+)
+from gapdrum.core.runner_health import RunnerHealth
+from gapdrum.core.runner_ledger import Run, RunnerLedger
+from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
+from gapdrum.entry.acceptance import Acceptance, Acceptor
+from gapdrum.entry.lease import Lease
+from gapdrum.entry.writer import Writer
+from gapdrum.event_log import EventLog
+from gapdrum.events import KINDS
+from gapdrum.exceptions import StoreOutcomeUnknownError, StoreRejectedError
+
+ROOT = Path(__file__).parent.parent.parent
+JOB = "00000000000000f1"
+TASK = TaskName(JOB, 0, 0, 0)
+RUN = RunKey(TASK, 1)
+OWNER = "entry-1/life"
+QUEUE = Queue("flags", "h", "/flags/", "inspect-desk", 0, 3, 1.6, 60, 1500)
+
+
+class ManualTimers:
+    """A clock that a scenario moves."""
+
+    def __init__(self):
+        self.time_ms = 1_000
+
+    def now_ms(self):
+        return self.time_ms
+
+    def wall_ms(self):
+        return self.time_ms
+
+
+# The agent's ledger.
+
+
+@given("a ledger of a runner with {cpu:d} thousandths of a core")
+def new_ledger(context, cpu):
+    context.ledger = RunnerLedger("i-1", capacity=Resources(cpu, 100, 0))
+    context.ledger.take_look(RunnerLook(10, (), ()), 0)
+    context.told = []
+
+
+@when("a run of {cpu:d} is started that expires at {clock:d} on the runner's clock")
+def begin_run(context, cpu, clock):
+    context.run = Run(RUN, OWNER, 1, Resources(cpu), clock, 0, calling=True)
+    context.ledger.begin(context.run)
+
+
+@when("its call ends without an answer")
+def call_ends(context):
+    context.run.calling = False
+
+
+def look(context, clock, running=(), ended=()):
+    shown = RunnerLook(clock, tuple(running), tuple(ended))
+    context.told += [event for _, event in context.ledger.take_look(shown, clock)]
+
+
+@when("a look at {clock:d} shows nothing")
+def look_empty(context, clock):
+    look(context, clock)
+
+
+@when("a look at {clock:d} shows the run at work")
+def look_running(context, clock):
+    look(context, clock, running=[RunningTask(RUN, 5)])
+
+
+@when("a look at {clock:d} shows the ends {first:d}, {second:d} and {third:d} of stored jobs")
+def look_ends(context, clock, first, second, third):
+    ends = [
+        EndedRun(number, RunKey(TaskName(JOB, 0, 0, number), 1), RunEnd.DONE)
+        for number in (first, second, third)
+    ]
+    look(context, clock, ended=ends)
+
+
+@when("the owner adopts the run with {cpu:d}")
+def adopt(context, cpu):
+    context.ledger.adopt(RUN, OWNER, 1, True, Resources(cpu))
+
+
+@when("the ends {first:d} and {second:d} are stored")
+def ends_stored(context, first, second):
+    context.ledger.store_ends((first, second), ())
+
+
+@when("the end {number:d} was outrun")
+def end_outrun(context, number):
+    context.ledger.store_ends((), (number,))
+
+
+@when("the lease has lapsed")
+def lapse(context):
+    context.ledger.note_lapse()
+
+
+@then("the free room is {cpu:d}")
+def free_room(context, cpu):
+    assert context.ledger.free.cpu_milli == cpu, context.ledger.free
+
+
+@then("the run is told as {kind}")
+def run_told(context, kind):
+    expected = kind.replace(" ", "_")
+    assert [event.kind for event in context.told] == [expected], context.told
+
+
+@then("ends up to {number:d} may be forgotten")
+def forgotten(context, number):
+    assert context.ledger.advance_seen() == number, context.ledger.seen_end
+
+
+@then("the lease must lapse, and ends up to {number:d} may be forgotten")
+def lapse_needed(context, number):
+    assert context.ledger.must_lapse()
+    forgotten(context, number)
+
+
+@given("a runner's health")
+def new_health(context):
+    context.health = RunnerHealth()
+
+
+@when("it fails {count:d} runs at {time:d}")
+def fail_runs(context, count, time):
+    for _ in range(count):
+        context.health.note_strike(time)
+
+
+@when("it does a run at {time:d}")
+def do_run(context, time):
+    context.health.note_done(100, 100, time)
+
+
+@then("it rests at {first:d} and at {second:d}, and is on trial at {third:d}")
+def rests(context, first, second, third):
+    assert context.health.is_resting(first)
+    assert context.health.is_resting(second)
+    assert not context.health.is_resting(third)
+    assert context.health.on_trial
+
+
+@then("it does not rest at {time:d}")
+def not_resting(context, time):
+    assert not context.health.is_resting(time)
+
+
+# The owner's dispatch.
+
+
+class Outside:
+    """Records what the decisions lead to."""
+
+    def __init__(self):
+        self.sent = []
+        self.ended = []
+
+    def send(self, _agent, message):
+        self.sent.append(message)
+        return True
+
+    def job_ended(self, job):
+        self.ended.append(job)
+
+    def job_refused(self, job):
+        self.ended.append(job)
+
+    def foreign_end(self, place, event):
+        self.sent.append((place, event))
+
+    def has_ended(self, _job_id):
+        return False
+
+    def place_soon(self):
+        pass
+
+    def note(self, event, **_fields):
+        assert event in KINDS, event
+
+
+@given("an owner that sees one runner")
+def new_dispatch(context):
+    context.outside = Outside()
+    context.dispatch = Dispatch("plaine-nord", context.outside, lambda: True)
+    context.now_ms = 1_000
+    join(context)
+
+
+def join(context):
+    greeting = orders.AgentGreeting("side-1", "life-1", "plaine-nord", context.now_ms)
+    context.view = context.dispatch.agent_joined(greeting, context.now_ms)
+    report = orders.RunnerReport(
+        "i-1", "inspect-desk", orders.READY, (), 4_000, 4_000, 0, 4_000, 4_000, 0, 0, 0
+    )
+    context.dispatch.take_report(context.view, report, context.now_ms)
+
+
+@given("the agent tells that it holds nothing")
+@when("the agent tells that it holds nothing")
+def hold_nothing(context):
+    holdings = orders.Holdings("i-1", (), ())
+    context.dispatch.take_holdings(context.view, holdings, context.now_ms)
+    context.dispatch.place_waiting(context.now_ms)
+
+
+@when("the agent joins again and tells that it holds nothing")
+def join_again(context):
+    context.outside.sent.clear()
+    join(context)
+    hold_nothing(context)
+
+
+def add_job(context, tasks, failures=3, epoch=1, unknown_until_ms=0):
+    step = Step(tasks, Resources(500, 10, 0), 100)
+    record = OpenJob("flags", "inspect-desk", "{}", OWNER, epoch, 0, (step_row(step),))
+    job = build_job(
+        JOB,
+        record,
+        7,
+        context.now_ms,
+        kept=True,
+        failures_allowed=failures,
+        priority=0,
+        latency_factor=1.6,
+        latency_slack_ms=60,
+    )
+    if unknown_until_ms:
+        job.unknown_until_ms = unknown_until_ms
+        for task in job.tasks:
+            task.phase = TaskPhase.UNKNOWN
+    context.job = job
+    context.dispatch.add_job(job, context.now_ms)
+    context.dispatch.place_waiting(context.now_ms)
+
+
+@given("a job of {tasks:d} tasks")
+def new_job(context, tasks):
+    add_job(context, tasks)
+
+
+@given("a job of 1 tasks that may fail {failures:d} times")
+def new_failing_job(context, failures):
+    add_job(context, 1, failures=failures)
+
+
+@given("a job of 1 tasks that was taken over with epoch {epoch:d}")
+def new_taken_job(context, epoch):
+    add_job(context, 1, epoch=epoch, unknown_until_ms=context.now_ms + orders.SILENCE_LIMIT_MS)
+
+
+@when("the agents' runs can't be left any more")
+def unknown_over(context):
+    context.now_ms += orders.SILENCE_LIMIT_MS
+    context.view.heard_ms = context.now_ms
+    context.dispatch.settle_unknown(context.now_ms)
+    context.dispatch.place_waiting(context.now_ms)
+
+
+@when("the agent is silent until just before the limit")
+def silent_before(context):
+    context.now_ms += orders.SILENCE_LIMIT_MS
+    context.dispatch.check_silence(context.now_ms)
+
+
+@when("the agent is silent beyond the limit")
+def silent_beyond(context):
+    context.now_ms += 1
+    context.dispatch.check_silence(context.now_ms)
+
+
+@when('the end "{end}" of attempt {attempt:d} is told twice')
+def tell_end(context, end, attempt):
+    context.outside.sent.clear()
+    event = orders.RunEvent(TASK.text, attempt, 1, orders.ENDED, end, attempt)
+    for _ in range(2):
+        context.dispatch.take_events(
+            context.view, orders.RunEvents("i-1", (event,)), context.now_ms
+        )
+    context.dispatch.place_waiting(context.now_ms)
+
+
+def list_orders(context):
+    return [
+        row
+        for message in context.outside.sent
+        if isinstance(message, orders.StartOrder)
+        for row in message.runs
+    ]
+
+
+@then("nothing is ordered")
+def no_orders(context):
+    assert not list_orders(context)
+
+
+@then("{count:d} tasks are ordered")
+def ordered(context, count):
+    assert len(list_orders(context)) == count
+
+
+@then("the task is ordered again with attempt {attempt:d}")
+def ordered_again(context, attempt):
+    assert [row.attempt for row in list_orders(context)] == [attempt], list_orders(context)
+
+
+@then("the task is still at the agent")
+def still_there(context):
+    assert context.job.tasks[0].phase is TaskPhase.ORDERED
+
+
+@then("the task waits")
+def task_waits(context):
+    assert context.job.tasks[0].phase is TaskPhase.WAITING
+
+
+@then("the job is open")
+def job_open(context):
+    assert not context.outside.ended
+
+
+@then('the job has "{state}"')
+def job_has(context, state):
+    assert [job.ending.value for job in context.outside.ended] == [state]
+
+
+@then("the agent is told that the end was outrun")
+def told_outrun(context):
+    outrun = [
+        message.outrun for message in context.outside.sent if isinstance(message, orders.EndsStored)
+    ]
+    assert (1,) in outrun, context.outside.sent
+
+
+# The store.
+
+
+class FakeStore:
+    """Rows in memory; ``failures`` are raised by the next writes, ``lost`` ones take effect."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.failures = []
+        self.away = False
+        self.up = True
+
+    async def transact(self, transaction):
+        await asyncio.sleep(0)
+        if self.away:
+            raise StoreRejectedError("away")
+        if self.failures:
+            failure = self.failures.pop(0)
+            if isinstance(failure, StoreOutcomeUnknownError):
+                self.apply(transaction)
+            raise failure
+        return self.apply(transaction)
+
+    def apply(self, transaction):
+        found = [self.row(item.at) for item in transaction.expectations]
+        if any(
+            row.version != item.version
+            for row, item in zip(found, transaction.expectations, strict=True)
+        ):
+            return Conflict(tuple(found))
+        self.version += 1
+        for put in transaction.puts:
+            self.rows[put.at] = Row(put.at, put.value, self.version)
+        for at in transaction.removals:
+            self.rows.pop(at, None)
+        return Committed(self.version)
+
+    def row(self, at):
+        return self.rows.get(at) or Row(at, None, ABSENT)
+
+    async def read_all(self, table, part):
+        if self.away:
+            raise StoreRejectedError("away")
+        rows = [row for at, row in self.rows.items() if (at.table, at.part) == (table, part)]
+        return list(Page(tuple(rows), False, self.version).rows)
+
+
+def row_at(name):
+    return RowKey("t", "p", name)
+
+
+@given('a writer on a fake store with the row "{name}" taken')
+def new_writer(context, name):
+    context.store = FakeStore()
+    context.store.apply(Transaction(puts=(Put(row_at(name), b"taken"),)))
+    context.writer = Writer(context.store)
+
+
+@when('the rows "{first}", "{second}" and "{third}" are inserted at once')
+def insert_rows(context, first, second, third):
+    async def insert():
+        changes = [
+            Transaction((Expectation(row_at(name), ABSENT),), (Put(row_at(name), b"new"),))
+            for name in (first, second, third)
+        ]
+        # A first change occupies the part, so that the others share the next transaction.
+        calls = [context.writer.write("p", Transaction(puts=(Put(row_at("x"), b""),)))]
+        calls += [context.writer.write("p", change) for change in changes]
+        return await asyncio.gather(*calls)
+
+    results = asyncio.run(insert())[1:]
+    context.results = dict(zip((first, second, third), results, strict=True))
+
+
+@then('"{first}" and "{second}" are committed and "{third}" conflicts')
+def settled(context, first, second, third):
+    assert isinstance(context.results[first], Committed), context.results
+    assert isinstance(context.results[second], Committed), context.results
+    assert isinstance(context.results[third], Conflict), context.results
+
+
+def new_log(timers):
+    return EventLog("entry-1", timers)
+
+
+def new_lease(store, timers, name):
+    address = EntryAddress("", "plaine-nord", "10.0.0.1", 7_000)
+    return Lease(name, address, store, timers, new_log(timers))
+
+
+@given("an acceptor on a fake store")
+def new_acceptor(context):
+    context.store = FakeStore()
+    context.timers = ManualTimers()
+    context.lease = new_lease(context.store, context.timers, "entry-1")
+    context.owned = []
+    context.acceptor = Acceptor(
+        context.store,
+        Writer(context.store),
+        context.lease,
+        context.timers,
+        new_log(context.timers),
+        context.owned.append,
+    )
+
+
+def accept(context, failures):
+    async def run():
+        await context.lease.register()
+        context.store.failures = failures
+        step = Step(1, Resources(1), 10)
+        return await context.acceptor.accept(JOB, QUEUE, "{}", (step,))
+
+    context.acceptance = asyncio.run(run())
+
+
+@when("the store leaves the first insert unanswered and rejects the second")
+def unanswered_then_rejected(context):
+    accept(context, [StoreOutcomeUnknownError("lost"), StoreRejectedError("busy")])
+
+
+@when("the store rejects every insert")
+def always_rejected(context):
+    accept(context, [StoreRejectedError("busy")] * 10)
+
+
+@then("the job is accepted in the end")
+def accepted(context):
+    assert context.acceptance is Acceptance.ACCEPTED, context.acceptance
+    assert [job.job_id for job in context.owned] == [JOB]
+
+
+@then("the job is refused")
+def refused(context):
+    assert context.acceptance is Acceptance.REFUSED, context.acceptance
+    assert not context.owned
+
+
+@given("two entries with leases in a fake store")
+def two_leases(context):
+    context.store = FakeStore()
+    context.timers = ManualTimers()
+    context.first = new_lease(context.store, context.timers, "entry-1")
+    context.second = new_lease(context.store, context.timers, "entry-2")
+    context.second_owner = context.second.owner
+
+    async def run():
+        await context.second.keep()
+        await context.first.keep()
+
+    asyncio.run(run())
+
+
+def pass_time(context, time_ms):
+    async def run():
+        for _ in range(time_ms // 100):
+            context.timers.time_ms += 100
+            await context.first.keep()
+
+    asyncio.run(run())
+
+
+@when("the second entry renews nothing for {time_ms:d} ms")
+def no_renewals(context, time_ms):
+    pass_time(context, time_ms)
+
+
+@when("the store is away for {time_ms:d} ms")
+def store_away(context, time_ms):
+    context.store.away = True
+    pass_time(context, time_ms)
+    context.store.away = False
+
+
+@then("the first entry still counts it as an owner")
+def still_owner(context):
+    owners = asyncio.run(context.first.look())
+    assert context.second_owner in owners, owners
+
+
+@then("the first entry has ended its lease")
+def lease_ended(context):
+    owners = asyncio.run(context.first.look())
+    assert context.second_owner not in owners, owners
+
+
+@then("the second entry learns at its next renewal that it lost its lease")
+def lease_lost(context):
+    lost = []
+    context.second.on_lost = lambda: lost.append(True)
+    asyncio.run(context.second.keep())
+    assert lost
+    assert not context.second.valid
+
+
+@given("grants of an agent")
+def new_grants(context):
+    context.grants = Grants(1_000)
+
+
+@when("an owner without a lease echoes the clock {clock:d}")
+def echo(context, clock):
+    context.grants.note(OWNER, clock, False)
+
+
+@then("what callers wait for may run until {clock:d} and stored jobs not at all")
+def granted(context, clock):
+    assert context.grants.until_ms(OWNER, False) == clock
+    assert context.grants.until_ms(OWNER, True) == 0
+
+
+# The list of events.
+
+
+def list_written_events():
+    """Return each event that the sources write, with the fields given there."""
+    found = []
+    for path in (ROOT / "src" / "gapdrum").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+                found.extend(read_call(path, node))
+    return found
+
+
+def read_call(path, node):
+    owner = ast.unparse(node.func.value)
+    is_log = node.func.attr == "write" and owner.endswith("log")
+    is_note = node.func.attr == "note" and owner.endswith("outside")
+    own_line = node.func.attr == "write" and path.name == "event_log.py" and owner == "self"
+    if not (is_log or is_note or own_line) or not isinstance(node.args[0], ast.Constant):
+        return []
+    fields = {word.arg for word in node.keywords}
+    return [(f"{path.name}:{node.lineno}", node.args[0].value, fields)]
+
+
+@then("each event in the code is in the list, with exactly its fields")
+def events_listed(_context):
+    written = list_written_events()
+    assert len(written) > 50, len(written)
+    for place, event, fields in written:
+        assert event in KINDS, f"{place}: {event} is not listed"
+        assert fields <= set(KINDS[event].fields), f"{place}: {event} {fields}"
+    unused = set(KINDS) - {event for _, event, _ in written} - {"note", "unexpected"}
+    assert not unused, unused
+    for event, kind in KINDS.items():
+        given_fields = set().union(*(fields for _, name, fields in written if name == event))
+        if given_fields:
+            assert set(kind.fields) == given_fields, f"{event}: {set(kind.fields) ^ given_fields}"
+
+
+@then("the page LOGS.md is as generated")
+def logs_page(_context):
+    from make_logs_page import PAGE, build_page
+
+    assert PAGE.read_text() == build_page(), "run tools/make_logs_page.py"
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -139,7 +139,7 @@
 
     def _connect(self, link: EntryLink) -> None:
         self._links[link.entry] = link
-        self._log.write("entry_found", entry=link.entry, at=f"{link.address.host}")
+        self._log.write("entry_found", entry=link.entry, host=link.address.host)
         link.task = asyncio.ensure_future(self._keep(link))
 
     def _unlist(self, entry: str) -> None:
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -26,6 +26,7 @@
 from gapdrum.transport.http_client import NoReplyError, NotSentError
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.metrics_listener import open_metrics
 
 IDENTITY_TIMEOUT_MS = 300
 IDENTITY_RETRY_MS = 100
@@ -60,6 +61,17 @@
         self._epochs: OrderedDict[str, int] = OrderedDict()
         self._unreported: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        gauges = self.log.measures.gauges
+        gauges["runs"] = lambda: sum(len(one.ledger.runs) for one in self.keepers.values())
+        gauges["free_cpu_milli"] = lambda: sum(
+            one.ledger.free.cpu_milli for one in self.keepers.values()
+        )
+        gauges["entries_connected"] = lambda: sum(bool(link.owner) for link in self.links)
+        self.log.measures.counters["messages_sent"] = self.sent.total
+        self.log.measures.counters["messages_received"] = self.received.total
 
     def _greet(self) -> orders.AgentGreeting:
         now_ms = self.timers.now_ms()
@@ -350,18 +362,19 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
-        self.log.write("started", role="agent", zone=self.boot.zone, incarnation=self.incarnation)
+        self.log.write("started", role="agent", zone=self.boot.zone, life=self.incarnation)
         self._spawn(self._find_runner())
         self._spawn(self.links.follow())
         address = self.boot.runner_reports
         await self.control.open(address.host, address.port)
+        await open_metrics(self.boot.host, self.log.measures, self.timers)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
         self.timers.subscribe(REPORT_INTERVAL_MS, self._send_reports)
         self.timers.subscribe(ORPHAN_INTERVAL_MS, self._tell_orphans)
         await stopping.wait()
-        self.log.write("stopping", runners=len(self.keepers))
+        self.log.write("stopping", open=len(self.keepers))
         await asyncio.gather(*(keeper.renew_fully() for keeper in self.keepers.values()))
-        self.log.write("stopped")
+        self.log.write("stopped", jobs_handed_over=0)
         self.log.flush()
         return 0
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -95,6 +95,10 @@
                 counts[job.queue] = counts.get(job.queue, 0) + 1
         return counts
 
+    def free_cpu_milli(self) -> int:
+        """Return the processor room that is seen as free, in thousandths of a core."""
+        return sum(max(0, runner.free.cpu_milli) for runner in self.runners.values())
+
     # Agents and runners.
 
     def agent_joined(self, greeting: orders.AgentGreeting, now_ms: int) -> AgentView:
@@ -305,16 +309,14 @@
             runner.out.discard(task)
 
     def _move(self, job: Job, task: Task, event: orders.RunEvent, now_ms: int) -> None:
-        """Stop a run that straggles if another runner has room for it; it is placed anew then."""
+        """Stop a run that straggles, so that it is placed anew, if that is likely to help."""
         task.avoided.add(task.place.runner_id)
         field = build_field(self.runners.values(), job.upstream)
         target = choose_runner(job, task, field, self.zone, now_ms)
-        may_move = (
-            task.moves < MAX_MOVES
-            and target is not None
-            and target.place.runner_id not in task.avoided
-            and self.move_budget.spend()
-        )
+        has_room = target is not None and target.place.runner_id not in task.avoided
+        # A run that stands still may as well wait: it would not end where it is.
+        worth_it = has_room or event.detail == orders.STANDS_STILL
+        may_move = task.moves < MAX_MOVES and worth_it and self.move_budget.spend()
         self.outside.note(
             "task_straggles",
             request=job.job_id,
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -36,6 +36,10 @@
 LOST = "lost"
 STRAGGLING = "straggling"
 
+# Why a run straggles.
+STANDS_STILL = "stands_still"
+CRAWLS = "crawls"
+
 # Phases of a run that an agent holds.
 HELD_STARTING = "starting"
 HELD_RUNNING = "running"
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -22,6 +22,8 @@
 CRAWL_FACTOR = 3
 CRAWL_SLACK_MS = 100
 CRAWL_AFTER_MS = 150
+# An owner that had no other room for a straggler hears of it again after this time.
+STRAGGLER_REPEAT_MS = 300
 # Runners' steady clocks may be this much slow against ours.
 CLOCK_RATE_FLOOR = 0.98
 
@@ -48,7 +50,7 @@
     percent_ms: int = 0
     estimate_ms: int = 0
     started_ms: int = 0
-    straggles: bool = False
+    straggles_ms: int = 0
 
 
 @attrs.define
@@ -212,22 +214,25 @@
             self.health.note_strike(now_ms)
 
     def _judge_pace(self, run: Run, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
-        """Tell the owner once of a run that stands still or crawls."""
-        if run.straggles or run.stopping or not run.started_ms:
+        """Tell the owner, now and then, of a run that stands still or crawls."""
+        if run.stopping or not run.started_ms:
+            return []
+        if now_ms - run.straggles_ms < STRAGGLER_REPEAT_MS:
             return []
         age_ms = now_ms - run.started_ms
         reason = ""
         if now_ms - run.percent_ms > max(STALL_MS, run.estimate_ms * STALL_SHARE):
-            reason = "stands_still"
-            self.health.note_strike(now_ms)
+            reason = orders.STANDS_STILL
+            if not run.straggles_ms:
+                self.health.note_strike(now_ms)
         elif run.percent and age_ms > CRAWL_AFTER_MS:
             total_ms = age_ms * 100 // run.percent
             if total_ms > CRAWL_FACTOR * run.estimate_ms + CRAWL_SLACK_MS:
-                reason = "crawls"
+                reason = orders.CRAWLS
                 self.health.note_projection(total_ms, run.estimate_ms, now_ms)
         if not reason:
             return []
-        run.straggles = True
+        run.straggles_ms = now_ms
         event = _event(run, orders.STRAGGLING, reason)
         return [(run, attrs.evolve(event, percent=run.percent))]
 
--- a/src/gapdrum/entry/acceptance.py
+++ b/src/gapdrum/entry/acceptance.py
@@ -92,7 +92,11 @@
             except StoreRejectedError as error:
                 if not unanswered:
                     self._log.write(
-                        "job_refused", request=job_id, queue=queue.name, reason=error.message
+                        "job_refused",
+                        request=job_id,
+                        queue=queue.name,
+                        reason=error.message,
+                        wait_ms=0,
                     )
                     return Acceptance.REFUSED
             else:
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -168,13 +168,21 @@
         wait_ms = self._admission.must_wait_ms(queue, job.steps)
         if wait_ms:
             retry_after_s = max(1, math.ceil(wait_ms / MS_PER_S))
-            return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s)
+            return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s, wait_ms)
         return None
 
     def _note_refusal(
-        self, job_id: str, queue: Queue, status: int, reason: str, retry_after_s: int
+        self,
+        job_id: str,
+        queue: Queue,
+        status: int,
+        reason: str,
+        retry_after_s: int,
+        wait_ms: int = 0,
     ) -> HttpResponse:
-        self._log.write("job_refused", request=job_id, queue=queue.name, reason=reason)
+        self._log.write(
+            "job_refused", request=job_id, queue=queue.name, reason=reason, wait_ms=wait_ms
+        )
         return _refusal(status, reason, retry_after_s)
 
     # Asking.
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -27,6 +27,7 @@
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.metrics_listener import open_metrics
 
 TICK_INTERVAL_MS = 50
 LINK_CHECK_INTERVAL_MS = 500
@@ -88,6 +89,25 @@
         self.listener = HttpListener(self.front.handle, self.limits, timers)
         self.readiness = HttpListener(self._show_readiness, HttpLimits(), timers)
         self._wire()
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        gauges = self.log.measures.gauges
+        gauges["open_jobs"] = lambda: len(self.dispatch.jobs)
+        gauges["waiting_jobs"] = lambda: len(self.dispatch.waiting)
+        gauges["agents_connected"] = lambda: self.links.connected
+        gauges["runners_seen"] = lambda: len(self.dispatch.runners)
+        gauges["free_cpu_milli"] = self.dispatch.free_cpu_milli
+        gauges["lease_held"] = lambda: self.lease.valid
+        gauges["store_up"] = lambda: self.store.up
+        gauges["configuration_version"] = self._configuration_version
+        self.log.measures.counters["store_calls"] = lambda: self.store.calls
+        self.log.measures.counters["messages_sent"] = self.sent.total
+        self.log.measures.counters["messages_received"] = self.received.total
+
+    def _configuration_version(self) -> int:
+        current = self.configuration.current
+        return current.version if current is not None else 0
 
     def _wire(self) -> None:
         self.configuration.on_change = self._take_configuration
@@ -193,11 +213,12 @@
             asyncio.ensure_future(self._keep_lease()),
         ]
         await self.listener.open(boot.callers.host, boot.callers.port)
+        await open_metrics(boot.host, self.log.measures, self.timers)
         self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
         self.timers.subscribe(LINK_CHECK_INTERVAL_MS, self.links.cut_silent)
         self.timers.subscribe(TAKEOVER_INTERVAL_MS, self.takeover.scan_if_wanted)
         self.timers.subscribe(PROGRESS_INTERVAL_MS, self.endings.store_progress)
-        self.log.write("started", role="entry", zone=boot.zone, owner=self.lease.owner)
+        self.log.write("started", role="entry", zone=boot.zone, life=self.lease.incarnation)
         await stopping.wait()
         await self._shut_down()
         for task in background:
@@ -211,7 +232,7 @@
         """Leave the balancer, answer what is open, and hand the jobs over."""
         began_ms = self.timers.now_ms()
         self.leaving = True
-        self.log.write("stopping", jobs=len(self.dispatch.jobs))
+        self.log.write("stopping", open=len(self.dispatch.jobs))
         end_ms = began_ms + self.boot.shutdown_ms
         self.front.refuse_from(end_ms - ANSWER_BEFORE_END_MS)
         await asyncio.sleep(KEEP_SERVING_MS / MS_PER_S)
--- a/src/gapdrum/entry/store_access.py
+++ b/src/gapdrum/entry/store_access.py
@@ -87,9 +87,13 @@
 
     def _note_change(self, reason: str) -> None:
         up = self._failures < FAILURES_UNTIL_DOWN
-        if up != self._was_up:
-            self._was_up = up
-            self._log.write("store_regained" if up else "store_lost", reason=reason)
+        if up == self._was_up:
+            return
+        self._was_up = up
+        if up:
+            self._log.write("store_regained", reason=reason)
+        else:
+            self._log.write("store_lost", reason=reason)
 
     def check_up(self) -> None:
         """Raise StoreRejectedError if the store is taken to be away."""
--- a/src/gapdrum/event_log.py
+++ b/src/gapdrum/event_log.py
@@ -9,6 +9,8 @@
 
 from loguru import logger
 
+from gapdrum.events import LATENCIES
+from gapdrum.measures import Measures
 from gapdrum.timers import Timers
 
 STDOUT = 1
@@ -17,7 +19,9 @@
 # Lines a second from one process; decisions of the busiest second measured stay below this.
 MAX_LINES_PER_S = 4_000
 FLUSH_INTERVAL_MS = 50
-FLUSH_BYTES = 64 * 1024
+MAX_REASON_LENGTH = 60  # a label of a counter; reasons are codes or short texts
+# Writes of up to this size reach a pipe whole, so that lines are never torn (PIPE_BUF).
+FLUSH_BYTES = 4_096
 
 
 class EventLog:
@@ -31,7 +35,8 @@
 
     def __init__(self, instance: str, timers: Timers) -> None:
         self.dropped: Counter[str] = Counter()
-        self.written: Counter[str] = Counter()
+        self.measures = Measures()
+        self.measures.counters["log_lines_dropped"] = self.dropped.total
         self._instance = instance
         self._timers = timers
         self._lines: deque[bytes] = deque()
@@ -47,15 +52,22 @@
         self._timers.subscribe(1_000, self._refill)
 
     def write(self, event: str, **fields: Any) -> None:
-        """Write a line, unless too many have been written or wait."""
+        """Count an event and write its line, unless too many have been written or wait."""
+        self._measure(event, fields)
         if self._left <= 0 or len(self._lines) >= MAX_WAITING_LINES:
             self.dropped[event] += 1
             return
         self._left -= 1
-        self.written[event] += 1
         line = {"t_ms": self._timers.wall_ms(), "at": self._instance, "event": event, **fields}
         self._lines.append(json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n")
 
+    def _measure(self, event: str, fields: dict[str, Any]) -> None:
+        reason = fields.get("reason", fields.get("end", fields.get("state", "")))
+        self.measures.events[event, str(reason)[:MAX_REASON_LENGTH]] += 1
+        for kind, field in LATENCIES:
+            if kind == event:
+                self.measures.note_latency(f"{event}_{field.removesuffix('_ms')}", fields[field])
+
     def _take_line(self, message: Any) -> None:
         """Take a line of the logging library, such as an unexpected exception."""
         record = message.record
@@ -85,7 +97,7 @@
     def _gather(self) -> bytes:
         parts = []
         size = 0
-        while self._lines and size < FLUSH_BYTES:
+        while self._lines and (not parts or size + len(self._lines[0]) <= FLUSH_BYTES):
             parts.append(self._lines.popleft())
             size += len(parts[-1])
         return b"".join(parts)
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -30,6 +30,7 @@
     def __init__(self, entries: int = 2, agents: int = 2) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="gapdrum-platform-"))
         self.pool = urllib3.PoolManager(maxsize=64, retries=False, timeout=CALL_TIMEOUT_S)
+        self.metrics_ports: dict[str, int] = {}
         self.store = self._module("store", "gapdrum_standins.row_store", find_port(), [])
         self.entries: list[Process] = []
         self.ready_ports: list[int] = []
@@ -163,6 +164,11 @@
                 rows.extend(self.call(runner.port, "GET", "/history")[1])
         return sorted(rows, key=lambda row: row["wall_ms"])
 
+    def metrics(self, name: str) -> str:
+        """Return the text at a process's metrics address."""
+        url = f"http://{HOST}:{self.metrics_ports[name]}/metrics"
+        return self.pool.request("GET", url).data.decode()
+
     def events(self, name: str, event: str) -> list[dict]:
         """Return the lines of one event in a process's log."""
         lines = (self.folder / f"{name}.log").read_text().splitlines()
@@ -205,6 +211,8 @@
         environment = dict(os.environ)
         if settings is not None:
             environment["GAPDRUM_SETTINGS"] = str(settings)
+            self.metrics_ports[name] = find_port()
+            environment["GAPDRUM_METRICS_PORT"] = str(self.metrics_ports[name])
         return Process(name, command, port, self.folder / f"{name}.log", environment=environment)
 
     def _write_settings(self, name: str, number: int, listen: str, top: str) -> Path:
