Split the owner's decisions; believe no lease that nobody heard of; no estimate, no crawl

A runner that was gone kept its runs, and took new ones again and again, as each start that was never sent counted as a renewal and its room looked free. A task without an estimate always counted as crawling. A runner that its restarted agent did not tell of kept its tasks for ever, and a stopped end of a task that was taken over let it wait while a later run of it could still be at work. Change: fleet, placer, dispatch, outside; LeaseBound; a runner where nobody listens has no room.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -45,6 +45,19 @@
     When the lease has lapsed
     Then ends up to 1 may be forgotten
 
+  Scenario: a task without an estimate does not crawl
+    Given a ledger of a runner with 2000 thousandths of a core
+    When a look at 100 shows the run at work
+    And 400 ms later a look at 500 shows 20 percent of it
+    Then the run is not told as straggling
+
+  Scenario: a lease that nobody heard of ends when the last one that was sent does
+    Given a bound of leases
+    When a renewal until 2000 is sent, and one until 2500 is not
+    Then the lease ends at 2000
+    When a renewal until 2600 is under way
+    Then the lease ends at 2600
+
   Scenario: a runner that fails what it starts rests, is tried, and rests longer
     Given a runner's health
     When it fails 2 runs at 1000
@@ -77,6 +90,25 @@
     When the agent is silent beyond the limit
     Then the task waits
 
+  Scenario: a runner that its restarted agent does not tell of is given up
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks
+    When the agent's next life joins and tells of no runner
+    And the agent is heard, but not of the runner, until just before the limit
+    Then the task is still at the agent
+    When the agent is heard, but not of the runner, beyond the limit
+    Then the task waits
+
+  Scenario: an end that stopped an earlier run does not start a taken-over task too early
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks that was taken over with epoch 2
+    When the end "stopped" of attempt 1 is told twice
+    Then nothing is ordered
+    When the agents' runs can't be left any more
+    Then the task is ordered again with attempt 1001
+
   Scenario: attempts of a new owner lie above all of earlier ones
     Given an owner that sees one runner
     And the agent tells that it holds nothing
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -7,9 +7,10 @@
 from behave import given, then, when
 
 from gapdrum.agent.grants import Grants
+from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
-from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import TaskPhase, build_job
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.records import EntryAddress, OpenJob, step_row
@@ -142,6 +143,40 @@
     forgotten(context, number)
 
 
+@when("{later:d} ms later a look at {clock:d} shows {percent:d} percent of it")
+def look_later(context, later, clock, percent):
+    shown = RunnerLook(clock, (RunningTask(RUN, percent),), ())
+    context.ledger.note_started(context.ledger.runs[RUN], 0)
+    context.told += [event for _, event in context.ledger.take_look(shown, later)]
+
+
+@then("the run is not told as straggling")
+def not_straggling(context):
+    assert orders.STRAGGLING not in [event.kind for event in context.told], context.told
+
+
+@given("a bound of leases")
+def new_bound(context):
+    context.bound = LeaseBound()
+
+
+@when("a renewal until {sent:d} is sent, and one until {unsent:d} is not")
+def renewals(context, sent, unsent):
+    first, second = context.bound.propose(sent), context.bound.propose(unsent)
+    context.bound.settle(first, True)
+    context.bound.settle(second, False)
+
+
+@when("a renewal until {ends:d} is under way")
+def renewal_under_way(context, ends):
+    context.bound.propose(ends)
+
+
+@then("the lease ends at {ends:d}")
+def lease_ends(context, ends):
+    assert context.bound.ends_ms == ends, context.bound.ends_ms
+
+
 @given("a runner's health")
 def new_health(context):
     context.health = RunnerHealth()
@@ -207,14 +242,14 @@
 @given("an owner that sees one runner")
 def new_dispatch(context):
     context.outside = Outside()
-    context.dispatch = Dispatch("plaine-nord", context.outside, lambda: True)
+    context.dispatch = build_dispatch("plaine-nord", context.outside, lambda: True)
     context.now_ms = 1_000
     join(context)
 
 
 def join(context):
     greeting = orders.AgentGreeting("side-1", "life-1", "plaine-nord", context.now_ms)
-    context.view = context.dispatch.agent_joined(greeting, context.now_ms)
+    context.view = context.dispatch.fleet.agent_joined(greeting, context.now_ms)
     report = orders.RunnerReport(
         "i-1", "inspect-desk", orders.READY, (), 4_000, 4_000, 0, 4_000, 4_000, 0, 0, 0
     )
@@ -226,7 +261,7 @@
 def hold_nothing(context):
     holdings = orders.Holdings("i-1", (), ())
     context.dispatch.take_holdings(context.view, holdings, context.now_ms)
-    context.dispatch.place_waiting(context.now_ms)
+    context.dispatch.placer.place_waiting(context.now_ms)
 
 
 @when("the agent joins again and tells that it holds nothing")
@@ -256,7 +291,7 @@
             task.phase = TaskPhase.UNKNOWN
     context.job = job
     context.dispatch.add_job(job, context.now_ms)
-    context.dispatch.place_waiting(context.now_ms)
+    context.dispatch.placer.place_waiting(context.now_ms)
 
 
 @given("a job of {tasks:d} tasks")
@@ -279,7 +314,7 @@
     context.now_ms += orders.SILENCE_LIMIT_MS
     context.view.heard_ms = context.now_ms
     context.dispatch.settle_unknown(context.now_ms)
-    context.dispatch.place_waiting(context.now_ms)
+    context.dispatch.placer.place_waiting(context.now_ms)
 
 
 @when("the agent is silent until just before the limit")
@@ -294,6 +329,28 @@
     context.dispatch.check_silence(context.now_ms)
 
 
+@when("the agent's next life joins and tells of no runner")
+def next_life(context):
+    greeting = orders.AgentGreeting("side-1", "life-2", "plaine-nord", 0)
+    context.view = context.dispatch.fleet.agent_joined(greeting, context.now_ms)
+
+
+@when("the agent is heard, but not of the runner, until just before the limit")
+def runner_untold_before(context):
+    silent_before_with_beat(context, orders.SILENCE_LIMIT_MS)
+
+
+@when("the agent is heard, but not of the runner, beyond the limit")
+def runner_untold_beyond(context):
+    silent_before_with_beat(context, 1)
+
+
+def silent_before_with_beat(context, time_ms):
+    context.now_ms += time_ms
+    context.view.heard_ms = context.now_ms
+    context.dispatch.check_silence(context.now_ms)
+
+
 @when('the end "{end}" of attempt {attempt:d} is told twice')
 def tell_end(context, end, attempt):
     context.outside.sent.clear()
@@ -302,7 +359,7 @@
         context.dispatch.take_events(
             context.view, orders.RunEvents("i-1", (event,)), context.now_ms
         )
-    context.dispatch.place_waiting(context.now_ms)
+    context.dispatch.placer.place_waiting(context.now_ms)
 
 
 def list_orders(context):
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 
 from gapdrum.agent.grants import Grants
+from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import Resources, RunKey, TaskName
 from gapdrum.core.runner_ledger import Run, RunnerLedger, not_started
-from gapdrum.core.runner_models import Heartbeat
+from gapdrum.core.runner_models import Heartbeat, RunnerLook
 from gapdrum.event_log import EventLog
 from gapdrum.platform.runner_calls import (
     REASON_FENCED,
@@ -69,7 +70,7 @@
         self._report = report
         self._on_looked = on_looked
         self._fence = 0
-        self._lease_ends_ms = 0  # on our clock, for a runner that can't be reached
+        self._bound = LeaseBound()
         self._lease_until_ms = 0  # on the runner's clock
         self._tasks: set[asyncio.Task] = set()
         self._stops_sent: dict[RunKey, int] = {}
@@ -84,7 +85,6 @@
     async def keep(self) -> None:
         """Look and renew until this incarnation is gone."""
         while not self.ledger.gone:
-            lease_ends_ms = self._lease_ends_ms
             try:
                 await self._step()
             except RunnerReplacedError:
@@ -93,8 +93,7 @@
                 self._take_rejection(error)
                 await asyncio.sleep(PAUSE_MS / MS_PER_S)
             except NotSentError:
-                # Nothing was renewed: the lease ends when it would have ended before.
-                self._lease_ends_ms = lease_ends_ms
+                self._note_unreachable()
                 self._check_lapse()
                 await asyncio.sleep(PAUSE_MS / MS_PER_S)
             except NoReplyError:
@@ -108,11 +107,8 @@
         now_ms = self._timers.now_ms()
         self._check_rest(now_ms)
         self._stop_what_must(now_ms)
-        until_ms = self._choose_lease(now_ms)
-        wait_ms = LOOK_WAIT_MS if self.ledger.looked else 0
-        look = await self._calls.look(
-            until_ms, self.ledger.advance_seen(), self._fence, wait_ms, LOOK_TIMEOUT_MS
-        )
+        left_ms = 0 if self.ledger.must_lapse() else self._lease_left_ms(now_ms)
+        look = await self._look(left_ms, LOOK_WAIT_MS if self.ledger.looked else 0)
         now_ms = self._timers.now_ms()
         first = not self.ledger.looked
         was_resting = bool(self.ledger.health.resting_until_ms)
@@ -141,6 +137,21 @@
             # Ends that are not stored yet are shown at once, again and again.
             await asyncio.sleep(UNSTORED_PAUSE_MS / MS_PER_S)
 
+    async def _look(self, left_ms: int, wait_ms: int) -> RunnerLook:
+        """Look, and renew the lease by so much; raises what the call raises."""
+        until_ms = self._lease_until(left_ms)
+        call = self._bound.propose(self._timers.now_ms() + left_ms + LAPSE_SLACK_MS)
+        sent = True
+        try:
+            return await self._calls.look(
+                until_ms, self.ledger.advance_seen(), self._fence, wait_ms, LOOK_TIMEOUT_MS
+            )
+        except NotSentError:
+            sent = False
+            raise
+        finally:
+            self._bound.settle(call, sent)
+
     def _check_rest(self, now_ms: int) -> None:
         """Tell the entries when a suspect runner may be tried again."""
         was_resting = bool(self.ledger.health.resting_until_ms)
@@ -171,12 +182,6 @@
         if error.reason == REASON_FENCED and error.clock_ms is not None:
             self._fence = max(self._fence, error.clock_ms)
 
-    def _choose_lease(self, now_ms: int) -> int:
-        """Return until when the lease is renewed on the runner's clock, 0 for no renewal."""
-        if self.ledger.must_lapse():
-            return 0
-        return self._note_lease(now_ms, self._lease_left_ms(now_ms))
-
     def _lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, or less if an owner is silent."""
         limits = [
@@ -185,17 +190,24 @@
         ]
         return min([self._run_lease_ms, *limits])
 
-    def _note_lease(self, now_ms: int, left_ms: int) -> int:
+    def _lease_until(self, left_ms: int) -> int:
+        """Return until when a lease runs on the runner's clock, 0 for no renewal."""
         if left_ms <= 0:
             return 0
-        until_ms = self.ledger.clock_floor(now_ms) + left_ms
+        until_ms = self.ledger.clock_floor(self._timers.now_ms()) + left_ms
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
-        self._lease_ends_ms = max(self._lease_ends_ms, now_ms + left_ms + LAPSE_SLACK_MS)
         return until_ms
 
+    def _note_unreachable(self) -> None:
+        """Tell entries that there is no room while nobody listens at the runner."""
+        if self.ledger.reachable:
+            self.ledger.reachable = False
+            self._log.write("runner_unreachable", runner=self.runner_id)
+            self._report(self, [])
+
     def _check_lapse(self) -> None:
         """Take a runner that can't be reached as gone once everything there has lapsed."""
-        if self.ledger.runs and self._timers.now_ms() > self._lease_ends_ms:
+        if self.ledger.runs and self._timers.now_ms() > self._bound.ends_ms:
             runs = [run for run in self.ledger.runs.values() if not run.calling]
             events = []
             for run in runs:
@@ -204,7 +216,6 @@
                     run.key.task.text, run.key.attempt, run.epoch, orders.LOST, "lease_lapsed"
                 )
                 events.append((run, event))
-            self.ledger.reachable = False
             self._report(self, events)
 
     def set_gone(self, reason: str) -> None:
@@ -268,8 +279,8 @@
     ) -> None:
         # The start also renews the lease of all, so it is bound by the same limits.
         limit_ms = self._grants.lease_limit_ms(owner, order.kept) - now_ms
-        left_ms = min(START_WINDOW_MS, self._lease_left_ms(now_ms), limit_ms)
-        expires_ms = self._note_lease(now_ms, max(1, left_ms))
+        left_ms = max(1, min(START_WINDOW_MS, self._lease_left_ms(now_ms), limit_ms))
+        expires_ms = self._lease_until(left_ms)
         run = Run(
             RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
             owner,
@@ -282,12 +293,14 @@
             estimate_ms=row.estimate_ms,
         )
         self.ledger.begin(run)
-        self._spawn(self._start(run, order.spec))
+        self._spawn(self._start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS))
 
-    async def _start(self, run: Run, spec: str) -> None:
+    async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
         """Call until the start is answered; the same start again is the same run."""
         settled = None
         unanswered = False
+        sent = False
+        call = self._bound.propose(lease_ends_ms)
         while settled is None and self._may_still_start(run):
             try:
                 clock_ms = await self._calls.start(
@@ -295,15 +308,21 @@
                 )
                 self.ledger.note_clock(clock_ms, self._timers.now_ms())
                 settled = orders.STARTED
+                sent = True
             except NoReplyError:
                 unanswered = True
+                sent = True
             except NotSentError:
+                if not unanswered:
+                    break
                 await asyncio.sleep(PAUSE_MS / MS_PER_S)
             except RunnerReplacedError:
                 self.set_gone("replaced")
             except RunnerRejectedError as error:
+                sent = True
                 settled = self._judge_rejection(run, error, unanswered)
         run.calling = False
+        self._bound.settle(call, sent)
         if settled is None and not unanswered:
             settled = orders.NOT_STARTED
         self._settle_start(run, settled)
@@ -388,11 +407,9 @@
         """Renew once more before the agent ends, so that its successor finds the runs alive."""
         if self.ledger.gone or not self._fence or not self.ledger.looked:
             return
-        until_ms = self._choose_lease(self._timers.now_ms())
+        left_ms = 0 if self.ledger.must_lapse() else self._lease_left_ms(self._timers.now_ms())
         try:
-            await self._calls.look(
-                until_ms, self.ledger.advance_seen(), self._fence, 0, FIRST_LOOK_TIMEOUT_MS
-            )
+            await self._look(left_ms, 0)
         except (NoReplyError, NotSentError, RunnerRejectedError, RunnerReplacedError) as error:
             self._log.write("last_renewal_failed", runner=self.runner_id, code=error.code)
 
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -30,10 +30,9 @@
 
 @attrs.frozen
 class Place:
-    """A runner, and the life of the agent beside it."""
+    """A runner, and the agent beside it."""
 
     agent: str
-    agent_incarnation: str
     runner_id: str
 
 
@@ -137,7 +136,9 @@
         elif end is RunEnd.FAILED:
             task.failed_attempts.add(attempt)
             self.progress_dirty_ms = self.progress_dirty_ms or now_ms
-        if task.phase is not TaskPhase.DONE and attempt == task.attempt:
+        # A later run of a task that was taken over may be where nobody has told of it yet.
+        open_phases = (TaskPhase.ORDERED, TaskPhase.RUNNING)
+        if task.phase in open_phases and attempt == task.attempt:
             self.release(task, now_ms)
 
     def release(self, task: Task, now_ms: int) -> None:
--- /dev/null
+++ b/src/gapdrum/core/placer.py
@@ -0,0 +1,187 @@
+"""Which waiting task goes where, and how long a new one would wait."""
+
+from collections.abc import Callable
+
+import attrs
+
+from gapdrum.budgets import RatioBudget
+from gapdrum.core import orders
+from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of
+from gapdrum.core.fleet import Fleet
+from gapdrum.core.jobs import Job, Place, Task, TaskPhase
+from gapdrum.core.models import Resources, Step
+from gapdrum.core.outside import Outside
+from gapdrum.core.placement_rules import Field, build_field, choose_runner, waiting_order
+from gapdrum.core.runner_views import RunnerView
+
+# How many jobs that find no room are looked at before the rest is left to the next change:
+# smaller ones may still fit, but under overload all of them would be looked at in vain.
+HELD_JOBS_TRIED = 8
+# How often a task is moved away from where it straggles, and the share of all starts that
+# moves may take, so that a slow day does not become a flood of restarts.
+MAX_MOVES = 3
+MOVE_BUDGET_PERCENT = 15
+# How long a job that can't meet its objective any more still waits for room that others leave.
+HOPE_MS = 50
+
+
+@attrs.define
+class Placer:
+    """The jobs that wait, and the orders that they lead to. The time is given."""
+
+    zone: str
+    outside: Outside
+    may_act: Callable[[], bool]  # for stored jobs: whether the lease in the store is held
+    fleet: Fleet
+    jobs: dict[str, Job]
+    waiting: set[str] = attrs.Factory(set)
+    backlog: Backlog = attrs.Factory(Backlog)
+    move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
+
+    def expected_wait_ms(self, steps: tuple[Step, ...], latest_start_ms: int, now_ms: int) -> int:
+        """Return how long a new job would wait for room behind those that must start before it."""
+        if not self.waiting:
+            return 0
+        jobs = (self.jobs[job_id] for job_id in self.waiting)
+        ahead = waiting_work(jobs, latest_start_ms) + OWN_SHARE * work_of(steps)
+        return self.backlog.wait_ms(ahead, now_ms)
+
+    def list_hopeless(self, now_ms: int) -> list[Job]:
+        """Return waiting jobs that no longer can meet their objective and have not begun."""
+        return [
+            job
+            for job in (self.jobs[job_id] for job_id in self.waiting)
+            if not job.kept and job.untouched and now_ms > job.latest_start_ms + HOPE_MS
+        ]
+
+    def place_waiting(self, now_ms: int) -> None:
+        """Place the waiting tasks that find room, the most urgent first."""
+        if not self.waiting:
+            return
+        may_act = self.may_act()
+        fields: dict[str, Field] = {}
+        jobs = [self.jobs[job_id] for job_id in self.waiting]
+        jobs.sort(key=lambda job: waiting_order(job, now_ms))
+        held = 0
+        for job in jobs:
+            if job.kept and not may_act:
+                continue
+            if job.upstream not in fields:
+                fields[job.upstream] = build_field(self.fleet.runners.values(), job.upstream)
+            if job.ending is not None or not self._place_job(job, fields[job.upstream], now_ms):
+                self.waiting.discard(job.job_id)
+                continue
+            held += 1
+            if held >= HELD_JOBS_TRIED:
+                return
+
+    def _place_job(self, job: Job, field: Field, now_ms: int) -> bool:
+        """Place what can be placed of a job; return whether some of it still waits."""
+        chosen: dict[Place, list[Task]] = {}
+        held = False
+        refused = None
+        ready = job.ready_tasks()
+        for task in ready:
+            runner = choose_runner(job, task, field, self.zone, now_ms)
+            if runner is None:
+                held = True
+                self._note_held(job, task)
+                if task.step.resources == refused:
+                    break
+                refused = task.step.resources
+                continue
+            self._assign(job, task, runner, now_ms)
+            chosen.setdefault(runner.place, []).append(task)
+        for key, tasks in chosen.items():
+            self._send_order(job, self.fleet.runners[key], tasks, now_ms)
+        return held or any(task.phase is TaskPhase.WAITING for task in ready)
+
+    def _note_held(self, job: Job, task: Task) -> None:
+        if not task.held_noted:
+            task.held_noted = True
+            self.outside.note(
+                "task_held", request=job.job_id, task=task.name.text, reason="no_room"
+            )
+
+    def _assign(self, job: Job, task: Task, runner: RunnerView, now_ms: int) -> None:
+        task.attempt = job.next_attempt(task)
+        task.phase = TaskPhase.ORDERED
+        task.place = runner.place
+        task.changed_ms = now_ms
+        task.started_ms = 0
+        runner.order(task.step.resources)
+        self.backlog.note_placed(_work(task), now_ms)
+        self.move_budget.earn()
+        runner.out.add(task)
+
+    def _send_order(self, job: Job, runner: RunnerView, tasks: list[Task], now_ms: int) -> None:
+        runs = tuple(_ordered_run(task, task.step.resources) for task in tasks)
+        order = orders.StartOrder(
+            runner.place.runner_id,
+            job.job_id,
+            job.epoch,
+            job.spec,
+            runner.agent.clock_ms,
+            job.kept,
+            runs,
+        )
+        sent = self.outside.send(runner.place.agent, order)
+        for task in tasks:
+            self.outside.note(
+                "task_placed",
+                request=job.job_id,
+                task=task.name.text,
+                attempt=task.attempt,
+                runner=runner.place.runner_id,
+                free_cpu_milli=runner.free.cpu_milli,
+                heard_ms_ago=now_ms - runner.agent.heard_ms,
+            )
+            if not sent:
+                self.release(job, task, "stream_closed", now_ms)
+
+    def release(self, job: Job, task: Task, reason: str, now_ms: int) -> None:
+        """Let a task wait again whose last start came to nothing."""
+        if task.phase not in (TaskPhase.ORDERED, TaskPhase.RUNNING):
+            return
+        self.outside.note(
+            "task_released",
+            request=job.job_id,
+            task=task.name.text,
+            attempt=task.attempt,
+            runner=task.place.runner_id,
+            reason=reason,
+        )
+        if task.phase is TaskPhase.ORDERED:
+            self.backlog.note_returned(_work(task), now_ms)
+        self.fleet.take_away(task)
+        job.release(task, now_ms)
+        self.waiting.add(job.job_id)
+
+    def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
+        """Tell whether a run that straggles is to be placed anew, and count the move."""
+        task.avoided.add(task.place.runner_id)
+        field = build_field(self.fleet.runners.values(), job.upstream)
+        target = choose_runner(job, task, field, self.zone, now_ms)
+        has_room = target is not None and target.place.runner_id not in task.avoided
+        # A run that stands still may as well wait: it would not end where it is.
+        worth_it = has_room or reason == orders.STANDS_STILL
+        if not worth_it or task.moves >= MAX_MOVES or not self.move_budget.spend():
+            return False
+        task.moves += 1
+        return True
+
+
+def _work(task: Task) -> int:
+    return task.step.resources.cpu_milli * task.step.estimate_ms
+
+
+def _ordered_run(task: Task, room: Resources) -> orders.OrderedRun:
+    return orders.OrderedRun(
+        task.name.step,
+        task.name.index,
+        task.attempt,
+        room.cpu_milli,
+        room.memory_mb,
+        room.accelerators,
+        task.step.estimate_ms,
+    )
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -225,7 +225,7 @@
             reason = orders.STANDS_STILL
             if not run.straggles_ms:
                 self.health.note_strike(now_ms)
-        elif run.percent and age_ms > CRAWL_AFTER_MS:
+        elif run.percent and run.estimate_ms and age_ms > CRAWL_AFTER_MS:
             total_ms = age_ms * 100 // run.percent
             if total_ms > CRAWL_FACTOR * run.estimate_ms + CRAWL_SLACK_MS:
                 reason = orders.CRAWLS
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -38,11 +38,12 @@
 
     place: Place
     agent: AgentView
-    upstream: str
-    state: str
-    labels: tuple[str, ...]
-    capacity: Resources
-    reported_free: Resources
+    unsynced_ms: int
+    upstream: str = ""
+    state: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: Resources = NOTHING
+    reported_free: Resources = NOTHING
     orders_sent: int = 0
     unseen: deque[tuple[int, Resources]] = attrs.Factory(deque)
     free: Resources = NOTHING
@@ -68,11 +69,12 @@
         self.unseen.append((self.orders_sent, room))
         self.free = self.free - room
 
-    def restart_count(self) -> None:
+    def restart_count(self, now_ms: int) -> None:
         """Begin counting anew, as the stream is new."""
         self.orders_sent = 0
         self.unseen.clear()
         self.synced = False
+        self.unsynced_ms = now_ms
         self._count()
 
     def _count(self) -> None:
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -72,7 +72,7 @@
         previous = self._streams.pop(greeting.agent, None)
         if previous is not None:
             previous.close()
-        view = self.dispatch.agent_joined(greeting, self._timers.now_ms())
+        view = self.dispatch.fleet.agent_joined(greeting, self._timers.now_ms())
         self._streams[greeting.agent] = stream
         stream.send(orders.EntryGreeting(self.owner()))
         claims = self.unsettled_claims()
@@ -86,7 +86,7 @@
         finally:
             if self._streams.get(greeting.agent) is stream:
                 del self._streams[greeting.agent]
-                self.dispatch.agent_left(view)
+                self.dispatch.fleet.agent_left(view)
 
     def _take(self, view: AgentView, message: object) -> None:
         now_ms = self._timers.now_ms()
@@ -110,6 +110,6 @@
         """Cut streams whose agent was not heard for too long."""
         limit_ms = self._timers.now_ms() - SILENT_STREAM_MS
         for agent, stream in list(self._streams.items()):
-            view = self.dispatch.agents.get(agent)
+            view = self.dispatch.fleet.agents.get(agent)
             if view is None or view.heard_ms < limit_ms:
                 stream.close()
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -7,7 +7,7 @@
 
 from gapdrum.core import orders
 from gapdrum.core.configuration import Configuration
-from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import Job, Place
 from gapdrum.core.records import EntryAddress
 from gapdrum.entry.acceptance import Acceptor
@@ -60,7 +60,7 @@
         address = EntryAddress("", boot.zone, boot.host, boot.streams_port)
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
-        self.dispatch = Dispatch(boot.zone, self, lambda: self.lease.valid)
+        self.dispatch = build_dispatch(boot.zone, self, lambda: self.lease.valid)
         self.endings = Endings(self.store, self.writer, self.dispatch, self.links, timers, log)
         self.takeover = Takeover(
             self.store,
@@ -78,7 +78,7 @@
             self.configuration,
             self.dispatch,
             self.acceptor,
-            Admission(self.dispatch, timers),
+            Admission(self.dispatch.placer, timers),
             self.callers,
             self.endings,
             self.store,
@@ -94,10 +94,10 @@
     def _add_gauges(self) -> None:
         gauges = self.log.measures.gauges
         gauges["open_jobs"] = lambda: len(self.dispatch.jobs)
-        gauges["waiting_jobs"] = lambda: len(self.dispatch.waiting)
+        gauges["waiting_jobs"] = lambda: len(self.dispatch.placer.waiting)
         gauges["agents_connected"] = lambda: self.links.connected
-        gauges["runners_seen"] = lambda: len(self.dispatch.runners)
-        gauges["free_cpu_milli"] = self.dispatch.free_cpu_milli
+        gauges["runners_seen"] = lambda: len(self.dispatch.fleet.runners)
+        gauges["free_cpu_milli"] = self.dispatch.fleet.free_cpu_milli
         gauges["lease_held"] = lambda: self.lease.valid
         gauges["store_up"] = lambda: self.store.up
         gauges["configuration_version"] = self._configuration_version
@@ -152,7 +152,7 @@
 
     def _place(self) -> None:
         self._placing = False
-        self.dispatch.place_waiting(self.timers.now_ms())
+        self.dispatch.placer.place_waiting(self.timers.now_ms())
 
     def note(self, event: str, **fields: object) -> None:
         """Record a decision."""
@@ -189,7 +189,7 @@
         now_ms = self.timers.now_ms()
         self.dispatch.check_silence(now_ms)
         self.dispatch.settle_unknown(now_ms)
-        self.dispatch.place_waiting(now_ms)
+        self.dispatch.placer.place_waiting(now_ms)
         self.dispatch.refuse_hopeless(now_ms)
 
     async def _keep_lease(self) -> None:
