gapdrum logs trace: join the logs of all processes into a request's timeline

Cause: a failed request's id led to its cause only by reading the logs of many processes. Change: timelines.py joins lines by request, adds the changes of belief that bore on it, and sums up; scenarios for timeline, figures, and a reader that does not read.

--- /dev/null
+++ b/features/explaining.feature
@@ -0,0 +1,32 @@
+Feature: a failure is explained afterwards from logs and figures
+
+  Scenario: the logs of all processes join into the timeline of a request
+    Given a platform with 2 entries and 2 agents
+    When the waiting job "00000000000000e1" of 3 tasks of 100 ms is submitted at entry 0
+    And stored jobs fill all runners for 3000 ms
+    And the waiting job "00000000000000e2" of 2 tasks of 100 ms is submitted at entry 1
+    Then the timeline of "00000000000000e1" says "ended succeeded after"
+    And the timeline of "00000000000000e2" says "given up, not run: no room"
+    And the timeline of "00000000000000e9" says "no process has logged this request"
+
+  Scenario: figures tell decisions by reason, and durations
+    Given a platform with 1 entries and 1 agents
+    When the waiting job "00000000000000e3" of 3 tasks of 100 ms is submitted at entry 0
+    Then the figures of "entry-0" have these lines
+      | line                                                    |
+      | gapdrum_events_total{event="task_ended",reason="done"}  |
+      | gapdrum_job_ended_total_seconds_bucket                  |
+      | gapdrum_free_cpu_milli 16000.0                          |
+      | gapdrum_agents_connected 1.0                            |
+      | gapdrum_log_lines_dropped_total 0.0                     |
+    And the figures of "agent-0" have these lines
+      | line                                                    |
+      | gapdrum_entries_connected 1.0                           |
+      | gapdrum_runs 0.0                                        |
+
+  Scenario: a reader that does not read holds nothing up, and what is dropped is counted
+    Given an event log whose reader does not read
+    When 20000 lines are written
+    Then writing took no wait, and dropped lines are counted by event
+    When the reader reads
+    Then only whole lines were written
--- a/src/gapdrum/cli.py
+++ b/src/gapdrum/cli.py
@@ -15,6 +15,7 @@
 
 from gapdrum.exceptions import GapdrumError
 from gapdrum.sessions import Session
+from gapdrum.timelines import build_timeline, read_lines
 
 EXIT_FAILED = 1
 EXIT_FINDINGS = 2
@@ -31,6 +32,8 @@
 app = typer.Typer(no_args_is_help=True, help="Operate gapdrum through any of its entries.")
 config_app = typer.Typer(no_args_is_help=True, help="Read and change the settings tree.")
 app.add_typer(config_app, name="config")
+logs_app = typer.Typer(no_args_is_help=True, help="Read the logs of processes.")
+app.add_typer(logs_app, name="logs")
 
 Url = Annotated[str, typer.Option(envvar="GAPDRUM_URL", help="An entry's URL.")]
 Token = Annotated[str, typer.Option(envvar="GAPDRUM_TOKEN", help="The operator's token.")]
@@ -278,6 +281,21 @@
     return "" if value is None else str(value)
 
 
+@logs_app.command()
+def trace(
+    request: Annotated[str, typer.Argument(help="The request's identity.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of entries and agents.")],
+) -> None:
+    """Show what all processes did with a request, in order, and what it comes to."""
+    timeline = build_timeline(request, read_lines(files))
+    for line in timeline.lines:
+        typer.echo(line.render(timeline.begin_ms))
+    for sentence in timeline.summary:
+        typer.echo(f"* {sentence}")
+    if not timeline.lines:
+        raise typer.Exit(EXIT_FAILED)
+
+
 def main() -> None:
     """Run the command ``gapdrum``."""
     app()
