Find a job again whose claim was not answered; wait for runners that are still being found

Cause: a claim whose answer was lost made the row this entry's own, and own rows counted as known: nobody ran the job any more. After a loss of power, jobs were given up for lack of room while the runners were just coming back. Ruled out: that the other entry takes it up (the row names a living owner).

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -109,6 +109,16 @@
     When the agents' runs can't be left any more
     Then the task is ordered again with attempt 1001
 
+  Scenario: a job that found no room in time is given up, but not while runners are being found
+    Given an owner that sees one runner
+    And a job of 2 tasks whose caller waits
+    When 400 ms pass
+    Then the job is open
+    When 2500 ms pass
+    And another job of 2 tasks whose caller waits
+    And 400 ms pass
+    Then the other job is refused
+
   Scenario: attempts of a new owner lie above all of earlier ones
     Given an owner that sees one runner
     And the agent tells that it holds nothing
--- a/features/platform_failures.feature
+++ b/features/platform_failures.feature
@@ -120,6 +120,15 @@
     Then the job "00000000000000d6" becomes "succeeded" at entry 1
     And each task of "00000000000000d6" was started 1 time
 
+  Scenario: a claim whose answer is lost is found again, and the job ends
+    Given a platform with 2 entries and 2 agents
+    When the stored job "00000000000000d9" of 4 tasks of 1500 ms is submitted at entry 0
+    And 4 tasks have started
+    And the store is in "lost" for 1 calls that write a job
+    And process entry-0 is killed
+    Then the job "00000000000000d9" becomes "succeeded" at entry 1
+    And no task ran twice at the same time
+
   Scenario: the feed's history is forgotten and a configuration still comes into force
     Given a platform with 2 entries and 2 agents
     When the store is in "forget"
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -37,6 +37,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 JOB = "00000000000000f1"
+OTHER_JOB = "00000000000000f2"
 TASK = TaskName(JOB, 0, 0, 0)
 RUN = RunKey(TASK, 1)
 OWNER = "entry-1/life"
@@ -242,7 +243,7 @@
 @given("an owner that sees one runner")
 def new_dispatch(context):
     context.outside = Outside()
-    context.dispatch = build_dispatch("plaine-nord", context.outside, lambda: True)
+    context.dispatch = build_dispatch("plaine-nord", context.outside, lambda: True, 0)
     context.now_ms = 1_000
     join(context)
 
@@ -271,15 +272,15 @@
     hold_nothing(context)
 
 
-def add_job(context, tasks, failures=3, epoch=1, unknown_until_ms=0):
+def add_job(context, tasks, failures=3, epoch=1, unknown_until_ms=0, kept=True, job_id=JOB):
     step = Step(tasks, Resources(500, 10, 0), 100)
     record = OpenJob("flags", "inspect-desk", "{}", OWNER, epoch, 0, (step_row(step),))
     job = build_job(
-        JOB,
+        job_id,
         record,
         7,
         context.now_ms,
-        kept=True,
+        kept=kept,
         failures_allowed=failures,
         priority=0,
         latency_factor=1.6,
@@ -299,6 +300,27 @@
     add_job(context, tasks)
 
 
+@given("a job of {tasks:d} tasks whose caller waits")
+def new_waiting_job(context, tasks):
+    add_job(context, tasks, kept=False)
+
+
+@when("another job of {tasks:d} tasks whose caller waits")
+def other_waiting_job(context, tasks):
+    add_job(context, tasks, kept=False, job_id=OTHER_JOB)
+
+
+@when("{time_ms:d} ms pass")
+def time_passes(context, time_ms):
+    context.now_ms += time_ms
+    context.dispatch.refuse_hopeless(context.now_ms)
+
+
+@then("the other job is refused")
+def other_refused(context):
+    assert context.outside.ended[-1].job_id == OTHER_JOB, context.outside.ended
+
+
 @given("a job of 1 tasks that may fail {failures:d} times")
 def new_failing_job(context, failures):
     add_job(context, 1, failures=failures)
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -330,9 +330,11 @@
             self.outside.job_ended(job)
 
 
-def build_dispatch(zone: str, outside: Outside, may_act: Callable[[], bool]) -> Dispatch:
+def build_dispatch(
+    zone: str, outside: Outside, may_act: Callable[[], bool], now_ms: int
+) -> Dispatch:
     """Return an owner without jobs; ``may_act`` tells whether the lease in the store is held."""
     jobs: dict[str, Job] = {}
     fleet = Fleet(outside)
-    placer = Placer(zone, outside, may_act, fleet, jobs)
+    placer = Placer(zone, outside, may_act, fleet, jobs, now_ms)
     return Dispatch(outside, jobs, fleet, placer)
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -23,6 +23,8 @@
 MOVE_BUDGET_PERCENT = 15
 # How long a job that can't meet its objective any more still waits for room that others leave.
 HOPE_MS = 50
+# Agents that start together with an entry are there after 0.7 s, their runners' room 1.5 s later.
+WARM_UP_MS = 2_500
 
 
 @attrs.define
@@ -34,6 +36,7 @@
     may_act: Callable[[], bool]  # for stored jobs: whether the lease in the store is held
     fleet: Fleet
     jobs: dict[str, Job]
+    started_ms: int
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
@@ -47,11 +50,18 @@
         return self.backlog.wait_ms(ahead, now_ms)
 
     def list_hopeless(self, now_ms: int) -> list[Job]:
-        """Return waiting jobs that no longer can meet their objective and have not begun."""
+        """Return waiting jobs that no longer can meet their objective and have not begun.
+
+        While the runners are still being found, room may come any moment, so these jobs wait
+        for as long as they are of use.
+        """
+        warming_up = now_ms < self.started_ms + WARM_UP_MS
         return [
             job
             for job in (self.jobs[job_id] for job_id in self.waiting)
-            if not job.kept and job.untouched and now_ms > job.latest_start_ms + HOPE_MS
+            if not job.kept
+            and job.untouched
+            and now_ms > (job.useless_from_ms if warming_up else job.latest_start_ms + HOPE_MS)
         ]
 
     def place_waiting(self, now_ms: int) -> None:
--- a/src/gapdrum/entry/acceptance.py
+++ b/src/gapdrum/entry/acceptance.py
@@ -62,6 +62,10 @@
         self._own = own
         self._settling: dict[str, asyncio.Task] = {}
 
+    def is_settling(self, job_id: str) -> bool:
+        """Tell whether the store has not yet said what became of a job's row."""
+        return job_id in self._settling
+
     async def accept(
         self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]
     ) -> Acceptance:
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -60,19 +60,21 @@
         address = EntryAddress("", boot.zone, boot.host, boot.streams_port)
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
-        self.dispatch = build_dispatch(boot.zone, self, lambda: self.lease.valid)
+        self.dispatch = build_dispatch(boot.zone, self, lambda: self.lease.valid, timers.now_ms())
         self.endings = Endings(self.store, self.writer, self.dispatch, self.links, timers, log)
+        self.acceptor = Acceptor(self.store, self.writer, self.lease, timers, log, self._own)
         self.takeover = Takeover(
             self.store,
             self.writer,
             self.lease,
             self.dispatch,
             self.links,
+            self.acceptor,
+            self.endings,
             self.configuration,
             timers,
             log,
         )
-        self.acceptor = Acceptor(self.store, self.writer, self.lease, timers, log, self._own)
         self.callers = WaitingCallers(self.dispatch, self.lease, timers, log)
         self.front = Front(
             self.configuration,
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -1,7 +1,6 @@
 """Takes over the open jobs of entries whose lease has ended, without being asked."""
 
 import random
-from collections.abc import Callable
 
 import attrs
 
@@ -17,8 +16,9 @@
     load_record,
 )
 from gapdrum.core.rows import Conflict, Expectation, Put, Row, Transaction
-from gapdrum.entry.acceptance import job_of_queue
+from gapdrum.entry.acceptance import Acceptor, job_of_queue
 from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.endings import Endings
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.links import AgentLinks
 from gapdrum.entry.store_access import StoreAccess
@@ -43,6 +43,8 @@
         lease: Lease,
         dispatch: Dispatch,
         links: AgentLinks,
+        acceptor: Acceptor,
+        endings: Endings,
         configuration: ConfigurationWatch,
         timers: Timers,
         log: EventLog,
@@ -52,12 +54,13 @@
         self._lease = lease
         self._dispatch = dispatch
         self._links = links
+        self._acceptor = acceptor
+        self._endings = endings
         self._configuration = configuration
         self._timers = timers
         self._log = log
         self._wanted = True
         self._scanned_ms = 0
-        self.on_claimed: Callable[[], None] = lambda: None
 
     def ask(self) -> None:
         """Ask for a scan soon, as an owner has gone."""
@@ -91,9 +94,17 @@
     def _is_orphan(self, row: Row, owners: frozenset[str]) -> bool:
         owner = load_record(row.value).owner
         if owner == self._lease.owner:
-            return False
+            # A claim whose answer was lost has made the row ours without our knowing the job.
+            return not self._is_known(row.at.key)
         return owner not in owners
 
+    def _is_known(self, job_id: str) -> bool:
+        return (
+            job_id in self._dispatch.jobs
+            or self._acceptor.is_settling(job_id)
+            or self._endings.known_state(job_id) is not None
+        )
+
     async def _claim(self, part: str, rows: list[Row]) -> None:
         claims = [(row, self._claimed(row)) for row in rows]
         transaction = Transaction(
