Split the agent: reports, entry orders, and the runner's starts and context

Change: what is told, what is ordered, starting and stopping, and the lease that they share have modules of their own; no behaviour changes.

--- /dev/null
+++ b/src/gapdrum/agent/entry_orders.py
@@ -0,0 +1,175 @@
+"""What entries tell the agent: starts, stops, claims, and what may be let go."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+
+from gapdrum.agent.entry_links import EntryLink, EntryLinks
+from gapdrum.agent.grants import Grants
+from gapdrum.agent.reports import Reports
+from gapdrum.agent.runner_keeper import RunnerKeeper
+from gapdrum.core import orders
+from gapdrum.core.models import Resources, RunKey, TaskName
+from gapdrum.core.runner_ledger import not_started
+from gapdrum.event_log import EventLog
+from gapdrum.timers import Timers
+
+# Epochs of jobs that are remembered: a job is over long before so many others were claimed.
+KEPT_EPOCHS = 50_000
+
+
+class EntryOrders:
+    """Carries out what entries order, as far as epoch, grant and room allow it."""
+
+    def __init__(
+        self,
+        links: EntryLinks,
+        keepers: Mapping[str, RunnerKeeper],
+        grants: Grants,
+        reports: Reports,
+        timers: Timers,
+        log: EventLog,
+    ) -> None:
+        self._links = links
+        self._keepers = keepers
+        self._grants = grants
+        self._reports = reports
+        self._timers = timers
+        self._log = log
+        self._epochs: OrderedDict[str, int] = OrderedDict()
+
+    def take(self, link: EntryLink, message: object) -> None:
+        """Carry out one message of an entry."""
+        handler = self._HANDLERS.get(type(message))
+        if handler is None:
+            self._log.write("message_unknown", kind=type(message).__name__)
+            return
+        handler(self, link, message)
+
+    def _take_echo(self, link: EntryLink, echo: orders.BeatEcho) -> None:
+        self._grants.note(link.owner, echo.clock_ms, echo.lease_held)
+
+    def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
+        link.orders += len(order.runs)
+        self._grants.note(link.owner, order.clock_ms, order.kept)
+        keeper = self._keepers.get(order.runner_id)
+        if self._epochs.get(order.job_id, 0) > order.epoch:
+            refused = self._refuse_all(order, orders.JOB_SUPERSEDED)
+        elif keeper is None:
+            refused = self._refuse_all(order, orders.RUNNER_GONE)
+        else:
+            refused = keeper.starts.order(link.owner, order, self._timers.now_ms())
+            self._reports.room_changed(order.runner_id)
+        if refused:
+            link.send(orders.RunEvents(order.runner_id, tuple(refused)))
+            self._log_refusals(refused)
+            if keeper is not None:
+                link.send(self._reports.describe(keeper, link))
+
+    @staticmethod
+    def _refuse_all(order: orders.StartOrder, reason: str) -> list[orders.RunEvent]:
+        return [
+            not_started(
+                RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
+                order.epoch,
+                reason,
+            )
+            for row in order.runs
+        ]
+
+    def _log_refusals(self, refused: list[orders.RunEvent]) -> None:
+        for event in refused:
+            self._log.write(
+                "order_refused",
+                request=event.task.partition(".")[0],
+                task=event.task,
+                attempt=event.attempt,
+                reason=event.detail,
+            )
+
+    def _take_stop(self, _link: EntryLink, message: orders.StopOrder) -> None:
+        keeper = self._keepers.get(message.runner_id)
+        if keeper is None:
+            return
+        for row in message.runs:
+            keeper.starts.stop(RunKey(TaskName.parse(row.task), row.attempt))
+
+    def _take_stored(self, _link: EntryLink, message: orders.EndsStored) -> None:
+        keeper = self._keepers.get(message.runner_id)
+        if keeper is not None:
+            keeper.ledger.store_ends(message.numbers, message.outrun)
+
+    def _take_claims(self, link: EntryLink, message: orders.JobsClaimed) -> None:
+        """Refuse lower epochs of the jobs from now on, and tell what is held of them."""
+        for row in message.jobs:
+            if row.epoch > self._epochs.get(row.job_id, 0):
+                self._epochs[row.job_id] = row.epoch
+        while len(self._epochs) > KEPT_EPOCHS:
+            self._epochs.popitem(last=False)
+        names = frozenset(row.job_id for row in message.jobs)
+        epochs = {row.job_id: row.epoch for row in message.jobs}
+        for keeper in self._keepers.values():
+            self._tell_former_owners(keeper, epochs, link.owner)
+            if keeper.ledger.looked:
+                held = keeper.ledger.held_runs(names)
+                link.send(orders.Holdings(keeper.runner_id, tuple(names), held))
+
+    def _tell_former_owners(self, keeper: RunnerKeeper, epochs: dict[str, int], owner: str) -> None:
+        for run in keeper.ledger.runs.values():
+            job_id = run.key.task.job_id
+            if job_id in epochs and run.owner not in ("", owner):
+                former = self._links.of_owner(run.owner)
+                if former is not None:
+                    former.send(orders.JobLost(job_id, epochs[job_id]))
+
+    def _take_adoption(self, link: EntryLink, message: orders.AdoptRuns) -> None:
+        keeper = self._keepers.get(message.runner_id)
+        if keeper is None:
+            return
+        for row in message.runs:
+            if row.epoch < self._epochs.get(TaskName.parse(row.task).job_id, 0):
+                continue
+            room = Resources(row.cpu_milli, row.memory_mb, row.accelerators)
+            key = RunKey(TaskName.parse(row.task), row.attempt)
+            keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, room)
+        self._reports.room_changed(message.runner_id)
+
+    def end_former_lives(self, link: EntryLink) -> None:
+        """Stop what runs for callers that waited at earlier lives of an entry that has joined."""
+        former = {
+            run.owner
+            for keeper in self._keepers.values()
+            for run in keeper.ledger.runs.values()
+            if run.owner.startswith(f"{link.entry}/") and run.owner != link.owner
+        }
+        for owner in former:
+            self.stop_unwaited(owner)
+
+    def rename_owner(self, former: str, owner: str) -> None:
+        """Let what runs for callers that wait go on for the same entry's new life."""
+        for keeper in self._keepers.values():
+            for run in keeper.ledger.runs.values():
+                if run.owner == former and not run.kept:
+                    run.owner = owner
+
+    def stop_unwaited(self, owner: str) -> None:
+        """Stop what runs for callers that waited at a life of an entry that is gone."""
+        for keeper in self._keepers.values():
+            for run in list(keeper.ledger.runs.values()):
+                if run.owner == owner and not run.kept:
+                    self._log.write(
+                        "run_stopped_for_owner",
+                        request=run.key.task.job_id,
+                        task=run.key.task.text,
+                        attempt=run.key.attempt,
+                        owner=owner,
+                    )
+                    keeper.starts.stop(run.key)
+
+    _HANDLERS: dict[type, Callable] = {
+        orders.BeatEcho: _take_echo,
+        orders.StartOrder: _take_order,
+        orders.StopOrder: _take_stop,
+        orders.EndsStored: _take_stored,
+        orders.JobsClaimed: _take_claims,
+        orders.AdoptRuns: _take_adoption,
+    }
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -3,16 +3,15 @@
 import asyncio
 import signal
 import uuid
-from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections import Counter
 
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
+from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
+from gapdrum.agent.reports import Reports
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
-from gapdrum.core.models import Resources, RunKey, TaskName
-from gapdrum.core.runner_ledger import Run, not_started
 from gapdrum.event_log import EventLog, run_program
 from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
@@ -31,11 +30,8 @@
 IDENTITY_TIMEOUT_MS = 300
 IDENTITY_RETRY_MS = 100
 REPORT_INTERVAL_MS = 25  # room is told to all entries this often at most
-# Ends that nobody has stored after this long are told to all entries again, this often.
-ORPHAN_AFTER_MS = 1_500
+# How often ends that nobody has stored are told to all entries again.
 ORPHAN_INTERVAL_MS = 1_000
-# Epochs of jobs that are remembered: a job is over long before so many others were claimed.
-KEPT_EPOCHS = 50_000
 
 
 class Agent:
@@ -53,13 +49,13 @@
         self.links = EntryLinks(
             RowStore(boot.store), self._greet, timers, log, self.sent, self.received
         )
-        self.links.on_joined = self._tell_everything
-        self.links.on_renamed = self._rename_owner
-        self.links.on_away = self._stop_unwaited
-        self.links.on_message = self._take_message
+        self.reports = Reports(self.links, self.keepers, timers)
+        self.orders = EntryOrders(self.links, self.keepers, self.grants, self.reports, timers, log)
+        self.links.on_joined = self._welcome
+        self.links.on_renamed = self.orders.rename_owner
+        self.links.on_away = self.orders.stop_unwaited
+        self.links.on_message = self.orders.take
         self.control = HttpListener(self._take_report, HttpLimits(), timers)
-        self._epochs: OrderedDict[str, int] = OrderedDict()
-        self._unreported: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._add_gauges()
 
@@ -77,6 +73,11 @@
         now_ms = self.timers.now_ms()
         return orders.AgentGreeting(self.boot.instance, self.incarnation, self.boot.zone, now_ms)
 
+    def _welcome(self, link: EntryLink) -> None:
+        """Tell an entry that has just joined what is held here; its earlier lives are over."""
+        self.orders.end_former_lives(link)
+        self.reports.tell_everything(link)
+
     # The runner's reports.
 
     def _take_report(self, request: HttpRequest) -> HttpResponse:
@@ -114,8 +115,8 @@
             self.boot.run_lease_ms,
             self.timers,
             self.log,
-            self._report,
-            self._tell_holdings,
+            self.reports.report,
+            self.reports.tell_holdings,
         )
         self.keepers[runner_id] = keeper
         self.log.write("runner_found", runner=runner_id, address=str(address))
@@ -124,7 +125,7 @@
 
     async def _keep_runner(self, keeper: RunnerKeeper) -> None:
         await keeper.keep()
-        self._send_reports()
+        self.reports.send_room()
         if self.keepers.get(keeper.runner_id) is keeper:
             del self.keepers[keeper.runner_id]
 
@@ -141,219 +142,6 @@
                 return
             await asyncio.sleep(IDENTITY_RETRY_MS / MS_PER_S)
 
-    # What is told to entries.
-
-    def _report(self, keeper: RunnerKeeper, events: list[tuple[Run, orders.RunEvent]]) -> None:
-        """Tell owners what happened to their runs, and all entries of the room soon."""
-        by_owner: dict[str, list[orders.RunEvent]] = {}
-        for run, event in events:
-            by_owner.setdefault(run.owner, []).append(event)
-        for owner, rows in by_owner.items():
-            link = self.links.of_owner(owner)
-            if link is not None:
-                link.send(orders.RunEvents(keeper.runner_id, tuple(rows)))
-                link.send(self._describe(keeper, link))
-        self._unreported.add(keeper.runner_id)
-
-    def _describe(self, keeper: RunnerKeeper, link: EntryLink) -> orders.RunnerReport:
-        ledger = keeper.ledger
-        capacity = ledger.capacity or Resources()
-        free = ledger.free
-        return orders.RunnerReport(
-            ledger.runner_id,
-            ledger.upstream,
-            ledger.state,
-            ledger.labels,
-            capacity.cpu_milli,
-            capacity.memory_mb,
-            capacity.accelerators,
-            free.cpu_milli,
-            free.memory_mb,
-            free.accelerators,
-            link.orders,
-            ledger.health.slowness_permille(self.timers.now_ms()),
-        )
-
-    def _send_reports(self) -> None:
-        """Tell all entries of the room that has changed."""
-        changed = self._unreported
-        self._unreported = set()
-        for runner_id in changed:
-            keeper = self.keepers.get(runner_id)
-            if keeper is None:
-                continue
-            for link in self.links:
-                link.send(self._describe(keeper, link))
-
-    def _tell_everything(self, link: EntryLink) -> None:
-        """Tell an entry that has just joined what is held here; its earlier lives are over."""
-        former = {
-            run.owner
-            for keeper in self.keepers.values()
-            for run in keeper.ledger.runs.values()
-            if run.owner.startswith(f"{link.entry}/") and run.owner != link.owner
-        }
-        for owner in former:
-            self._stop_unwaited(owner)
-        for keeper in self.keepers.values():
-            self._tell_one(keeper, link)
-
-    def _tell_holdings(self, keeper: RunnerKeeper) -> None:
-        """Tell all entries what a runner holds, before any of them may order work there."""
-        for link in self.links:
-            self._tell_one(keeper, link)
-
-    def _tell_one(self, keeper: RunnerKeeper, link: EntryLink) -> None:
-        link.send(self._describe(keeper, link))
-        if keeper.ledger.looked:
-            link.send(orders.Holdings(keeper.runner_id, (), keeper.ledger.held_runs()))
-
-    def _tell_orphans(self) -> None:
-        """Tell all entries of ends that nobody has stored for long."""
-        limit_ms = self.timers.now_ms() - ORPHAN_AFTER_MS
-        for keeper in self.keepers.values():
-            rows = tuple(
-                orders.RunEvent(
-                    end.key.task.text,
-                    end.key.attempt,
-                    end.epoch,
-                    orders.ENDED,
-                    end.end.value,
-                    number,
-                )
-                for number, end in keeper.ledger.ends.items()
-                if end.noted_ms < limit_ms and not end.stored and not end.outrun
-            )
-            for link in self.links if rows else ():
-                link.send(orders.RunEvents(keeper.runner_id, rows))
-
-    def _rename_owner(self, former: str, owner: str) -> None:
-        """Let what runs for callers that wait go on for the same entry's new life."""
-        for keeper in self.keepers.values():
-            for run in keeper.ledger.runs.values():
-                if run.owner == former and not run.kept:
-                    run.owner = owner
-
-    def _stop_unwaited(self, owner: str) -> None:
-        """Stop what runs for callers that waited at a life of an entry that is gone."""
-        for keeper in self.keepers.values():
-            for run in list(keeper.ledger.runs.values()):
-                if run.owner == owner and not run.kept:
-                    self.log.write(
-                        "run_stopped_for_owner",
-                        request=run.key.task.job_id,
-                        task=run.key.task.text,
-                        attempt=run.key.attempt,
-                        owner=owner,
-                    )
-                    keeper.stop(run.key)
-
-    # What entries tell.
-
-    def _take_message(self, link: EntryLink, message: object) -> None:
-        handler = self._HANDLERS.get(type(message))
-        if handler is None:
-            self.log.write("message_unknown", kind=type(message).__name__)
-            return
-        handler(self, link, message)
-
-    def _take_echo(self, link: EntryLink, echo: orders.BeatEcho) -> None:
-        self.grants.note(link.owner, echo.clock_ms, echo.lease_held)
-
-    def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
-        link.orders += len(order.runs)
-        self.grants.note(link.owner, order.clock_ms, order.kept)
-        keeper = self.keepers.get(order.runner_id)
-        if self._epochs.get(order.job_id, 0) > order.epoch:
-            refused = self._refuse_all(order, orders.JOB_SUPERSEDED)
-        elif keeper is None:
-            refused = self._refuse_all(order, orders.RUNNER_GONE)
-        else:
-            refused = keeper.order(link.owner, order, self.timers.now_ms())
-            self._unreported.add(order.runner_id)
-        if refused:
-            link.send(orders.RunEvents(order.runner_id, tuple(refused)))
-            self._log_refusals(refused)
-            if keeper is not None:
-                link.send(self._describe(keeper, link))
-
-    @staticmethod
-    def _refuse_all(order: orders.StartOrder, reason: str) -> list[orders.RunEvent]:
-        return [
-            not_started(
-                RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
-                order.epoch,
-                reason,
-            )
-            for row in order.runs
-        ]
-
-    def _log_refusals(self, refused: list[orders.RunEvent]) -> None:
-        for event in refused:
-            self.log.write(
-                "order_refused",
-                request=event.task.partition(".")[0],
-                task=event.task,
-                attempt=event.attempt,
-                reason=event.detail,
-            )
-
-    def _take_stop(self, _link: EntryLink, message: orders.StopOrder) -> None:
-        keeper = self.keepers.get(message.runner_id)
-        if keeper is None:
-            return
-        for row in message.runs:
-            keeper.stop(RunKey(TaskName.parse(row.task), row.attempt))
-
-    def _take_stored(self, _link: EntryLink, message: orders.EndsStored) -> None:
-        keeper = self.keepers.get(message.runner_id)
-        if keeper is not None:
-            keeper.ledger.store_ends(message.numbers, message.outrun)
-
-    def _take_claims(self, link: EntryLink, message: orders.JobsClaimed) -> None:
-        """Refuse lower epochs of the jobs from now on, and tell what is held of them."""
-        for row in message.jobs:
-            if row.epoch > self._epochs.get(row.job_id, 0):
-                self._epochs[row.job_id] = row.epoch
-        while len(self._epochs) > KEPT_EPOCHS:
-            self._epochs.popitem(last=False)
-        names = frozenset(row.job_id for row in message.jobs)
-        epochs = {row.job_id: row.epoch for row in message.jobs}
-        for keeper in self.keepers.values():
-            self._tell_former_owners(keeper, epochs, link.owner)
-            if keeper.ledger.looked:
-                held = keeper.ledger.held_runs(names)
-                link.send(orders.Holdings(keeper.runner_id, tuple(names), held))
-
-    def _tell_former_owners(self, keeper: RunnerKeeper, epochs: dict[str, int], owner: str) -> None:
-        for run in keeper.ledger.runs.values():
-            job_id = run.key.task.job_id
-            if job_id in epochs and run.owner not in ("", owner):
-                former = self.links.of_owner(run.owner)
-                if former is not None:
-                    former.send(orders.JobLost(job_id, epochs[job_id]))
-
-    def _take_adoption(self, link: EntryLink, message: orders.AdoptRuns) -> None:
-        keeper = self.keepers.get(message.runner_id)
-        if keeper is None:
-            return
-        for row in message.runs:
-            if row.epoch < self._epochs.get(TaskName.parse(row.task).job_id, 0):
-                continue
-            room = Resources(row.cpu_milli, row.memory_mb, row.accelerators)
-            key = RunKey(TaskName.parse(row.task), row.attempt)
-            keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, room)
-        self._unreported.add(message.runner_id)
-
-    _HANDLERS: dict[type, Callable] = {
-        orders.BeatEcho: _take_echo,
-        orders.StartOrder: _take_order,
-        orders.StopOrder: _take_stop,
-        orders.EndsStored: _take_stored,
-        orders.JobsClaimed: _take_claims,
-        orders.AdoptRuns: _take_adoption,
-    }
-
     # Start and end.
 
     async def run(self) -> int:
@@ -369,8 +157,8 @@
         await self.control.open(address.host, address.port)
         await open_metrics(self.boot.host, self.log.measures, self.timers)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
-        self.timers.subscribe(REPORT_INTERVAL_MS, self._send_reports)
-        self.timers.subscribe(ORPHAN_INTERVAL_MS, self._tell_orphans)
+        self.timers.subscribe(REPORT_INTERVAL_MS, self.reports.send_room)
+        self.timers.subscribe(ORPHAN_INTERVAL_MS, self.reports.tell_orphans)
         await stopping.wait()
         self.log.write("stopping", open=len(self.keepers))
         await asyncio.gather(*(keeper.renew_fully() for keeper in self.keepers.values()))
--- /dev/null
+++ b/src/gapdrum/agent/reports.py
@@ -0,0 +1,106 @@
+"""What the agent tells entries: events of runs, room, and what the runners hold."""
+
+from collections.abc import Mapping
+
+from gapdrum.agent.entry_links import EntryLink, EntryLinks
+from gapdrum.agent.runner_keeper import RunnerKeeper
+from gapdrum.core import orders
+from gapdrum.core.models import Resources
+from gapdrum.core.runner_ledger import Run
+from gapdrum.timers import Timers
+
+# Ends that nobody has stored after this long are told to all entries again.
+ORPHAN_AFTER_MS = 1_500
+
+
+class Reports:
+    """Tells owners of their runs at once, and all entries of the room soon."""
+
+    def __init__(
+        self, links: EntryLinks, keepers: Mapping[str, RunnerKeeper], timers: Timers
+    ) -> None:
+        self._links = links
+        self._keepers = keepers
+        self._timers = timers
+        self._unreported: set[str] = set()
+
+    def report(self, keeper: RunnerKeeper, events: list[tuple[Run, orders.RunEvent]]) -> None:
+        """Tell owners what happened to their runs, and all entries of the room soon."""
+        by_owner: dict[str, list[orders.RunEvent]] = {}
+        for run, event in events:
+            by_owner.setdefault(run.owner, []).append(event)
+        for owner, rows in by_owner.items():
+            link = self._links.of_owner(owner)
+            if link is not None:
+                link.send(orders.RunEvents(keeper.runner_id, tuple(rows)))
+                link.send(self.describe(keeper, link))
+        self._unreported.add(keeper.runner_id)
+
+    def describe(self, keeper: RunnerKeeper, link: EntryLink) -> orders.RunnerReport:
+        """Return a runner's state and room as one entry is told it."""
+        ledger = keeper.ledger
+        capacity = ledger.capacity or Resources()
+        free = ledger.free
+        return orders.RunnerReport(
+            ledger.runner_id,
+            ledger.upstream,
+            ledger.state,
+            ledger.labels,
+            capacity.cpu_milli,
+            capacity.memory_mb,
+            capacity.accelerators,
+            free.cpu_milli,
+            free.memory_mb,
+            free.accelerators,
+            link.orders,
+            ledger.health.slowness_permille(self._timers.now_ms()),
+        )
+
+    def send_room(self) -> None:
+        """Tell all entries of the room that has changed."""
+        changed = self._unreported
+        self._unreported = set()
+        for runner_id in changed:
+            keeper = self._keepers.get(runner_id)
+            if keeper is None:
+                continue
+            for link in self._links:
+                link.send(self.describe(keeper, link))
+
+    def room_changed(self, runner_id: str) -> None:
+        """Note that all entries are to hear of a runner's room."""
+        self._unreported.add(runner_id)
+
+    def tell_everything(self, link: EntryLink) -> None:
+        """Tell an entry that has just joined what is held here."""
+        for keeper in self._keepers.values():
+            self._tell_one(keeper, link)
+
+    def tell_holdings(self, keeper: RunnerKeeper) -> None:
+        """Tell all entries what a runner holds, before any of them may order work there."""
+        for link in self._links:
+            self._tell_one(keeper, link)
+
+    def _tell_one(self, keeper: RunnerKeeper, link: EntryLink) -> None:
+        link.send(self.describe(keeper, link))
+        if keeper.ledger.looked:
+            link.send(orders.Holdings(keeper.runner_id, (), keeper.ledger.held_runs()))
+
+    def tell_orphans(self) -> None:
+        """Tell all entries of ends that nobody has stored for long."""
+        limit_ms = self._timers.now_ms() - ORPHAN_AFTER_MS
+        for keeper in self._keepers.values():
+            rows = tuple(
+                orders.RunEvent(
+                    end.key.task.text,
+                    end.key.attempt,
+                    end.epoch,
+                    orders.ENDED,
+                    end.end.value,
+                    number,
+                )
+                for number, end in keeper.ledger.ends.items()
+                if end.noted_ms < limit_ms and not end.stored and not end.outrun
+            )
+            for link in self._links if rows else ():
+                link.send(orders.RunEvents(keeper.runner_id, rows))
--- /dev/null
+++ b/src/gapdrum/agent/runner_context.py
@@ -0,0 +1,64 @@
+"""What the parts that deal with one incarnation of a runner share."""
+
+from collections.abc import Callable
+
+import attrs
+
+from gapdrum.agent.grants import Grants
+from gapdrum.agent.lease_bound import LeaseBound
+from gapdrum.core.orders import RunEvent
+from gapdrum.core.runner_ledger import Run, RunnerLedger
+from gapdrum.event_log import EventLog
+from gapdrum.platform.runner_calls import RunnerCalls
+from gapdrum.timers import Timers
+
+# A lease ends at the runner at most this much later than asked: its clock may be 2% slow.
+LAPSE_SLACK_MS = 150
+
+
+@attrs.define(eq=False)
+class RunnerContext:
+    """One incarnation of a runner: the ledger, the calls, and the lease of what runs there.
+
+    ``report`` is called with what happened to runs, and after any change of room.
+    ``lease_until_ms`` is the latest end of a lease that was asked for, on the runner's clock.
+    """
+
+    ledger: RunnerLedger
+    calls: RunnerCalls
+    grants: Grants
+    run_lease_ms: int
+    timers: Timers
+    log: EventLog
+    report: Callable[[list[tuple[Run, RunEvent]]], None]
+    fence: int = 0
+    lease_until_ms: int = 0
+    bound: LeaseBound = attrs.Factory(LeaseBound)
+
+    @property
+    def runner_id(self) -> str:
+        """Return the identity of this incarnation."""
+        return self.ledger.runner_id
+
+    def lease_left_ms(self, now_ms: int) -> int:
+        """Return how long what runs may go on: a full lease, or less if an owner is silent."""
+        limits = [
+            self.grants.lease_limit_ms(run.owner, run.kept) - now_ms
+            for run in self.ledger.runs.values()
+        ]
+        return min([self.run_lease_ms, *limits])
+
+    def lease_until(self, left_ms: int) -> int:
+        """Return until when a lease runs on the runner's clock, 0 for no renewal."""
+        if left_ms <= 0:
+            return 0
+        until_ms = self.ledger.clock_floor(self.timers.now_ms()) + left_ms
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        return until_ms
+
+    def set_gone(self, reason: str) -> None:
+        """Note that this incarnation is gone, and everything that ran there with it."""
+        if self.ledger.gone:
+            return
+        self.log.write("runner_gone", runner=self.runner_id, reason=reason)
+        self.report(self.ledger.set_gone())
--- /dev/null
+++ b/src/gapdrum/agent/runner_starts.py
@@ -0,0 +1,197 @@
+"""Starts and stops runs at one incarnation of a runner, as entries order."""
+
+import asyncio
+
+from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
+from gapdrum.core import orders
+from gapdrum.core.models import Resources, RunKey, TaskName
+from gapdrum.core.runner_ledger import Run, not_started
+from gapdrum.platform.runner_calls import (
+    REASON_LATE,
+    REASON_SUPERSEDED,
+    RunnerRejectedError,
+    RunnerReplacedError,
+)
+from gapdrum.timers import MS_PER_S
+from gapdrum.transport.http_client import NoReplyError, NotSentError
+
+# The runner is on the same machine; it answers in about a millisecond.
+START_TIMEOUT_MS = 120
+STOP_TIMEOUT_MS = 150
+STOP_REPEAT_MS = 300
+# An unanswered start holds its room until then, as it may take effect so late.
+START_WINDOW_MS = 700
+PAUSE_MS = 50
+
+
+class RunnerStarts:
+    """Calls the runner for each start until it is settled, and for each stop until it ends."""
+
+    def __init__(self, context: RunnerContext) -> None:
+        self._context = context
+        self.ledger = context.ledger
+        self._tasks: set[asyncio.Task] = set()
+        self._stops_sent: dict[RunKey, int] = {}
+
+    def order(self, owner: str, order: orders.StartOrder, now_ms: int) -> list[orders.RunEvent]:
+        """Begin the starts that may begin; return the events of those that may not."""
+        refused = []
+        for row in order.runs:
+            name = TaskName(order.job_id, 0, row.step, row.index)
+            key = RunKey(name, row.attempt)
+            room = Resources(row.cpu_milli, row.memory_mb, row.accelerators)
+            reason = self._refuse(owner, order, room, now_ms)
+            if reason:
+                refused.append(not_started(key, order.epoch, reason))
+            else:
+                self._begin(owner, order, row, now_ms)
+        return refused
+
+    def _refuse(
+        self, owner: str, order: orders.StartOrder, room: Resources, now_ms: int
+    ) -> str | None:
+        if self.ledger.gone:
+            return orders.RUNNER_GONE
+        if self.ledger.draining:
+            return orders.RUNNER_DRAINING
+        if now_ms - order.clock_ms > orders.ORDER_VALID_MS:
+            return orders.ORDER_EXPIRED
+        if now_ms >= self._context.grants.until_ms(owner, order.kept):
+            return orders.ORDER_EXPIRED
+        if self.ledger.must_lapse() or not self.ledger.free.holds(room):
+            return orders.NO_ROOM
+        return None
+
+    def _begin(
+        self, owner: str, order: orders.StartOrder, row: orders.OrderedRun, now_ms: int
+    ) -> None:
+        # The start also renews the lease of all, so it is bound by the same limits.
+        limit_ms = self._context.grants.lease_limit_ms(owner, order.kept) - now_ms
+        left_ms = max(1, min(START_WINDOW_MS, self._context.lease_left_ms(now_ms), limit_ms))
+        expires_ms = self._context.lease_until(left_ms)
+        run = Run(
+            RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
+            owner,
+            order.epoch,
+            Resources(row.cpu_milli, row.memory_mb, row.accelerators),
+            expires_ms,
+            now_ms,
+            kept=order.kept,
+            calling=True,
+            estimate_ms=row.estimate_ms,
+        )
+        self.ledger.begin(run)
+        self._spawn(self._start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS))
+
+    async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
+        """Call until the start is answered; the same start again is the same run."""
+        settled = None
+        unanswered = False
+        sent = False
+        call = self._context.bound.propose(lease_ends_ms)
+        while settled is None and self._may_still_start(run):
+            try:
+                clock_ms = await self._context.calls.start(
+                    run.key, spec, run.start_expires_ms, self._context.fence, START_TIMEOUT_MS
+                )
+                self.ledger.note_clock(clock_ms, self._context.timers.now_ms())
+                settled = orders.STARTED
+                sent = True
+            except NoReplyError:
+                unanswered = True
+                sent = True
+            except NotSentError:
+                if not unanswered:
+                    break
+                await asyncio.sleep(PAUSE_MS / MS_PER_S)
+            except RunnerReplacedError:
+                self._context.set_gone("replaced")
+            except RunnerRejectedError as error:
+                sent = True
+                settled = self._judge_rejection(run, error, unanswered)
+        run.calling = False
+        self._context.bound.settle(call, sent)
+        if settled is None and not unanswered:
+            settled = orders.NOT_STARTED
+        self._settle_start(run, settled)
+
+    def _may_still_start(self, run: Run) -> bool:
+        if self.ledger.gone or run.key not in self.ledger.runs:
+            return False
+        return self.ledger.clock_floor(self._context.timers.now_ms()) < run.start_expires_ms
+
+    def _judge_rejection(
+        self, run: Run, error: RunnerRejectedError, unanswered: bool
+    ) -> str | None:
+        """Return whether a rejected start is settled; an earlier call of it may still come."""
+        self._context.log.write(
+            "start_rejected",
+            request=run.key.task.job_id,
+            task=run.key.task.text,
+            attempt=run.key.attempt,
+            status=error.status,
+            reason=error.reason,
+        )
+        if error.reason == REASON_LATE:
+            return orders.NOT_STARTED
+        if error.reason == REASON_SUPERSEDED or unanswered:
+            run.start_expires_ms = min(run.start_expires_ms, self.ledger.clock_ms + START_WINDOW_MS)
+            return ""  # a later look tells
+        return orders.NOT_STARTED
+
+    def _settle_start(self, run: Run, settled: str | None) -> None:
+        if self.ledger.runs.get(run.key) is not run or self.ledger.gone:
+            return
+        if settled == orders.NOT_STARTED:
+            self.ledger.drop(run.key)
+            event = not_started(run.key, run.epoch, orders.RUNNER_REJECTED)
+            self._context.report([(run, event)])
+        elif settled == orders.STARTED and run.phase == orders.HELD_STARTING:
+            self.ledger.note_started(run, self._context.timers.now_ms())
+            event = orders.RunEvent(run.key.task.text, run.key.attempt, run.epoch, orders.STARTED)
+            self._context.report([(run, event)])
+
+    # Stopping.
+
+    def stop(self, key: RunKey) -> None:
+        """Stop a run; its end is listed like any other."""
+        run = self.ledger.runs.get(key)
+        if run is not None:
+            run.stopping = True
+            self._send_stop(key, self._context.timers.now_ms())
+
+    def stop_what_must(self, now_ms: int) -> None:
+        """Stop what runs for owners that are silent, and repeat stops without effect."""
+        for run in list(self.ledger.runs.values()):
+            if not run.stopping and self._context.grants.is_over(run, now_ms):
+                run.stopping = True
+                self._context.log.write(
+                    "run_stopped_for_silence",
+                    request=run.key.task.job_id,
+                    task=run.key.task.text,
+                    attempt=run.key.attempt,
+                    owner=run.owner,
+                )
+            if run.stopping and now_ms - self._stops_sent.get(run.key, 0) > STOP_REPEAT_MS:
+                self._send_stop(run.key, now_ms)
+        for key in [key for key in self._stops_sent if key not in self.ledger.runs]:
+            del self._stops_sent[key]
+
+    def _send_stop(self, key: RunKey, now_ms: int) -> None:
+        self._stops_sent[key] = now_ms
+        self._spawn(self._stop(key))
+
+    async def _stop(self, key: RunKey) -> None:
+        try:
+            await self._context.calls.stop(key, self._context.fence, STOP_TIMEOUT_MS)
+        except RunnerReplacedError:
+            self._context.set_gone("replaced")
+        except (NoReplyError, NotSentError, RunnerRejectedError) as error:
+            self._context.log.write(
+                "stop_unanswered", task=key.task.text, attempt=key.attempt, code=error.code
+            )
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
