A soak with faults from outside, and the platform path in the demo

An entry ends 0.25 s before it would be killed (the recorded incident: one process was still there at the end of the grace time).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test lint format bench capacity clean
+.PHONY: setup demo test lint format bench capacity soak clean
 
 setup: $(READY)
 
@@ -31,6 +31,10 @@
 bench: setup
 	$(BIN)/python tools/bench.py
 
+# Fifty seeds take about half an hour; SEED and SEEDS choose others.
+soak: setup
+	$(BIN)/python tools/soak.py --seed $(or $(SEED),1) --seeds $(or $(SEEDS),50)
+
 capacity: setup
 	$(BIN)/python tools/capacity.py
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 from platform_system import CALLER_HOST, QUEUES, RUNNER_CPU_MILLI, PlatformSystem
 
 TASK_CPU_MILLI = 500
+RUNS_CHANGED = {"started": 1, "done": -1, "failed": -1, "stopped": -1, "lapsed": -1}
 NEWS = ("news", "/news/", 0, 2)
 CALLERS = 8
 
@@ -355,7 +356,7 @@
         if row["how"] == "started":
             assert row["task"] not in running, f"{row} beside {running[row['task']]}"
             running[row["task"]] = row["attempt"]
-        elif running.get(row["task"]) == row["attempt"]:
+        elif row["how"] in RUNS_CHANGED and running.get(row["task"]) == row["attempt"]:
             del running[row["task"]]
     return running
 
@@ -371,5 +372,5 @@
     for runner in context.system.runners:
         running = 0
         for row in context.system.call(runner.port, "GET", "/history")[1]:
-            running += 1 if row["how"] == "started" else -1
+            running += RUNS_CHANGED.get(row["how"], 0)
             assert running <= most, row
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -39,6 +39,8 @@
 HAND_OVER_BEFORE_END_MS = 1_500
 # Callers that still wait so long before the end are told that nothing is known.
 ANSWER_BEFORE_END_MS = 500
+# The process itself must be gone before the end, or it is killed.
+EXIT_BEFORE_END_MS = 250
 BUSY_POLL_MS = 20
 
 
@@ -245,7 +247,7 @@
         await self.lease.leave()
         await self._wait_while(self.listener.busy_connections, end_ms - ANSWER_BEFORE_END_MS)
         self.callers.give_up()
-        await self._wait_while(self.listener.busy_connections, end_ms)
+        await self._wait_while(self.listener.busy_connections, end_ms - EXIT_BEFORE_END_MS)
         self.log.write("stopped", jobs_handed_over=jobs_left)
         self.log.flush()
 
--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -10,6 +10,7 @@
 import json
 import os
 import time
+from pathlib import Path
 from typing import Annotated, Any
 
 import attrs
@@ -52,6 +53,9 @@
     last_end: int = 0
     highest: dict[str, int] = attrs.Factory(dict)
     history: list[dict[str, Any]] = attrs.Factory(list)
+    history_path: Path | None = None
+    lapsed_ms: int = 0
+    ended_ms: dict[int, int] = attrs.Factory(dict)
     fault: dict[str, Any] = attrs.Factory(dict)
 
     @property
@@ -63,6 +67,8 @@
         """End what is done, failed or lapsed; return whether anything ended."""
         now_ms = self.now_ms
         before = self.last_end
+        if now_ms >= self.lease_ms:
+            self.lapsed_ms = now_ms
         for run in list(self.runs.values()):
             if now_ms >= self.lease_ms:
                 self._end(run, "lapsed")
@@ -74,12 +80,24 @@
         del self.runs[run.task]
         self.last_end += 1
         self.ended.append([self.last_end, run.task, run.attempt, how, ""])
-        self._note(run, how)
-
-    def _note(self, run: HostedRun, how: str) -> None:
+        self.ended_ms[self.last_end] = self.now_ms
+        self._note(run.task, run.attempt, how)
+
+    def forget_ends(self, seen_end: int) -> None:
+        """Forget ends; one that a lapse of the lease came after does not count any more."""
+        for number, task, attempt, how, _ in self.ended:
+            if number <= seen_end and how == "done":
+                void = self.lapsed_ms >= self.ended_ms[number]
+                self._note(task, attempt, "forgotten_after_lapse" if void else "forgotten")
+        self.ended = [row for row in self.ended if row[0] > seen_end]
+
+    def _note(self, task: str, attempt: int, how: str) -> None:
         wall_ms = time.time_ns() // 1_000_000
-        row = {"task": run.task, "attempt": run.attempt, "how": how, "wall_ms": wall_ms}
+        row = {"task": task, "attempt": attempt, "how": how, "wall_ms": wall_ms}
         self.history.append(row)
+        if self.history_path is not None:
+            with self.history_path.open("a") as file:
+                file.write(json.dumps({**row, "life": os.getpid()}) + "\n")
 
     def start(self, body: dict[str, Any]) -> str:
         """Start a run; return the reason if it is rejected."""
@@ -104,7 +122,7 @@
         )
         self.runs[task] = run
         self.highest[task] = attempt
-        self._note(run, "started")
+        self._note(task, attempt, "started")
         return ""
 
     def use_fault(self, *modes: str) -> str:
@@ -144,8 +162,15 @@
 class RunnerStandIn:
     """The runner's calls over HTTP, and its heartbeats."""
 
-    def __init__(self, host: str, port: int, control_port: int, report: dict[str, Any]) -> None:
-        self.state = RunHost()
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        control_port: int,
+        report: dict[str, Any],
+        history_path: Path | None = None,
+    ) -> None:
+        self.state = RunHost(history_path=history_path)
         self.runner_id = f"i-{os.getpid():08x}"
         self._report = {**report, "address": f"{host}:{port}"}
         self._control = HttpClient(host, control_port)
@@ -194,8 +219,8 @@
         state = self.state
         state.fence = max(state.fence, body.get("fencing_token", 0))
         self.sweep()
+        state.forget_ends(body.get("seen_upto", 0))
         state.extend(body.get("deadline_ms", 0))
-        state.ended = [row for row in state.ended if row[0] > body.get("seen_upto", 0)]
         wait_s = body.get("wait_ms", 0) / MS_PER_S
         if not state.ended and wait_s:
             waiting = asyncio.ensure_future(self._ended.wait())
@@ -226,10 +251,12 @@
             return  # the agent is away; the next beat tells it the same
 
 
-async def serve(host: str, port: int, control_port: int, report: dict[str, Any]) -> None:
+async def serve(
+    host: str, port: int, control_port: int, report: dict[str, Any], history_path: Path | None
+) -> None:
     """Serve until the process ends."""
     timers = Timers()
-    runner = RunnerStandIn(host, port, control_port, report)
+    runner = RunnerStandIn(host, port, control_port, report, history_path)
     limits = HttpLimits(idle_timeout_ms=3_600_000)
     await HttpListener(runner.handle, limits, timers).open(host, port)
     timers.subscribe(SWEEP_INTERVAL_MS, runner.sweep)
@@ -248,6 +275,7 @@
         zone: str = "plaine-nord",
         cpu_milli: int = 16_000,
         host: str = "127.0.0.1",
+        history: Path | None = None,
     ) -> None:
         report = {
             "service": upstream,
@@ -259,7 +287,7 @@
             "capacity": {"cpu": cpu_milli, "mem_mb": 65_536, "gpu": 0},
             "labels": ["a", "r1"],
         }
-        asyncio.run(serve(host, port, control_port, report))
+        asyncio.run(serve(host, port, control_port, report, history))
 
     typer.run(run)
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from local_system import CALLER_TOKEN, LocalSystem
+from platform_demo import run_platform_demo
 
 from gapdrum.replays import list_deviations, replay
 from gapdrum.traces import load_trace
@@ -57,7 +58,8 @@
         "wasted_messages": wasted,
     }
     print(json.dumps(result))
-    return 1 if deviations else 0
+    failed = run_platform_demo()
+    return 1 if deviations or failed else 0
 
 
 if __name__ == "__main__":
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -5,6 +5,7 @@
 import os
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 import urllib3
@@ -21,17 +22,26 @@
 class PlatformSystem:
     """A row store, entries, and agents with their runners; leaving it ends all it started.
 
+    ``store_ports`` may put something between a process and the store, such as a proxy: it is
+    called with the store's port for each process and returns the port to use.
+
     ::
 
         with PlatformSystem(entries=2, agents=2) as system:
             status, answer = system.submit("0123456789abcdef", [{"count": 2, "cpu": 500}])
     """
 
-    def __init__(self, entries: int = 2, agents: int = 2) -> None:
+    def __init__(
+        self,
+        entries: int = 2,
+        agents: int = 2,
+        store_ports: Callable[[int], int] = lambda port: port,
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="gapdrum-platform-"))
         self.pool = urllib3.PoolManager(maxsize=64, retries=False, timeout=CALL_TIMEOUT_S)
         self.metrics_ports: dict[str, int] = {}
         self.store = self._module("store", "gapdrum_standins.row_store", find_port(), [])
+        self._store_ports = store_ports
         self.entries: list[Process] = []
         self.ready_ports: list[int] = []
         self.agents: list[Process] = []
@@ -148,6 +158,12 @@
             return "no answer"
         return document.get("state", str(status)) if status == 200 else str(status)
 
+    def wait_final_state(self, job_id: str, entry: int = 0) -> str:
+        """Wait until a stored job has ended, and return its state."""
+        final = ("succeeded", "failed", "cancelled")
+        wait_for(lambda: self.state(job_id, entry) in final, f"{job_id} ends")
+        return self.state(job_id, entry)
+
     def set_store_fault(self, **fault: object) -> None:
         """Set a fault of the store; none clears it."""
         self.call(self.store.port, "POST", "/faults", fault)
@@ -164,6 +180,15 @@
                 rows.extend(self.call(runner.port, "GET", "/history")[1])
         return sorted(rows, key=lambda row: row["wall_ms"])
 
+    def histories(self) -> list[list[dict]]:
+        """Return what each life of each runner has seen, also of those that were killed."""
+        lives: list[list[dict]] = []
+        for path in sorted(self.folder.glob("runner-*.history")):
+            rows = [json.loads(line) for line in path.read_text().splitlines()]
+            for life in {row["life"]: None for row in rows}:
+                lives.append([row for row in rows if row["life"] == life])
+        return lives
+
     def metrics(self, name: str) -> str:
         """Return the text at a process's metrics address."""
         url = f"http://{HOST}:{self.metrics_ports[name]}/metrics"
@@ -198,6 +223,7 @@
         self.agents.append(self._module(name, "gapdrum.agent", control, [], settings))
         arguments = ["--port", str(port), "--control-port", str(control)]
         arguments += ["--upstream", UPSTREAM, "--cpu-milli", str(RUNNER_CPU_MILLI)]
+        arguments += ["--history", str(self.folder / f"runner-{number}.history")]
         self.runners.append(
             self._module(f"runner-{number}", "gapdrum_standins.run_host", port, arguments)
         )
@@ -229,7 +255,7 @@
 hold_max_ms = 1000
 grace_s = 6
 [platform]
-address = "{HOST}:{self.store.port}"
+address = "{HOST}:{self._store_ports(self.store.port)}"
 writes_per_s = 800
 reads_per_s = 2000
 row_bytes = 65536
--- /dev/null
+++ b/tools/proxy.py
@@ -0,0 +1,82 @@
+"""A loopback proxy that delays, silences, cuts one way, or resets what passes through it."""
+
+import asyncio
+import socket
+import struct
+import threading
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+HOLD_POLL_S = 0.02
+PASS, DELAY, SILENT, ONE_WAY = "pass", "delay", "silent", "one_way"
+MODES = (DELAY, SILENT, ONE_WAY)
+
+
+class Proxy:
+    """Passes connections on to one port; ``mode`` may change at any time.
+
+    ``delay`` holds each chunk for ``delay_s``, ``silent`` holds everything, and ``one_way``
+    holds what comes back. What is held is passed on when the mode ends.
+    """
+
+    def __init__(self, port: int, target_port: int) -> None:
+        self.port = port
+        self.mode = PASS
+        self.delay_s = 0.0
+        self._target_port = target_port
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._loop = asyncio.new_event_loop()
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        self._ready.wait()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(asyncio.start_server(self._accept, HOST, self.port))
+        self._ready.set()
+        self._loop.run_forever()
+
+    def close(self) -> None:
+        """Stop passing anything."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        self._loop.call_soon_threadsafe(self._reset_all)
+
+    def _reset_all(self) -> None:
+        for writer in list(self._writers):
+            connection = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            if not writer.is_closing():
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            target = await asyncio.open_connection(HOST, self._target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, target[1]}
+        forth = self._pump(reader, target[1], back=False)
+        back = self._pump(target[0], writer, back=True)
+        await asyncio.gather(forth, back)
+        self._writers -= {writer, target[1]}
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool
+    ) -> None:
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                if self.mode == DELAY:
+                    await asyncio.sleep(self.delay_s)
+                while self.mode == SILENT or (back and self.mode == ONE_WAY):
+                    await asyncio.sleep(HOLD_POLL_S)
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            writer.transport.abort()  # the other side is told the same way
+        finally:
+            writer.close()
