--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -119,6 +119,13 @@
     And 400 ms pass
     Then the other job is refused
 
+  Scenario: only ends that somebody must store are looked up
+    Given an owner that sees one runner
+    When the end of an unknown job is told, whose caller waited
+    Then nothing is looked up
+    When the end of an unknown job is told, which is stored
+    Then the end is looked up
+
   Scenario: attempts of a new owner lie above all of earlier ones
     Given an owner that sees one runner
     And the agent tells that it holds nothing
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -384,6 +384,32 @@
     context.dispatch.placer.place_waiting(context.now_ms)
 
 
+@when("the end of an unknown job is told, whose caller waited")
+def unknown_end_unkept(context):
+    tell_unknown_end(context, kept=False)
+
+
+@when("the end of an unknown job is told, which is stored")
+def unknown_end_kept(context):
+    tell_unknown_end(context, kept=True)
+
+
+def tell_unknown_end(context, kept):
+    event = orders.RunEvent(TASK.text, 1, 1, orders.ENDED, "done", 1, kept=kept)
+    message = orders.RunEvents("i-1", (event,))
+    context.dispatch.take_events(context.view, message, context.now_ms)
+
+
+@then("nothing is looked up")
+def no_lookup(context):
+    assert not context.outside.sent, context.outside.sent
+
+
+@then("the end is looked up")
+def lookup(context):
+    assert len(context.outside.sent) == 1, context.outside.sent
+
+
 def list_orders(context):
     return [
         row
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -104,7 +104,7 @@
         name = TaskName.parse(event.task)
         job = self.jobs.get(name.job_id)
         if job is None:
-            if event.kind == orders.ENDED:
+            if event.kind == orders.ENDED and event.kept:
                 self.outside.foreign_end(place, event)
             return
         task = job.by_name.get(name)
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -119,7 +119,7 @@
     """What happened to a run; ``detail`` is how it ended, why it did not start, or straggles.
 
     ``end_number`` is the runner's number of the end, ``percent`` how much of the work of a
-    straggling run is done.
+    straggling run is done. Nobody needs to store an end of a job that is not ``kept``.
     """
 
     task: str
@@ -129,6 +129,7 @@
     detail: str = ""
     end_number: int = 0
     percent: int = 0
+    kept: bool = True
 
 
 @message(43)
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -295,7 +295,9 @@
 
 
 def _event(run: Run, kind: str, detail: str = "", end_number: int = 0) -> orders.RunEvent:
-    return orders.RunEvent(run.key.task.text, run.key.attempt, run.epoch, kind, detail, end_number)
+    return orders.RunEvent(
+        run.key.task.text, run.key.attempt, run.epoch, kind, detail, end_number, kept=run.kept
+    )
 
 
 def not_started(run_key: RunKey, epoch: int, reason: str) -> orders.RunEvent:
