--- a/src/gapdrum/core/backlog.py
+++ b/src/gapdrum/core/backlog.py
@@ -52,11 +52,11 @@
         return int(work_ahead / rate) if rate else 0
 
 
-def waiting_work(jobs: Iterable[Job], before_ms: int) -> int:
-    """Return the work of waiting tasks of jobs that must start before a time."""
+def waiting_work(jobs: Iterable[Job], priority: int, before_ms: int) -> int:
+    """Return the work of waiting tasks that go before a job that must start by a time."""
     total = 0
     for job in jobs:
-        if job.latest_start_ms > before_ms:
+        if (job.priority, job.latest_start_ms) > (priority, before_ms):
             continue
         for task in job.tasks:
             if task.phase is TaskPhase.WAITING:
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -46,16 +46,17 @@
     return Field(views, suspects > len(views) * MAX_SUSPECT_SHARE, usual)
 
 
-def waiting_order(job: Job, now_ms: int) -> tuple[int, bool, int, int, str]:
+def waiting_order(job: Job, now_ms: int) -> tuple[int, int, bool, int, str]:
     """Return the key by which jobs wait.
 
-    Jobs that can still meet their objective come first, the one that must start first before
-    the others; then those that would be late, then those whose end is of no use any more.
+    Jobs that can still meet their objective come first, then those that would be late, then
+    those whose end is of no use any more. Among them the queue's priority decides, then what
+    has begun, then which job must start first.
     """
     rank = 0
     if now_ms > job.latest_start_ms:
         rank = 1 if now_ms < job.useless_from_ms else 2
-    return (rank, not job.begun, job.latest_start_ms, job.priority, job.job_id)
+    return (rank, job.priority, not job.begun, job.latest_start_ms, job.job_id)
 
 
 def choose_runner(job: Job, task: Task, field: Field, zone: str, now_ms: int) -> RunnerView | None:
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -41,12 +41,14 @@
     backlog: Backlog = attrs.Factory(Backlog)
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
-    def expected_wait_ms(self, steps: tuple[Step, ...], latest_start_ms: int, now_ms: int) -> int:
-        """Return how long a new job would wait for room behind those that must start before it."""
+    def expected_wait_ms(
+        self, steps: tuple[Step, ...], priority: int, latest_start_ms: int, now_ms: int
+    ) -> int:
+        """Return how long a new job would wait for room behind those that go before it."""
         if not self.waiting:
             return 0
         jobs = (self.jobs[job_id] for job_id in self.waiting)
-        ahead = waiting_work(jobs, latest_start_ms) + OWN_SHARE * work_of(steps)
+        ahead = waiting_work(jobs, priority, latest_start_ms) + OWN_SHARE * work_of(steps)
         return self.backlog.wait_ms(ahead, now_ms)
 
     def list_hopeless(self, now_ms: int) -> list[Job]:
--- a/src/gapdrum/entry/admission.py
+++ b/src/gapdrum/entry/admission.py
@@ -22,5 +22,6 @@
         now_ms = self._timers.now_ms()
         chain_ms = longest_chain_ms(steps)
         slack_ms = chain_ms * (queue.latency_factor - 1) + queue.latency_slack_ms - OVERHEAD_MS
-        wait_ms = self._placer.expected_wait_ms(steps, now_ms + int(slack_ms), now_ms)
+        latest_start_ms = now_ms + int(slack_ms)
+        wait_ms = self._placer.expected_wait_ms(steps, queue.priority, latest_start_ms, now_ms)
         return wait_ms if wait_ms > DOUBT_FACTOR * max(0, slack_ms) else 0
