--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -152,6 +152,31 @@
     Then the job is open
     And the agent is told that the end was outrun
 
+  Scenario: a task goes where it may, and where it is likely to end soon
+    Given runners of one upstream
+      | runner | state    | labels | free | slowness |
+      | i-1    | ready    | a r1   | 1000 | 1000     |
+      | i-2    | ready    | b r2   | 2000 | 1000     |
+      | i-3    | ready    | b r3   | 3000 | 9000     |
+      | i-4    | draining | a r1   | 4000 | 1000     |
+      | i-5    | suspect  | a r1   | 4000 | 1000     |
+    Then a task goes to these runners
+      | cpu  | requires | rack | avoids | runner |
+      | 500  |          |      |        | i-2    |
+      | 500  | a        |      |        | i-1    |
+      | 500  |          | r1   |        | i-1    |
+      | 500  |          |      | i-2    | i-1    |
+      | 2500 |          |      |        | none   |
+      | 500  | c        |      |        | none   |
+
+  Scenario: an agent refuses what its runner may not start
+    Given a draining runner with an agent
+    Then an order is refused as "runner_draining"
+    Given a runner with an agent and 1000 thousandths of a core
+    Then an order is refused as "no_room"
+    Given a runner with an agent and 3000 thousandths of a core
+    Then an order is refused as "order_expired" if it is older than a second
+
   Scenario: one change that conflicts does not hold up those that share its transaction
     Given a writer on a fake store with the row "b" taken
     When the rows "a", "b" and "c" are inserted at once
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -5,14 +5,19 @@
 from pathlib import Path
 
 from behave import given, then, when
+from core_model import ManualTimers
 
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
+from gapdrum.agent.runner_context import RunnerContext
+from gapdrum.agent.runner_starts import RunnerStarts
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import build_dispatch
-from gapdrum.core.jobs import TaskPhase, build_job
+from gapdrum.core.endpoints import Endpoint
+from gapdrum.core.jobs import Place, TaskPhase, build_job
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
+from gapdrum.core.placement_rules import build_field, choose_runner
 from gapdrum.core.records import EntryAddress, OpenJob, step_row
 from gapdrum.core.rows import (
     ABSENT,
@@ -28,12 +33,14 @@
 from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
+from gapdrum.core.runner_views import AgentView, RunnerView
 from gapdrum.entry.acceptance import Acceptance, Acceptor
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.writer import Writer
 from gapdrum.event_log import EventLog
 from gapdrum.events import KINDS
 from gapdrum.exceptions import StoreOutcomeUnknownError, StoreRejectedError
+from gapdrum.platform.runner_calls import RunnerCalls
 
 ROOT = Path(__file__).parent.parent.parent
 JOB = "00000000000000f1"
@@ -44,19 +51,6 @@
 QUEUE = Queue("flags", "h", "/flags/", "inspect-desk", 0, 3, 1.6, 60, 1500)
 
 
-class ManualTimers:
-    """A clock that a scenario moves."""
-
-    def __init__(self):
-        self.time_ms = 1_000
-
-    def now_ms(self):
-        return self.time_ms
-
-    def wall_ms(self):
-        return self.time_ms
-
-
 # The agent's ledger.
 
 
@@ -272,8 +266,10 @@
     hold_nothing(context)
 
 
-def add_job(context, tasks, failures=3, epoch=1, unknown_until_ms=0, kept=True, job_id=JOB):
-    step = Step(tasks, Resources(500, 10, 0), 100)
+def add_job(
+    context, tasks, failures=3, epoch=1, unknown_until_ms=0, kept=True, job_id=JOB, step=None
+):
+    step = step or Step(tasks, Resources(500, 10, 0), 100)
     record = OpenJob("flags", "inspect-desk", "{}", OWNER, epoch, 0, (step_row(step),))
     job = build_job(
         job_id,
@@ -462,6 +458,94 @@
     assert (1,) in outrun, context.outside.sent
 
 
+# What an agent refuses.
+
+
+def new_starts(context, capacity, draining=False):
+    timers = ManualTimers()
+    ledger = RunnerLedger("i-1", capacity=Resources(capacity, 100, 0), draining=draining)
+    ledger.take_look(RunnerLook(10, (), ()), 0)
+    grants = Grants(timers.now_ms())
+    grants.note(OWNER, timers.now_ms(), True)
+    calls = RunnerCalls(Endpoint("127.0.0.1", 1), "i-1")
+    runner = RunnerContext(ledger, calls, grants, 1_000, timers, new_log(timers), list)
+    context.timers = timers
+    context.starts = RunnerStarts(runner)
+
+
+@given("a draining runner with an agent")
+def draining_runner(context):
+    new_starts(context, 4_000, draining=True)
+
+
+@given("a runner with an agent and {capacity:d} thousandths of a core")
+def runner_with_agent(context, capacity):
+    new_starts(context, capacity)
+
+
+def refuse_order(context, sent_ms):
+    row = orders.OrderedRun(0, 0, 1, 2_000, 10, 0, 100)
+    order = orders.StartOrder("i-1", JOB, 1, "{}", sent_ms, True, (row,))
+    refused = context.starts.order(OWNER, order, context.timers.now_ms())
+    return [event.detail for event in refused]
+
+
+@then('an order is refused as "{reason}"')
+def order_refused(context, reason):
+    assert refuse_order(context, context.timers.now_ms()) == [reason]
+
+
+@then('an order is refused as "{reason}" if it is older than a second')
+def order_expired(context, reason):
+    sent_ms = context.timers.now_ms()
+    context.timers.time_ms += orders.ORDER_VALID_MS + 1
+    assert refuse_order(context, sent_ms) == [reason]
+
+
+# Placement.
+
+
+@given("runners of one upstream")
+def new_runners(context):
+    context.runners = []
+    agent = AgentView("side", "life", "plaine-nord", 0, 1_000)
+    for row in context.table:
+        view = RunnerView(Place("side", row["runner"]), agent, 0)
+        free = int(row["free"])
+        labels = tuple(row["labels"].split())
+        view.take_report(
+            orders.RunnerReport(
+                row["runner"], "inspect-desk", row["state"], labels,
+                4_000, 4_000, 0, free, 4_000, 0, 0, int(row["slowness"]),
+            )
+        )  # fmt: skip
+        view.synced = True
+        context.runners.append(view)
+
+
+@then("a task goes to these runners")
+def goes_to(context):
+    for row in context.table:
+        context.now_ms = 1_000
+        context.outside = Outside()
+        context.dispatch = build_dispatch("plaine-nord", context.outside, lambda: True, 0)
+        step = Step(
+            1,
+            Resources(int(row["cpu"]), 10, 0),
+            100,
+            required_label=row["requires"],
+            data_rack=row["rack"],
+            runner_limit=1,
+        )
+        add_job(context, 1, step=step, kept=False)
+        task = context.job.tasks[0]
+        task.avoided = set(row["avoids"].split())
+        field = build_field(context.runners, "inspect-desk")
+        chosen = choose_runner(context.job, task, field, "plaine-nord", context.now_ms)
+        name = chosen.place.runner_id if chosen is not None else "none"
+        assert name == row["runner"], (row, name)
+
+
 # The store.
 
 
