--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -65,7 +65,17 @@
         self.dispatch = build_dispatch(boot.zone, self, lambda: self.lease.valid, timers.now_ms())
         self.endings = Endings(self.store, self.writer, self.dispatch, self.links, timers, log)
         self.acceptor = Acceptor(self.store, self.writer, self.lease, timers, log, self._own)
-        self.takeover = Takeover(
+        self.takeover = self._build_takeover()
+        self.callers = WaitingCallers(self.dispatch, self.lease, timers, log)
+        self.front = self._build_front()
+        self.limits = HttpLimits()
+        self.listener = HttpListener(self.front.handle, self.limits, timers)
+        self.readiness = HttpListener(self._show_readiness, HttpLimits(), timers)
+        self._wire()
+        self._add_gauges()
+
+    def _build_takeover(self) -> Takeover:
+        return Takeover(
             self.store,
             self.writer,
             self.lease,
@@ -74,26 +84,22 @@
             self.acceptor,
             self.endings,
             self.configuration,
-            timers,
-            log,
+            self.timers,
+            self.log,
         )
-        self.callers = WaitingCallers(self.dispatch, self.lease, timers, log)
-        self.front = Front(
+
+    def _build_front(self) -> Front:
+        return Front(
             self.configuration,
             self.dispatch,
             self.acceptor,
-            Admission(self.dispatch.placer, timers),
+            Admission(self.dispatch.placer, self.timers),
             self.callers,
             self.endings,
             self.store,
             self.lease,
-            log,
+            self.log,
         )
-        self.limits = HttpLimits()
-        self.listener = HttpListener(self.front.handle, self.limits, timers)
-        self.readiness = HttpListener(self._show_readiness, HttpLimits(), timers)
-        self._wire()
-        self._add_gauges()
 
     def _add_gauges(self) -> None:
         gauges = self.log.measures.gauges
