Hear of crashes in the background, and take malformed answers as errors

Cause: a malformed answer of the store or the runner would have ended the loop that keeps the lease, or looks at the runner, for good and without a word; four classes kept background tasks, each in its own way. Change: Background keeps tasks, logs crashes, begins loops anew; the platform's decoding raises the errors that callers handle. A runner that nobody answers for is logged.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -177,6 +177,22 @@
     Given a runner with an agent and 3000 thousandths of a core
     Then an order is refused as "order_expired" if it is older than a second
 
+  Scenario Outline: malformed answers of store and runner are errors and no crashes
+    Given a server that answers <status> with <body>
+    Then a read of rows fails as "store_outcome_unknown"
+    And a look at a runner fails as "no_reply"
+
+    Examples:
+      | status | body                                        |
+      | 200    | {"ver"                                      |
+      | 200    | {}                                          |
+      | 200    | {"ver":1,"rows":[7],"clock_ms":5}           |
+      | 200    | {"ver":"x","rows":[],"clock_ms":"x"}        |
+
+  Scenario: a loop in the background that crashes is told and begun anew
+    Given work in the background that crashes once
+    Then it is begun again, and the crash is counted
+
   Scenario: one change that conflicts does not hold up those that share its transaction
     Given a writer on a fake store with the row "b" taken
     When the rows "a", "b" and "c" are inserted at once
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -6,11 +6,13 @@
 
 from behave import given, then, when
 from core_model import ManualTimers
+from local_system import HOST, find_port
 
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.agent.runner_context import RunnerContext
 from gapdrum.agent.runner_starts import RunnerStarts
+from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import build_dispatch
@@ -39,8 +41,12 @@
 from gapdrum.entry.writer import Writer
 from gapdrum.event_log import EventLog
 from gapdrum.events import KINDS
-from gapdrum.exceptions import StoreOutcomeUnknownError, StoreRejectedError
+from gapdrum.exceptions import GapdrumError, StoreOutcomeUnknownError, StoreRejectedError
+from gapdrum.platform.rows import RowStore
 from gapdrum.platform.runner_calls import RunnerCalls
+from gapdrum.timers import Timers
+from gapdrum.transport.http_messages import HttpResponse
+from gapdrum.transport.http_server import HttpLimits, HttpListener
 
 ROOT = Path(__file__).parent.parent.parent
 JOB = "00000000000000f1"
@@ -502,6 +508,64 @@
     assert refuse_order(context, sent_ms) == [reason]
 
 
+# Malformed answers, and crashes.
+
+
+@given("a server that answers {status:d} with {body}")
+def malformed_server(context, status, body):
+    context.malformed = HttpResponse(status, body.encode())
+
+
+def call_malformed(context, call):
+    """Make a call to the server, and return the code of the error that it ends with."""
+
+    async def run():
+        port = find_port()
+        limits = HttpLimits()
+        await HttpListener(lambda _request: context.malformed, limits, Timers()).open(HOST, port)
+        try:
+            await call(Endpoint(HOST, port))
+        except GapdrumError as error:
+            return error.code
+        return "no error"
+
+    return asyncio.run(run())
+
+
+@then('a read of rows fails as "{code}"')
+def read_fails(context, code):
+    found = call_malformed(context, lambda at: RowStore(at).read("open", "", 1_000))
+    assert found == code, found
+
+
+@then('a look at a runner fails as "{code}"')
+def look_fails(context, code):
+    found = call_malformed(context, lambda at: RunnerCalls(at, "i").look(0, 0, 0, 0, 1_000))
+    assert found == code, found
+
+
+@given("work in the background that crashes once")
+def crashing_work(context):
+    context.runs = []
+
+    async def work():
+        context.runs.append(True)
+        if len(context.runs) == 1:
+            raise ValueError("the first run crashes")
+
+    async def run():
+        context.log = new_log(ManualTimers())
+        await Background(context.log).keep(work)
+
+    asyncio.run(run())
+
+
+@then("it is begun again, and the crash is counted")
+def begun_again(context):
+    assert len(context.runs) == 2, context.runs
+    assert context.log.measures.events["task_crashed", ""] == 1
+
+
 # Placement.
 
 
@@ -602,7 +666,7 @@
 def new_writer(context, name):
     context.store = FakeStore()
     context.store.apply(Transaction(puts=(Put(row_at(name), b"taken"),)))
-    context.writer = Writer(context.store)
+    context.writer = Writer(context.store, Background(new_log(ManualTimers())))
 
 
 @when('the rows "{first}", "{second}" and "{third}" are inserted at once')
@@ -645,7 +709,7 @@
     context.owned = []
     context.acceptor = Acceptor(
         context.store,
-        Writer(context.store),
+        Writer(context.store, Background(new_log(context.timers))),
         context.lease,
         context.timers,
         new_log(context.timers),
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.records import ADDRESS_TABLE, WHOLE_PART, EntryAddress, load_record
 from gapdrum.core.rows import Row
@@ -70,6 +71,7 @@
         self._log = log
         self._sent = sent
         self._received = received
+        self._background = Background(log)
         self._links: dict[str, EntryLink] = {}
         self.on_joined: Callable[[EntryLink], None] = lambda _link: None
         self.on_renamed: Callable[[str, str], None] = lambda _former, _owner: None
@@ -140,7 +142,7 @@
     def _connect(self, link: EntryLink) -> None:
         self._links[link.entry] = link
         self._log.write("entry_found", entry=link.entry, host=link.address.host)
-        link.task = asyncio.ensure_future(self._keep(link))
+        link.task = self._background.keep(lambda: self._keep(link))
 
     def _unlist(self, entry: str) -> None:
         """Note that an entry's row is gone: it ended, or can't reach the store but still serves."""
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -10,6 +10,7 @@
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.reports import Reports
 from gapdrum.agent.runner_keeper import RunnerKeeper
+from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.event_log import EventLog, run_program
@@ -28,7 +29,7 @@
 from gapdrum.transport.metrics_listener import open_metrics
 
 IDENTITY_TIMEOUT_MS = 300
-IDENTITY_RETRY_MS = 100
+IDENTITY_RETRY_MS = 250
 REPORT_INTERVAL_MS = 25  # room is told to all entries this often at most
 # How often ends that nobody has stored are told to all entries again.
 ORPHAN_INTERVAL_MS = 1_000
@@ -56,7 +57,7 @@
         self.links.on_away = self.orders.stop_unwaited
         self.links.on_message = self.orders.take
         self.control = HttpListener(self._take_report, HttpLimits(), timers)
-        self._tasks: set[asyncio.Task] = set()
+        self._background = Background(log)
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -120,7 +121,7 @@
         )
         self.keepers[runner_id] = keeper
         self.log.write("runner_found", runner=runner_id, address=str(address))
-        self._spawn(self._keep_runner(keeper))
+        self._background.keep(lambda: self._keep_runner(keeper))
         return keeper
 
     async def _keep_runner(self, keeper: RunnerKeeper) -> None:
@@ -135,7 +136,9 @@
         while address is not None and not self.keepers:
             try:
                 runner_id = await fetch_identity(address, IDENTITY_TIMEOUT_MS)
-            except (NotSentError, NoReplyError):
+            except (NotSentError, NoReplyError) as error:
+                # Its heartbeat will tell; until then it is asked again.
+                self.log.write("runner_not_found", address=str(address), code=error.code)
                 runner_id = ""
             if runner_id and not self.keepers:
                 self._keeper(runner_id, address)
@@ -151,8 +154,8 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self.log.write("started", role="agent", zone=self.boot.zone, life=self.incarnation)
-        self._spawn(self._find_runner())
-        self._spawn(self.links.follow())
+        self._background.keep(self._find_runner)
+        self._background.keep(self.links.follow)
         address = self.boot.runner_reports
         await self.control.open(address.host, address.port)
         await open_metrics(self.boot.host, self.log.measures, self.timers)
@@ -169,11 +172,6 @@
     def _note_reload(self) -> None:
         self.log.write("settings_signal", note="read again at the next start")
 
-    def _spawn(self, work) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 async def main() -> int:
     """Run the agent process."""
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
+from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.models import Resources, RunKey, TaskName
 from gapdrum.core.runner_ledger import Run, not_started
@@ -30,7 +31,7 @@
     def __init__(self, context: RunnerContext) -> None:
         self._context = context
         self.ledger = context.ledger
-        self._tasks: set[asyncio.Task] = set()
+        self._background = Background(context.log)
         self._stops_sent: dict[RunKey, int] = {}
 
     def order(self, owner: str, order: orders.StartOrder, now_ms: int) -> list[orders.RunEvent]:
@@ -81,7 +82,7 @@
             estimate_ms=row.estimate_ms,
         )
         self.ledger.begin(run)
-        self._spawn(self._start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS))
+        self._background.spawn(self._start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS))
 
     async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
         """Call until the start is answered; the same start again is the same run."""
@@ -179,7 +180,7 @@
 
     def _send_stop(self, key: RunKey, now_ms: int) -> None:
         self._stops_sent[key] = now_ms
-        self._spawn(self._stop(key))
+        self._background.spawn(self._stop(key))
 
     async def _stop(self, key: RunKey) -> None:
         try:
@@ -190,8 +191,3 @@
             self._context.log.write(
                 "stop_unanswered", task=key.task.text, attempt=key.attempt, code=error.code
             )
-
-    def _spawn(self, work) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/gapdrum/entry/endings.py
+++ b/src/gapdrum/entry/endings.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from gapdrum.background import Background
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import ATTEMPTS_PER_EPOCH, Job, Place
 from gapdrum.core.models import JobState, RunEnd, TaskName
@@ -62,7 +63,7 @@
         self._timers = timers
         self._log = log
         self._known: OrderedDict[str, KnownEnd] = OrderedDict()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = Background(log)
         self._lookups: set[str] = set()
 
     def known_state(self, job_id: str) -> JobState | None:
@@ -81,7 +82,7 @@
 
     def store_end(self, job: Job) -> None:
         """Begin to store the end of a job, until it is stored or proves to be another's."""
-        self._spawn(self.finish(job))
+        self._background.spawn(self.finish(job))
 
     async def finish(self, job: Job) -> bool:
         """Store a job's end; return whether it was this entry that ended the job."""
@@ -123,7 +124,7 @@
         limit_ms = self._timers.now_ms() - PROGRESS_AFTER_MS
         for job in list(self._dispatch.jobs.values()):
             if job.kept and job.ending is None and 0 < job.progress_dirty_ms <= limit_ms:
-                self._spawn(self._store_job_progress(job))
+                self._background.spawn(self._store_job_progress(job))
 
     async def _store_job_progress(self, job: Job) -> None:
         job.progress_dirty_ms = 0
@@ -172,7 +173,7 @@
             self._let_go(place, event, known)
         elif job_id not in self._lookups and len(self._lookups) < FOREIGN_LOOKUPS:
             self._lookups.add(job_id)
-            self._spawn(self._look_up(place, event, job_id))
+            self._background.spawn(self._look_up(place, event, job_id))
 
     async def _look_up(self, place: Place, event: RunEvent, job_id: str) -> None:
         try:
@@ -200,11 +201,6 @@
         else:
             self._dispatch.let_go(place, (event.end_number,))
 
-    def _spawn(self, work) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _ending(job_id: str, version: int, record: EndedJob, has_progress: bool) -> Transaction:
     removals = [open_row(job_id)]
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.configuration import Configuration
 from gapdrum.core.dispatch import build_dispatch
@@ -57,7 +58,8 @@
         self._placing = False
         rows = RowStore(boot.store)
         self.store = StoreAccess(rows, timers, log)
-        self.writer = Writer(self.store)
+        self.background = Background(log)
+        self.writer = Writer(self.store, self.background)
         self.configuration = ConfigurationWatch(RowStore(boot.store), timers, log)
         address = EntryAddress("", boot.zone, boot.host, boot.streams_port)
         self.lease = Lease(boot.instance, address, self.store, timers, log)
@@ -218,10 +220,8 @@
         boot = self.boot
         await self.links.listen(boot.host, boot.streams_port)
         await self.readiness.open(boot.readiness.host, boot.readiness.port)
-        background = [
-            asyncio.ensure_future(self.configuration.follow()),
-            asyncio.ensure_future(self._keep_lease()),
-        ]
+        self.background.keep(self.configuration.follow)
+        self.background.keep(self._keep_lease)
         await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
         self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
@@ -231,8 +231,7 @@
         self.log.write("started", role="entry", zone=boot.zone, life=self.lease.incarnation)
         await stopping.wait()
         await self._shut_down()
-        for task in background:
-            task.cancel()
+        self.background.stop()
         return 0
 
     def _note_reload(self) -> None:
--- a/src/gapdrum/entry/writer.py
+++ b/src/gapdrum/entry/writer.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from gapdrum.background import Background
 from gapdrum.core.rows import ABSENT, Committed, Conflict, Row, RowKey, Transaction
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.exceptions import StoreError
@@ -39,11 +40,11 @@
         result = await writer.write("3", transaction)   # Committed or Conflict
     """
 
-    def __init__(self, store: StoreAccess) -> None:
+    def __init__(self, store: StoreAccess, background: Background) -> None:
         self._store = store
         self._lanes: dict[str, deque[_Change]] = {}
         self._busy: set[str] = set()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background
 
     async def write(self, part: str, transaction: Transaction) -> Committed | Conflict:
         """Write one change; raises StoreError, or the outcome of the call that it shared."""
@@ -51,9 +52,7 @@
         self._lanes.setdefault(part, deque()).append(change)
         if part not in self._busy:
             self._busy.add(part)
-            task = asyncio.ensure_future(self._drain(part))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._background.spawn(self._drain(part))
         return await change.done
 
     async def _drain(self, part: str) -> None:
--- a/src/gapdrum/platform/rows.py
+++ b/src/gapdrum/platform/rows.py
@@ -43,9 +43,9 @@
         body = json.dumps(_encode_transaction(transaction)).encode()
         reply = await self._call("POST", "/rows-tx", body, timeout_ms)
         if reply.status == 412:
-            return Conflict(tuple(_decode_row(row) for row in reply.document()["rows"]))
+            return Conflict(_decode_rows(_document(reply)))
         _check(reply)
-        return Committed(int(reply.document()["ver"]))
+        return Committed(_version(_document(reply)))
 
     async def read(
         self, table: str, part: str, timeout_ms: int, *, first: str = "", limit: int = 500
@@ -66,9 +66,8 @@
     async def _read(self, query: dict[str, Any], timeout_ms: int) -> Page:
         reply = await self._call("GET", f"/rows-get?{urlencode(query)}", b"", timeout_ms)
         _check(reply)
-        document = reply.document()
-        rows = tuple(_decode_row(row) for row in document["rows"])
-        return Page(rows, bool(document.get("has_more")), int(document["ver"]))
+        document = _document(reply)
+        return Page(_decode_rows(document), bool(document.get("has_more")), _version(document))
 
     async def watch(self, table: str, after: int, wait_ms: int) -> Changes:
         """Wait for changes of a table; raises StoreHistoryGoneError if they are forgotten."""
@@ -77,8 +76,8 @@
         if reply.status == 410:
             raise StoreHistoryGoneError(f"the store has no changes after {after}")
         _check(reply)
-        document = reply.document()
-        return Changes(tuple(_decode_row(row) for row in document["rows"]), int(document["ver"]))
+        document = _document(reply)
+        return Changes(_decode_rows(document), _version(document))
 
     async def _call(self, method: str, path: str, body: bytes, timeout_ms: int) -> HttpReply:
         try:
@@ -98,6 +97,27 @@
         raise StoreError(f"the store answered {reply.status}: {reply.body[:200]!r}")
 
 
+def _document(reply: HttpReply) -> dict[str, Any]:
+    try:
+        return reply.document()
+    except ValueError as error:
+        raise StoreOutcomeUnknownError("the store's answer is no JSON") from error
+
+
+def _version(document: dict[str, Any]) -> int:
+    try:
+        return int(document["ver"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreOutcomeUnknownError("the store's answer has no version") from error
+
+
+def _decode_rows(document: dict[str, Any]) -> tuple[Row, ...]:
+    try:
+        return tuple(_decode_row(row) for row in document["rows"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreOutcomeUnknownError(f"the store's rows are malformed: {error!r}") from error
+
+
 def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
     return {
         "expect": [
--- a/src/gapdrum/platform/runner_calls.py
+++ b/src/gapdrum/platform/runner_calls.py
@@ -7,7 +7,7 @@
 from gapdrum.core.models import Resources, RunEnd, RunKey, TaskName
 from gapdrum.core.runner_models import EndedRun, Heartbeat, RunnerLook, RunningTask
 from gapdrum.exceptions import GapdrumError
-from gapdrum.transport.http_client import HttpClient
+from gapdrum.transport.http_client import HttpClient, NoReplyError
 from gapdrum.transport.http_messages import HttpReply
 
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
@@ -106,11 +106,13 @@
         if lease_until_ms:
             body["deadline_ms"] = lease_until_ms
         document = await self._post("/hold", body, timeout_ms)
-        return RunnerLook(
-            _clock(document),
-            tuple(_decode_running(row) for row in document["running"]),
-            tuple(_decode_ended(row) for row in document["ended"]),
-        )
+        clock_ms = _clock(document)
+        try:
+            running = tuple(_decode_running(row) for row in document["running"])
+            ended = tuple(_decode_ended(row) for row in document["ended"])
+        except (KeyError, ValueError, TypeError, IndexError) as error:
+            raise NoReplyError(f"the look is malformed: {error!r}") from error
+        return RunnerLook(clock_ms, running, ended)
 
     async def _post(self, path: str, body: dict[str, Any], timeout_ms: int) -> dict[str, Any]:
         encoded = json.dumps(body).encode()
@@ -142,7 +144,10 @@
 
 
 def _clock(document: dict[str, Any]) -> int:
-    return int(document["clock_ms"])
+    try:
+        return int(document["clock_ms"])
+    except (KeyError, ValueError, TypeError) as error:
+        raise NoReplyError(f"the reply has no clock: {error!r}") from error
 
 
 def _decode_running(row: list[Any]) -> RunningTask:
