Cancel a job whose caller waits: answer the caller, stop what runs

Cause: cancelling took every job for a stored one and tried to move a row that does not exist; the caller waited on. Its state, too, was refused without the store. Measured: the scenario failed before (the caller waited in vain) and passes after; 23 path scenarios pass.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -56,6 +56,14 @@
     And the job "00000000000000b1" becomes "cancelled" at entry 0
     And soon nothing runs
 
+  Scenario: cancelling a job whose caller waits answers the caller and stops what runs
+    When the waiting job "00000000000000b7" of 3 tasks of 5000 ms is on its way at entry 0
+    And 3 tasks have started
+    And a caller cancels the job "00000000000000b7" at entry 0
+    Then the answer has status 200
+    And the waiting caller is told "cancelled"
+    And soon nothing runs
+
   Scenario: what a caller no longer waits for is stopped
     When the waiting job "00000000000000b2" of 3 tasks of 5000 ms is sent by one who leaves
     Then soon nothing runs
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -5,7 +5,7 @@
 
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import Dispatch
-from gapdrum.core.jobs import longest_chain_ms
+from gapdrum.core.jobs import Job, longest_chain_ms
 from gapdrum.core.models import JobState
 from gapdrum.core.records import ended_row, load_record, open_row
 from gapdrum.entry.acceptance import Acceptance, Acceptor
@@ -206,7 +206,7 @@
 
     async def _find_state(self, job_id: str) -> JobState | None:
         job = self._dispatch.jobs.get(job_id)
-        if job is not None and self._lease.valid:
+        if job is not None and (self._lease.valid or not job.kept):
             return JobState.RUNNING if job.begun else JobState.PENDING
         # The open row is read first: a job moves from there to the ended ones, never back.
         opened = await self._store.read_row(open_row(job_id))
@@ -224,13 +224,13 @@
     async def _cancel(self, job_id: str) -> HttpResponse:
         """Cancel a job; raises StoreError if that can't be settled in time."""
         for _ in range(CANCEL_TRIES):
-            if self._endings.known_state(job_id) is not None:
+            if self._has_ended(job_id):
                 return json_response(200, {})
             job = self._dispatch.jobs.get(job_id)
             if job is not None and job.ending is None:
                 job.ending = JobState.CANCELLED
                 self._log.write("job_cancelled", request=job_id, owner=job.owner, epoch=job.epoch)
-                await self._endings.finish(job)
+                await self._end_cancelled(job)
             elif job is None and await self._cancel_in_store(job_id):
                 return json_response(200, {})
             elif job is None and await self._find_state(job_id) is None:
@@ -239,6 +239,15 @@
                 await asyncio.sleep(CANCEL_PAUSE_MS / MS_PER_S)
         raise StoreError("the cancellation could not be settled")
 
+    def _has_ended(self, job_id: str) -> bool:
+        return self._endings.known_state(job_id) is not None or self._callers.has_ended(job_id)
+
+    async def _end_cancelled(self, job: Job) -> None:
+        if job.kept:
+            await self._endings.finish(job)
+        else:
+            self._callers.take_end(job)
+
     async def _cancel_in_store(self, job_id: str) -> bool:
         row = await self._store.read_row(open_row(job_id))
         return row is not None and await self._endings.cancel_foreign(job_id, row)
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -87,6 +87,10 @@
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job_id, "caller_gone")
 
+    def has_ended(self, job_id: str) -> bool:
+        """Tell whether a job's callers were told its end lately."""
+        return job_id in self._answers
+
     def give_up(self) -> None:
         """Tell all callers that nothing is known of their jobs, and stop what runs."""
         for job_id, callers in list(self._callers.items()):
