Let jobs that no runner can ever hold hold up no others

Cause: placement looks at eight held jobs at most, the most urgent first; eight stored jobs that fit nowhere would have been these for ever. Found by reading. Measured: the core scenario failed before (nothing ordered) and passes after.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -152,6 +152,13 @@
     Then the job is open
     And the agent is told that the end was outrun
 
+  Scenario: jobs that no runner can ever hold do not hold up others
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And 20 jobs that need more than any runner has
+    When a job of 1 tasks is added behind them
+    Then 1 tasks are ordered
+
   Scenario: a task goes where it may, and where it is likely to end soon
     Given runners of one upstream
       | runner | state    | labels | free | slowness |
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -302,6 +302,19 @@
     add_job(context, tasks)
 
 
+@given("{count:d} jobs that need more than any runner has")
+def new_impossible_jobs(context, count):
+    step = Step(1, Resources(99_000, 10, 0), 100)
+    for number in range(count):
+        add_job(context, 1, job_id=f"{number:016x}", step=step)
+
+
+@when("a job of {tasks:d} tasks is added behind them")
+def job_behind(context, tasks):
+    context.now_ms += 1
+    add_job(context, tasks)
+
+
 @given("a job of {tasks:d} tasks whose caller waits")
 def new_waiting_job(context, tasks):
     add_job(context, tasks, kept=False)
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -72,6 +72,15 @@
     return best
 
 
+def may_ever_fit(task: Task, field: Field) -> bool:
+    """Tell whether a runner would take the task if nothing ran there."""
+    label = task.step.required_label
+    return any(
+        view.capacity.holds(task.step.resources) and (not label or label in view.labels)
+        for view in field.runners
+    )
+
+
 def _may_take(view: RunnerView, job: Job, task: Task, field: Field, now_ms: int) -> bool:
     if view.state == orders.SUSPECT and not field.suspects_allowed:
         return False
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -11,11 +11,18 @@
 from gapdrum.core.jobs import Job, Place, Task, TaskPhase
 from gapdrum.core.models import Resources, Step
 from gapdrum.core.outside import Outside
-from gapdrum.core.placement_rules import Field, build_field, choose_runner, waiting_order
+from gapdrum.core.placement_rules import (
+    Field,
+    build_field,
+    choose_runner,
+    may_ever_fit,
+    waiting_order,
+)
 from gapdrum.core.runner_views import RunnerView
 
 # How many jobs that find no room are looked at before the rest is left to the next change:
-# smaller ones may still fit, but under overload all of them would be looked at in vain.
+# smaller ones may still fit, but under overload all of them would be looked at in vain. Jobs
+# that no runner could ever hold do not count, or a few of them would hold up all others.
 HELD_JOBS_TRIED = 8
 # How often a task is moved away from where it straggles, and the share of all starts that
 # moves may take, so that a slow day does not become a flood of restarts.
@@ -83,7 +90,7 @@
             if job.ending is not None or not self._place_job(job, fields[job.upstream], now_ms):
                 self.waiting.discard(job.job_id)
                 continue
-            held += 1
+            held += any(may_ever_fit(task, fields[job.upstream]) for task in job.ready_tasks())
             if held >= HELD_JOBS_TRIED:
                 return
 
