The soak starts a process once, and leaves none behind

Cause: a timer that restarts a process could fire beside another fault's, or after the end; the second process lost its place and stayed. 15 such processes were found and ended by their ids. Ruled out: the programs themselves; all 15 were agents that a soak had started.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -56,6 +56,8 @@
         self.faults: list[str] = []
         self.killed_ms: dict[int, int] = {}
         self._stop = threading.Event()
+        self._timers: list[threading.Timer] = []
+        self._starting = threading.Lock()
         self._proxies: list[Proxy]
 
     def _store_port(self, store_port: int) -> int:
@@ -142,7 +144,7 @@
         if process.popen.poll() is None:
             process.kill()
             self.killed_ms[process.popen.pid] = time.time_ns() // 1_000_000
-        self._later(self.random.uniform(0.1, 3.0), process.start)
+        self._later(self.random.uniform(0.1, 3.0), lambda: self._start(process))
         return f"kill {process.name}"
 
     def _pause(self) -> str:
@@ -161,7 +163,13 @@
 
     def _restart(self, process) -> None:
         process.kill()
-        process.start()
+        self._start(process)
+
+    def _start(self, process) -> None:
+        """Start a process that is down; two faults may both want to."""
+        with self._starting:
+            if process.popen.poll() is not None:
+                process.start()
 
     def _harm_link(self) -> str:
         proxy = self.random.choice(self._proxies)
@@ -191,6 +199,7 @@
     def _later(self, delay_s: float, work: Callable[[], object]) -> None:
         timer = threading.Timer(delay_s, self._undo, (work,))
         timer.daemon = True
+        self._timers.append(timer)
         timer.start()
 
     def _undo(self, work: Callable[[], object]) -> None:
@@ -202,14 +211,14 @@
     def _calm(self) -> None:
         """End all faults, and wait until each process serves again."""
         time.sleep(CALM_S * 2)
+        for timer in self._timers:
+            timer.cancel()
         for proxy in self._proxies:
             proxy.mode = PASS
         self.system.set_store_fault()
         for process in [*self.system.entries, *self.system.agents, *self.system.runners]:
-            if process.popen.poll() is not None:
-                process.start()
-            else:
-                process.signal(signal.SIGCONT)
+            self._start(process)
+            process.signal(signal.SIGCONT)
         time.sleep(CALM_S)
 
     # Checks.
