--- a/tools/soak.py
+++ b/tools/soak.py
@@ -77,9 +77,11 @@
             ]
             for caller in callers:
                 caller.start()
-            self._inject()
-            self._calm()
-            self._stop.set()
+            try:
+                self._inject()
+                self._calm()
+            finally:
+                self._stop.set()
             for caller in callers:
                 caller.join()
             broken = self._check_stored()
@@ -193,7 +195,10 @@
         if self.system.runners[number].popen.poll() is not None:
             return "runner away"
         mode = self.random.choice(("unanswered", "late", "hang", "errors"))
-        self.system.set_runner_fault(number, mode=mode, count=3, delay_ms=2_500)
+        try:
+            self.system.set_runner_fault(number, mode=mode, count=3, delay_ms=2_500)
+        except urllib3.exceptions.HTTPError:
+            return f"runner {number} was just starting"
         return f"runner {number} {mode}"
 
     def _later(self, delay_s: float, work: Callable[[], object]) -> None:
