Hold a rejected start's room until the expiry that the runner was told

Cause: after a call without an answer and a rejection, the expiry was shortened to 700 ms after the last reading of the runner's clock, which may be older than the start; the unanswered call could still take effect after the room had been given back. Found by reading the change again. Ruled out: that the line was needed; the expiry already ends within 700 ms of the start. Measured: the core scenario failed before ('the room was given back before') and passes after.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -184,6 +184,12 @@
     Given a runner with an agent and 3000 thousandths of a core
     Then an order is refused as "order_expired" if it is older than a second
 
+  Scenario: a start that was left unanswered and then rejected holds its room until its expiry
+    Given a runner with an agent and 3000 thousandths of a core
+    And a runner that leaves the first start unanswered and rejects the second
+    When 400 ms after its clock was read a run is started there
+    Then its room is held until the expiry that the runner was told
+
   Scenario Outline: malformed answers of store and runner are errors and no crashes
     Given a server that answers <status> with <body>
     Then a read of rows fails as "store_outcome_unknown"
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -43,8 +43,9 @@
 from gapdrum.events import KINDS
 from gapdrum.exceptions import GapdrumError, StoreOutcomeUnknownError, StoreRejectedError
 from gapdrum.platform.rows import RowStore
-from gapdrum.platform.runner_calls import RunnerCalls
+from gapdrum.platform.runner_calls import RunnerCalls, RunnerRejectedError
 from gapdrum.timers import Timers
+from gapdrum.transport.http_client import NoReplyError
 from gapdrum.transport.http_messages import HttpResponse
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 
@@ -502,11 +503,57 @@
     new_starts(context, capacity)
 
 
-def refuse_order(context, sent_ms):
+class FakeCalls:
+    """Answers starts in turn, and remembers the expiry that it was told."""
+
+    def __init__(self, outcomes):
+        self.outcomes = outcomes
+        self.expires_ms = 0
+
+    async def start(self, _run, _spec, expires_ms, _fence, _timeout_ms):
+        self.expires_ms = expires_ms
+        await asyncio.sleep(0)
+        raise self.outcomes.pop(0)
+
+
+@given("a runner that leaves the first start unanswered and rejects the second")
+def reject_second(context):
+    rejection = RunnerRejectedError(503, "", None)
+    context.calls = context.starts._context.calls = FakeCalls([NoReplyError("lost"), rejection])
+
+
+@when("{time_ms:d} ms after its clock was read a run is started there")
+def start_later(context, time_ms):
+    context.timers.time_ms += time_ms
+
+    async def run():
+        give_order(context, context.timers.now_ms())
+        while context.calls.outcomes or context.run.calling:
+            await asyncio.sleep(0)
+
+    context.starts._context.grants.note(OWNER, context.timers.now_ms(), True)
+    asyncio.run(run())
+
+
+@then("its room is held until the expiry that the runner was told")
+def room_held(context):
+    ledger = context.starts.ledger
+    ledger.take_look(RunnerLook(context.calls.expires_ms, (), ()), context.timers.now_ms())
+    assert context.run.key in ledger.runs, "the room was given back before"
+    ledger.take_look(RunnerLook(context.calls.expires_ms + 1, (), ()), context.timers.now_ms())
+    assert context.run.key not in ledger.runs
+
+
+def give_order(context, sent_ms):
     row = orders.OrderedRun(0, 0, 1, 2_000, 10, 0, 100)
     order = orders.StartOrder("i-1", JOB, 1, "{}", sent_ms, True, (row,))
     refused = context.starts.order(OWNER, order, context.timers.now_ms())
-    return [event.detail for event in refused]
+    context.run = next(iter(context.starts.ledger.runs.values()), None)
+    return refused
+
+
+def refuse_order(context, sent_ms):
+    return [event.detail for event in give_order(context, sent_ms)]
 
 
 @then('an order is refused as "{reason}"')
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -136,7 +136,6 @@
         if error.reason == REASON_LATE:
             return orders.NOT_STARTED
         if error.reason == REASON_SUPERSEDED or unanswered:
-            run.start_expires_ms = min(run.start_expires_ms, self.ledger.clock_ms + START_WINDOW_MS)
             return ""  # a later look tells
         return orders.NOT_STARTED
 
