One piece for a run's key, room, work and loss; drop state that nobody reads

Cause: reading the whole change again: the key and room of an ordered run were built in three places, a task's work in two, the rule of a lease that must lapse in two, a lost run's event by hand beside the ledger's; Task.changed_ms, StoreAccess.check_up and REASON_NO_ROOM were never read; the longest chain of a job was worked out anew at each comparison of the waiting order. Change: StartOrder.key_of, the rows' room, work_of_task, RunnerLedger.lose, Job.chain_ms; no behaviour changes.

--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -8,7 +8,7 @@
 from gapdrum.agent.reports import Reports
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
-from gapdrum.core.models import Resources, RunKey, TaskName
+from gapdrum.core.models import RunKey, TaskName
 from gapdrum.core.runner_ledger import not_started
 from gapdrum.event_log import EventLog
 from gapdrum.timers import Timers
@@ -67,14 +67,7 @@
 
     @staticmethod
     def _refuse_all(order: orders.StartOrder, reason: str) -> list[orders.RunEvent]:
-        return [
-            not_started(
-                RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
-                order.epoch,
-                reason,
-            )
-            for row in order.runs
-        ]
+        return [not_started(order.key_of(row), order.epoch, reason) for row in order.runs]
 
     def _log_refusals(self, refused: list[orders.RunEvent]) -> None:
         for event in refused:
@@ -126,11 +119,9 @@
         if keeper is None:
             return
         for row in message.runs:
-            if row.epoch < self._epochs.get(TaskName.parse(row.task).job_id, 0):
-                continue
-            room = Resources(row.cpu_milli, row.memory_mb, row.accelerators)
             key = RunKey(TaskName.parse(row.task), row.attempt)
-            keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, room)
+            if row.epoch >= self._epochs.get(key.task.job_id, 0):
+                keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, row.room)
         self._reports.room_changed(message.runner_id)
 
     def end_former_lives(self, link: EntryLink) -> None:
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -41,7 +41,12 @@
         return self.ledger.runner_id
 
     def lease_left_ms(self, now_ms: int) -> int:
-        """Return how long what runs may go on: a full lease, or less if an owner is silent."""
+        """Return how long what runs may go on: a full lease, less if an owner is silent.
+
+        0 while the lease must lapse.
+        """
+        if self.ledger.must_lapse():
+            return 0
         limits = [
             self.grants.lease_limit_ms(run.owner, run.kept) - now_ms
             for run in self.ledger.runs.values()
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -97,7 +97,7 @@
         now_ms = self._timers.now_ms()
         self._check_rest(now_ms)
         self.starts.stop_what_must(now_ms)
-        left_ms = 0 if self.ledger.must_lapse() else self._context.lease_left_ms(now_ms)
+        left_ms = self._context.lease_left_ms(now_ms)
         look = await self._look(left_ms, LOOK_WAIT_MS if self.ledger.looked else 0)
         first = not self.ledger.looked
         events = self._take_look(look)
@@ -189,15 +189,8 @@
     def _check_lapse(self) -> None:
         """Take a runner that can't be reached as gone once everything there has lapsed."""
         if self.ledger.runs and self._timers.now_ms() > self._context.bound.ends_ms:
-            runs = [run for run in self.ledger.runs.values() if not run.calling]
-            events = []
-            for run in runs:
-                self.ledger.drop(run.key)
-                event = orders.RunEvent(
-                    run.key.task.text, run.key.attempt, run.epoch, orders.LOST, "lease_lapsed"
-                )
-                events.append((run, event))
-            self._context.report(events)
+            settled = [run for run in self.ledger.runs.values() if not run.calling]
+            self._context.report(self.ledger.lose(settled, orders.LEASE_LAPSED))
 
     def set_gone(self, reason: str) -> None:
         """Note that this incarnation is gone, and everything that ran there with it."""
@@ -225,9 +218,7 @@
         """Renew once more before the agent ends, so that its successor finds the runs alive."""
         if self.ledger.gone or not self._context.fence or not self.ledger.looked:
             return
-        left_ms = (
-            0 if self.ledger.must_lapse() else self._context.lease_left_ms(self._timers.now_ms())
-        )
+        left_ms = self._context.lease_left_ms(self._timers.now_ms())
         try:
             await self._look(left_ms, 0)
         except (NoReplyError, NotSentError, RunnerRejectedError, RunnerReplacedError) as error:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -5,7 +5,7 @@
 from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
 from gapdrum.background import Background
 from gapdrum.core import orders
-from gapdrum.core.models import Resources, RunKey, TaskName
+from gapdrum.core.models import Resources, RunKey
 from gapdrum.core.runner_ledger import Run, not_started
 from gapdrum.platform.runner_calls import (
     REASON_LATE,
@@ -38,12 +38,9 @@
         """Begin the starts that may begin; return the events of those that may not."""
         refused = []
         for row in order.runs:
-            name = TaskName(order.job_id, 0, row.step, row.index)
-            key = RunKey(name, row.attempt)
-            room = Resources(row.cpu_milli, row.memory_mb, row.accelerators)
-            reason = self._refuse(owner, order, room, now_ms)
+            reason = self._refuse(owner, order, row.room, now_ms)
             if reason:
-                refused.append(not_started(key, order.epoch, reason))
+                refused.append(not_started(order.key_of(row), order.epoch, reason))
             else:
                 self._begin(owner, order, row, now_ms)
         return refused
@@ -71,10 +68,10 @@
         left_ms = max(1, min(START_WINDOW_MS, self._context.lease_left_ms(now_ms), limit_ms))
         expires_ms = self._context.lease_until(left_ms)
         run = Run(
-            RunKey(TaskName(order.job_id, 0, row.step, row.index), row.attempt),
+            order.key_of(row),
             owner,
             order.epoch,
-            Resources(row.cpu_milli, row.memory_mb, row.accelerators),
+            row.room,
             expires_ms,
             now_ms,
             kept=order.kept,
--- a/src/gapdrum/core/backlog.py
+++ b/src/gapdrum/core/backlog.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from gapdrum.core.jobs import Job, TaskPhase
+from gapdrum.core.jobs import Job, Task, TaskPhase
 from gapdrum.core.models import Step
 
 # Over this time the rate of placed work is measured: longer than most tasks, shorter than the
@@ -20,6 +20,11 @@
     return sum(step.tasks * step.resources.cpu_milli * step.estimate_ms for step in steps)
 
 
+def work_of_task(task: Task) -> int:
+    """Return the stated work of one task, in the same unit."""
+    return task.step.resources.cpu_milli * task.step.estimate_ms
+
+
 @attrs.define
 class Backlog:
     """Measures at which rate waiting work has been placed."""
@@ -60,5 +65,5 @@
             continue
         for task in job.tasks:
             if task.phase is TaskPhase.WAITING:
-                total += task.step.resources.cpu_milli * task.step.estimate_ms
+                total += work_of_task(task)
     return total
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -317,7 +317,7 @@
             job.unknown_until_ms = 0
             for task in job.tasks:
                 if task.phase is TaskPhase.UNKNOWN:
-                    job.release(task, now_ms)
+                    job.release(task)
             self.placer.waiting.add(job.job_id)
 
     def _check_outcome(self, job: Job) -> None:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -54,7 +54,6 @@
     attempt: int = 0
     failed_attempts: set[int] = attrs.Factory(set)
     place: Place | None = None
-    changed_ms: int = 0
     started_ms: int = 0
     moves: int = 0
     avoided: set[str] = attrs.Factory(set)
@@ -70,8 +69,9 @@
 class Job:
     """An open job that this entry owns.
 
-    One that is ``kept`` has a row in the store, at ``version``, and another entry takes it over
-    if this one is lost. Of others only the caller knows, who waits for the end.
+    ``chain_ms`` is the stated work of its longest chain of steps. One that is ``kept`` has a
+    row in the store, at ``version``, and another entry takes it over if this one is lost. Of
+    others only the caller knows, who waits for the end.
     """
 
     job_id: str
@@ -86,6 +86,7 @@
     accepted_ms: int
     failures_allowed: int
     priority: int
+    chain_ms: int
     objective_ms: int
     steps: tuple[Step, ...]
     tasks: list[Task]
@@ -100,7 +101,7 @@
     @property
     def latest_start_ms(self) -> int:
         """Return until when its tasks must have started for the job to meet its objective."""
-        return self.accepted_ms + self.objective_ms - longest_chain_ms(self.steps) - OVERHEAD_MS
+        return self.accepted_ms + self.objective_ms - self.chain_ms - OVERHEAD_MS
 
     @property
     def untouched(self) -> bool:
@@ -139,15 +140,14 @@
         # A later run of a task that was taken over may be where nobody has told of it yet.
         open_phases = (TaskPhase.ORDERED, TaskPhase.RUNNING)
         if task.phase in open_phases and attempt == task.attempt:
-            self.release(task, now_ms)
+            self.release(task)
 
-    def release(self, task: Task, now_ms: int) -> None:
+    def release(self, task: Task) -> None:
         """Let a task wait again, as its last start came to nothing."""
         if task.phase is TaskPhase.DONE:
             return
         task.phase = TaskPhase.WAITING
         task.place = None
-        task.changed_ms = now_ms
         task.held_noted = False
 
     def outcome(self) -> JobState | None:
@@ -202,8 +202,9 @@
 ) -> Job:
     """Return a job as its row describes it, with all tasks waiting."""
     steps = tuple(row.to_step() for row in record.steps)
+    chain_ms = longest_chain_ms(steps)
     tasks = [
-        Task(task_name(job_id, number, index), step, changed_ms=now_ms)
+        Task(task_name(job_id, number, index), step)
         for number, step in enumerate(steps)
         for index in range(step.tasks)
     ]
@@ -220,7 +221,8 @@
         accepted_ms=now_ms,
         failures_allowed=failures_allowed,
         priority=priority,
-        objective_ms=int(longest_chain_ms(steps) * latency_factor) + latency_slack_ms,
+        chain_ms=chain_ms,
+        objective_ms=int(chain_ms * latency_factor) + latency_slack_ms,
         steps=steps,
         tasks=tasks,
         by_name={task.name: task for task in tasks},
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -8,7 +8,7 @@
 import attrs
 
 from gapdrum.codec import message
-from gapdrum.core.models import Resources
+from gapdrum.core.models import Resources, RunKey, TaskName
 from gapdrum.structures import count_field, rows_field, signed_field, text_field
 
 MAX_ROWS = 20_000
@@ -54,6 +54,9 @@
 RUNNER_REJECTED = "runner_rejected"
 START_UNANSWERED = "start_unanswered"
 
+# Why a run was lost, beside that its runner is gone.
+LEASE_LAPSED = "lease_lapsed"
+
 # States of a runner.
 READY = "ready"
 DRAINING = "draining"
@@ -205,6 +208,11 @@
     accelerators: int
     estimate_ms: int
 
+    @property
+    def room(self) -> Resources:
+        """Return the room that the task takes."""
+        return Resources(self.cpu_milli, self.memory_mb, self.accelerators)
+
 
 @message(52)
 @attrs.frozen
@@ -222,6 +230,10 @@
     kept: bool = attrs.field(validator=attrs.validators.instance_of(bool))
     runs: tuple[OrderedRun, ...] = rows_field(OrderedRun, MAX_ROWS)
 
+    def key_of(self, row: OrderedRun) -> RunKey:
+        """Return the key of one of the runs."""
+        return RunKey(TaskName(self.job_id, 0, row.step, row.index), row.attempt)
+
 
 @attrs.frozen
 class NamedRun:
@@ -282,6 +294,11 @@
     memory_mb: int
     accelerators: int
 
+    @property
+    def room(self) -> Resources:
+        """Return the room that the run takes."""
+        return Resources(self.cpu_milli, self.memory_mb, self.accelerators)
+
 
 @message(56)
 @attrs.frozen
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -6,7 +6,7 @@
 
 from gapdrum.budgets import RatioBudget
 from gapdrum.core import orders
-from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of
+from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of, work_of_task
 from gapdrum.core.fleet import Fleet
 from gapdrum.core.jobs import Job, Place, Task, TaskPhase
 from gapdrum.core.models import Resources, Step
@@ -126,10 +126,9 @@
         task.attempt = job.next_attempt(task)
         task.phase = TaskPhase.ORDERED
         task.place = runner.place
-        task.changed_ms = now_ms
         task.started_ms = 0
         runner.order(task.step.resources)
-        self.backlog.note_placed(_work(task), now_ms)
+        self.backlog.note_placed(work_of_task(task), now_ms)
         self.move_budget.earn()
         runner.out.add(task)
 
@@ -171,9 +170,9 @@
             reason=reason,
         )
         if task.phase is TaskPhase.ORDERED:
-            self.backlog.note_returned(_work(task), now_ms)
+            self.backlog.note_returned(work_of_task(task), now_ms)
         self.fleet.take_away(task)
-        job.release(task, now_ms)
+        job.release(task)
         self.waiting.add(job.job_id)
 
     def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
@@ -190,10 +189,6 @@
         return True
 
 
-def _work(task: Task) -> int:
-    return task.step.resources.cpu_milli * task.step.estimate_ms
-
-
 def _ordered_run(task: Task, room: Resources) -> orders.OrderedRun:
     return orders.OrderedRun(
         task.name.step,
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -288,10 +288,13 @@
     def set_gone(self) -> list[tuple[Run, orders.RunEvent]]:
         """Note that this incarnation is gone with all its runs; return them as lost."""
         self.gone = True
-        lost = [(run, _event(run, orders.LOST, orders.RUNNER_GONE)) for run in self.runs.values()]
-        for run, _ in lost:
+        return self.lose(list(self.runs.values()), orders.RUNNER_GONE)
+
+    def lose(self, runs: list[Run], reason: str) -> list[tuple[Run, orders.RunEvent]]:
+        """Give up runs whose end nobody will list; return them as lost."""
+        for run in runs:
             self.drop(run.key)
-        return lost
+        return [(run, _event(run, orders.LOST, reason)) for run in runs]
 
 
 def _event(run: Run, kind: str, detail: str = "", end_number: int = 0) -> orders.RunEvent:
--- a/src/gapdrum/entry/store_access.py
+++ b/src/gapdrum/entry/store_access.py
@@ -5,7 +5,7 @@
 
 from gapdrum.core.rows import Committed, Conflict, Page, Row, RowKey, Transaction
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError, StoreRejectedError
+from gapdrum.exceptions import StoreError
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import Timers
 
@@ -94,8 +94,3 @@
             self._log.write("store_regained", reason=reason)
         else:
             self._log.write("store_lost", reason=reason)
-
-    def check_up(self) -> None:
-        """Raise StoreRejectedError if the store is taken to be away."""
-        if not self.up:
-            raise StoreRejectedError("the store does not answer")
--- a/src/gapdrum/platform/runner_calls.py
+++ b/src/gapdrum/platform/runner_calls.py
@@ -38,7 +38,6 @@
 REASON_FENCED = "fence"
 REASON_SUPERSEDED = "old"
 REASON_LATE = "late"
-REASON_NO_ROOM = "room"
 
 
 def decode_heartbeat(runner_id: str, body: bytes) -> Heartbeat:
