Tell entries what a runner is only when that changes, and its room apart

Ruled out: placing itself (0.34 s), the store. Change: RunnerReport holds what a runner is and its state, RoomReport the room.

--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -252,10 +252,10 @@
 def join(context):
     greeting = orders.AgentGreeting("side-1", "life-1", "plaine-nord", context.now_ms)
     context.view = context.dispatch.fleet.agent_joined(greeting, context.now_ms)
-    report = orders.RunnerReport(
-        "i-1", "inspect-desk", orders.READY, (), 4_000, 4_000, 0, 4_000, 4_000, 0, 0, 0
-    )
+    report = orders.RunnerReport("i-1", "inspect-desk", orders.READY, (), 4_000, 4_000, 0)
     context.dispatch.take_report(context.view, report, context.now_ms)
+    room = orders.RoomReport("i-1", 4_000, 4_000, 0, 0, 0)
+    context.dispatch.take_room(context.view, room)
 
 
 @given("the agent tells that it holds nothing")
@@ -639,10 +639,10 @@
         labels = tuple(row["labels"].split())
         view.take_report(
             orders.RunnerReport(
-                row["runner"], "inspect-desk", row["state"], labels,
-                4_000, 4_000, 0, free, 4_000, 0, 0, int(row["slowness"]),
+                row["runner"], "inspect-desk", row["state"], labels, 4_000, 4_000, 0
             )
-        )  # fmt: skip
+        )
+        view.take_room(orders.RoomReport(row["runner"], free, 4_000, 0, 0, int(row["slowness"])))
         view.synced = True
         context.runners.append(view)
 
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -63,7 +63,7 @@
             link.send(orders.RunEvents(order.runner_id, tuple(refused)))
             self._log_refusals(refused)
             if keeper is not None:
-                link.send(self._reports.describe(keeper, link))
+                self._reports.tell_one(keeper, link)
 
     @staticmethod
     def _refuse_all(order: orders.StartOrder, reason: str) -> list[orders.RunEvent]:
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -23,6 +23,8 @@
         self._keepers = keepers
         self._timers = timers
         self._unreported: set[str] = set()
+        # What all entries were told last of each runner, so that only changes are told again.
+        self._told: dict[str, orders.RunnerReport] = {}
 
     def report(self, keeper: RunnerKeeper, events: list[tuple[Run, orders.RunEvent]]) -> None:
         """Tell owners what happened to their runs, and all entries of the room soon."""
@@ -33,14 +35,13 @@
             link = self._links.of_owner(owner)
             if link is not None:
                 link.send(orders.RunEvents(keeper.runner_id, tuple(rows)))
-                link.send(self.describe(keeper, link))
+                link.send(self._count_room(keeper, link))
         self._unreported.add(keeper.runner_id)
 
-    def describe(self, keeper: RunnerKeeper, link: EntryLink) -> orders.RunnerReport:
-        """Return a runner's state and room as one entry is told it."""
+    @staticmethod
+    def _describe(keeper: RunnerKeeper) -> orders.RunnerReport:
         ledger = keeper.ledger
         capacity = ledger.capacity or Resources()
-        free = ledger.free
         return orders.RunnerReport(
             ledger.runner_id,
             ledger.upstream,
@@ -49,6 +50,14 @@
             capacity.cpu_milli,
             capacity.memory_mb,
             capacity.accelerators,
+        )
+
+    def _count_room(self, keeper: RunnerKeeper, link: EntryLink) -> orders.RoomReport:
+        """Return a runner's room as one entry is told it."""
+        ledger = keeper.ledger
+        free = ledger.free
+        return orders.RoomReport(
+            ledger.runner_id,
             free.cpu_milli,
             free.memory_mb,
             free.accelerators,
@@ -56,16 +65,30 @@
             ledger.health.slowness_permille(self._timers.now_ms()),
         )
 
+    def tell_one(self, keeper: RunnerKeeper, link: EntryLink) -> None:
+        """Tell one entry a runner's state and room, whether they have changed or not."""
+        link.send(self._describe(keeper))
+        link.send(self._count_room(keeper, link))
+
     def send_room(self) -> None:
-        """Tell all entries of the room that has changed."""
+        """Tell all entries of the states and room that have changed."""
         changed = self._unreported
         self._unreported = set()
         for runner_id in changed:
             keeper = self._keepers.get(runner_id)
-            if keeper is None:
-                continue
-            for link in self._links:
-                link.send(self.describe(keeper, link))
+            if keeper is not None:
+                self._send_changes(keeper)
+
+    def _send_changes(self, keeper: RunnerKeeper) -> None:
+        description = self._describe(keeper)
+        has_changed = self._told.get(keeper.runner_id) != description
+        for link in self._links:
+            if has_changed:
+                link.send(description)
+            link.send(self._count_room(keeper, link))
+        self._told[keeper.runner_id] = description
+        if keeper.ledger.gone:
+            del self._told[keeper.runner_id]
 
     def room_changed(self, runner_id: str) -> None:
         """Note that all entries are to hear of a runner's room."""
@@ -74,15 +97,15 @@
     def tell_everything(self, link: EntryLink) -> None:
         """Tell an entry that has just joined what is held here."""
         for keeper in self._keepers.values():
-            self._tell_one(keeper, link)
+            self._tell_held(keeper, link)
 
     def tell_holdings(self, keeper: RunnerKeeper) -> None:
         """Tell all entries what a runner holds, before any of them may order work there."""
         for link in self._links:
-            self._tell_one(keeper, link)
+            self._tell_held(keeper, link)
 
-    def _tell_one(self, keeper: RunnerKeeper, link: EntryLink) -> None:
-        link.send(self.describe(keeper, link))
+    def _tell_held(self, keeper: RunnerKeeper, link: EntryLink) -> None:
+        self.tell_one(keeper, link)
         if keeper.ledger.looked:
             link.send(orders.Holdings(keeper.runner_id, (), keeper.ledger.held_runs()))
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -69,12 +69,17 @@
     # Runners.
 
     def take_report(self, view: AgentView, report: orders.RunnerReport, now_ms: int) -> None:
-        """Take a runner's state and room."""
+        """Take what a runner is, and its state."""
         lost = self.fleet.take_report(view, report, now_ms)
         if lost is not None:
             self._release_lost(lost, now_ms)
         self.outside.place_soon()
 
+    def take_room(self, view: AgentView, report: orders.RoomReport) -> None:
+        """Take a runner's free room."""
+        self.fleet.take_room(view, report)
+        self.outside.place_soon()
+
     def check_silence(self, now_ms: int) -> None:
         """Place anew what was placed where nothing runs any more."""
         for lost in self.fleet.check_silence(now_ms):
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -54,7 +54,7 @@
     def take_report(
         self, view: AgentView, report: orders.RunnerReport, now_ms: int
     ) -> LostRunner | None:
-        """Take a runner's state and room; return the runner if it is gone."""
+        """Take what a runner is, and its state; return the runner if it is gone."""
         place = Place(view.agent, report.runner_id)
         runner = self.runners.get(place)
         if runner is None:
@@ -67,6 +67,12 @@
         runner.take_report(report)
         return self._lose(runner, "runner_gone") if report.state == orders.GONE else None
 
+    def take_room(self, view: AgentView, report: orders.RoomReport) -> None:
+        """Take a runner's free room; of one that was lost meanwhile, nothing is known."""
+        runner = self.runners.get(Place(view.agent, report.runner_id))
+        if runner is not None:
+            runner.take_room(report)
+
     def check_silence(self, now_ms: int) -> list[LostRunner]:
         """Give up agents, and runners, that were silent until nothing can run there any more."""
         lost = []
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -86,9 +86,9 @@
 @message(42)
 @attrs.frozen
 class RunnerReport:
-    """A runner's state and room. ``orders`` counts the runs ordered on this stream so far.
+    """What a runner is and its state; told when an entry joins and when it changes.
 
-    ``slowness_permille`` is how long its runs take against their estimates, 0 if not known.
+    A ``RoomReport`` follows it.
     """
 
     runner_id: str = text_field()
@@ -98,11 +98,6 @@
     capacity_cpu_milli: int = count_field()
     capacity_memory_mb: int = count_field()
     capacity_accelerators: int = count_field()
-    free_cpu_milli: int = signed_field()
-    free_memory_mb: int = signed_field()
-    free_accelerators: int = signed_field()
-    orders: int = count_field()
-    slowness_permille: int = count_field()
 
     @property
     def capacity(self) -> Resources:
@@ -111,6 +106,23 @@
             self.capacity_cpu_milli, self.capacity_memory_mb, self.capacity_accelerators
         )
 
+
+@message(46)
+@attrs.frozen
+class RoomReport:
+    """The free room of a runner, which changes with each start and end.
+
+    ``orders`` counts the runs ordered on this stream so far; ``slowness_permille`` is how long
+    its runs take against their estimates, 0 if not known.
+    """
+
+    runner_id: str = text_field()
+    free_cpu_milli: int = signed_field()
+    free_memory_mb: int = signed_field()
+    free_accelerators: int = signed_field()
+    orders: int = count_field()
+    slowness_permille: int = count_field()
+
     @property
     def free(self) -> Resources:
         """Return the room that nothing holds."""
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -52,11 +52,14 @@
     slowness_permille: int = 0
 
     def take_report(self, report: orders.RunnerReport) -> None:
-        """Take the agent's statement; orders that it includes are no longer counted here."""
+        """Take the agent's statement of what the runner is, and its state."""
         self.upstream = report.upstream
         self.state = report.state
         self.labels = report.labels
         self.capacity = report.capacity
+
+    def take_room(self, report: orders.RoomReport) -> None:
+        """Take the agent's count of room; orders that it includes are no longer counted here."""
         self.reported_free = report.free
         self.slowness_permille = report.slowness_permille
         while self.unseen and self.unseen[0][0] <= report.orders:
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -97,6 +97,8 @@
             self.send(view.agent, orders.BeatEcho(message.clock_ms, self.holds_lease()))
         elif isinstance(message, orders.RunEvents):
             dispatch.take_events(view, message, now_ms)
+        elif isinstance(message, orders.RoomReport):
+            dispatch.take_room(view, message)
         elif isinstance(message, orders.RunnerReport):
             dispatch.take_report(view, message, now_ms)
         elif isinstance(message, orders.Holdings):
