Write what is sent on a stream in one turn of the loop at once

Cause: each message was a system call of its own, and reports come in pairs now. Change: Stream gathers the frames of a turn; close and flush write them first.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -244,3 +244,13 @@
 
   Scenario: the page of events is what the list makes of it
     Then the page LOGS.md is as generated
+
+  Scenario: what is sent on a stream in one turn goes out in one write, in order
+    Given a stream whose writes are counted
+    When 3 messages are sent in one turn and 1 in the next
+    Then 2 writes carry the 4 messages in order
+
+  Scenario: a stream that is closed still writes what was sent before
+    Given a stream whose writes are counted
+    When 2 messages are sent and the stream is closed at once
+    Then 1 writes carry the 2 messages in order
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -2,6 +2,7 @@
 
 import ast
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
@@ -13,6 +14,7 @@
 from gapdrum.agent.runner_context import RunnerContext
 from gapdrum.agent.runner_starts import RunnerStarts
 from gapdrum.background import Background
+from gapdrum.codec import Decoder
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import build_dispatch
@@ -44,6 +46,7 @@
 from gapdrum.exceptions import GapdrumError, StoreOutcomeUnknownError, StoreRejectedError
 from gapdrum.platform.rows import RowStore
 from gapdrum.platform.runner_calls import RunnerCalls, RunnerRejectedError
+from gapdrum.streams import Stream
 from gapdrum.timers import Timers
 from gapdrum.transport.http_client import NoReplyError
 from gapdrum.transport.http_messages import HttpResponse
@@ -926,3 +929,65 @@
     from make_logs_page import PAGE, build_page
 
     assert PAGE.read_text() == build_page(), "run tools/make_logs_page.py"
+
+
+# Streams.
+
+
+class CountingWriter:
+    """Takes the place of a connection's writer; ``writes`` are the chunks it was given."""
+
+    def __init__(self):
+        self.writes = []
+        self.closing = False
+        self.transport = self
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.closing
+
+    def write(self, chunk):
+        self.writes.append(chunk)
+
+    def close(self):
+        self.closing = True
+
+
+@given("a stream whose writes are counted")
+def counted_stream(context):
+    context.writer = CountingWriter()
+    context.stream = Stream(None, context.writer, Counter(), Counter())
+
+
+def send_beats(context, first, count):
+    for clock_ms in range(first, first + count):
+        context.stream.send(orders.AgentBeat(clock_ms))
+
+
+@when("{first:d} messages are sent in one turn and {second:d} in the next")
+def send_in_turns(context, first, second):
+    async def run():
+        send_beats(context, 0, first)
+        await asyncio.sleep(0)
+        send_beats(context, first, second)
+        await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+@when("{count:d} messages are sent and the stream is closed at once")
+def send_and_close(context, count):
+    async def run():
+        send_beats(context, 0, count)
+        context.stream.close()
+
+    asyncio.run(run())
+
+
+@then("{writes:d} writes carry the {count:d} messages in order")
+def written(context, writes, count):
+    assert len(context.writer.writes) == writes, context.writer.writes
+    messages = list(Decoder().feed(b"".join(context.writer.writes)))
+    assert messages == [orders.AgentBeat(clock_ms) for clock_ms in range(count)], messages
--- a/src/gapdrum/streams.py
+++ b/src/gapdrum/streams.py
@@ -15,8 +15,9 @@
 class Stream:
     """One connection that carries messages both ways.
 
-    Iterate to receive; ``send`` never waits.  A peer that does not read until
-    ``MAX_UNSENT_BYTES`` have gathered is cut off::
+    Iterate to receive; ``send`` never waits.  What is sent in one turn of the loop goes out in
+    one write at its end.  A peer that does not read until ``MAX_UNSENT_BYTES`` have gathered is
+    cut off::
 
         async for message in stream:
             stream.send(reply_to(message))
@@ -33,6 +34,7 @@
         self._writer = writer
         self._sent = sent
         self._received = received
+        self._unwritten: list[bytes] = []
         self.closed = False
 
     def send(self, message: object) -> None:
@@ -42,9 +44,18 @@
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
             raise StreamClosedError("the peer does not read")
-        self._writer.write(encode(message))
+        if not self._unwritten:
+            asyncio.get_running_loop().call_soon(self._write)
+        self._unwritten.append(encode(message))
         self._sent[kind_of(message)] += 1
 
+    def _write(self) -> None:
+        """Hand what was sent in this turn to the connection."""
+        frames = self._unwritten
+        self._unwritten = []
+        if frames and not self._writer.is_closing():
+            self._writer.write(b"".join(frames))
+
     async def __aiter__(self) -> AsyncIterator[object]:
         """Yield messages until the peer closes; raises FrameError on a bad frame."""
         decoder = Decoder()
@@ -59,10 +70,12 @@
     def close(self) -> None:
         """Close the stream; what was sent before is still delivered if it can be."""
         self.closed = True
+        self._write()
         self._writer.close()
 
     async def flush(self) -> None:
         """Wait until the peer's buffers have taken what was sent."""
+        self._write()
         try:
             await self._writer.drain()
         except OSError as error:
