Give a task to the freest of four runners taken at random

Cause: all entries see the same room and chose the same freest runner, so their orders met there. Ruled out: the interval of reports, as refusals came within 2 ms. Change: candidates are looked through from a random one on until four sound ones are found. The scenario failed first: 12 entries chose one runner.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -176,6 +176,10 @@
       | 2500 |          |      |        | none   |
       | 500  | c        |      |        | none   |
 
+  Scenario: entries that see the same room do not all send their work to one runner
+    Given 40 equal runners of one upstream that 12 entries see alike
+    Then one task of each entry goes to 6 runners or more
+
   Scenario: an agent refuses what its runner may not start
     Given a draining runner with an agent
     Then an order is refused as "runner_draining"
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -2,6 +2,7 @@
 
 import ast
 import asyncio
+import random
 from collections import Counter
 from pathlib import Path
 
@@ -668,11 +669,45 @@
         task = context.job.tasks[0]
         task.avoided = set(row["avoids"].split())
         field = build_field(context.runners, "inspect-desk")
-        chosen = choose_runner(context.job, task, field, "plaine-nord", context.now_ms)
+        chosen = choose_runner(
+            context.job, task, field, "plaine-nord", context.now_ms, random.Random(1)
+        )
         name = chosen.place.runner_id if chosen is not None else "none"
         assert name == row["runner"], (row, name)
 
 
+@given("{count:d} equal runners of one upstream that {entries:d} entries see alike")
+def equal_runners(context, count, entries):
+    agent = AgentView("side", "life", "plaine-nord", 0, 1_000)
+    context.fields = []
+    for _ in range(entries):
+        views = []
+        for number in range(count):
+            view = RunnerView(Place("side", f"i-{number}"), agent, 0, synced=True)
+            view.take_report(
+                orders.RunnerReport(
+                    f"i-{number}", "inspect-desk", orders.READY, (), 4_000 + number, 100, 0
+                )
+            )
+            view.take_room(orders.RoomReport(f"i-{number}", 4_000 + number, 100, 0, 0, 0))
+            views.append(view)
+        context.fields.append(build_field(views, "inspect-desk"))
+
+
+@then("one task of each entry goes to {runners:d} runners or more")
+def spread(context, runners):
+    context.now_ms = 1_000
+    context.outside = Outside()
+    context.dispatch = build_dispatch("plaine-nord", context.outside, lambda: True, 0)
+    add_job(context, 1, kept=False)
+    task = context.job.tasks[0]
+    chosen = {
+        choose_runner(context.job, task, field, "plaine-nord", 1_000, random.Random(seed)).place
+        for seed, field in enumerate(context.fields)
+    }
+    assert len(chosen) >= runners, chosen
+
+
 # The store.
 
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -1,5 +1,6 @@
 """The owner of jobs: what ends and events of their runs mean."""
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -336,10 +337,14 @@
 
 
 def build_dispatch(
-    zone: str, outside: Outside, may_act: Callable[[], bool], now_ms: int
+    zone: str,
+    outside: Outside,
+    may_act: Callable[[], bool],
+    now_ms: int,
+    rng: random.Random | None = None,
 ) -> Dispatch:
     """Return an owner without jobs; ``may_act`` tells whether the lease in the store is held."""
     jobs: dict[str, Job] = {}
     fleet = Fleet(outside)
-    placer = Placer(zone, outside, may_act, fleet, jobs, now_ms)
+    placer = Placer(zone, outside, may_act, fleet, jobs, now_ms, rng or random.Random())
     return Dispatch(outside, jobs, fleet, placer)
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -1,5 +1,6 @@
 """Which runner a task goes to, and in which order tasks wait."""
 
+import random
 import statistics
 from collections.abc import Iterable
 
@@ -9,6 +10,9 @@
 from gapdrum.core.jobs import Job, Task
 from gapdrum.core.runner_views import RunnerView
 
+# The freest of so many runners, taken at random, gets a task. All entries hear of the same room:
+# if each took the freest of all, most of their orders would meet at a few runners and be refused.
+CANDIDATES = 4
 # Freeness is compared in steps of this share, so that the own zone decides between equals.
 FREE_SHARE_STEPS = 8
 # If more than this share of the runners is suspect, the tasks are at fault and not the runners.
@@ -16,6 +20,8 @@
 # A runner counts as slow from this many times the usual slowness on; sound ones differ by 1.6.
 SLOW_FACTOR = 2.5
 PERMILLE = 1_000
+# The first fields of a score tell whether anything speaks against a runner.
+SOUND_FIELDS = 3
 
 
 @attrs.frozen
@@ -59,19 +65,37 @@
     return (rank, job.priority, not job.begun, job.latest_start_ms, job.job_id)
 
 
-def choose_runner(job: Job, task: Task, field: Field, zone: str, now_ms: int) -> RunnerView | None:
-    """Return the best runner with room for a task, None if it has to wait."""
+def choose_runner(
+    job: Job, task: Task, field: Field, zone: str, now_ms: int, rng: random.Random
+) -> RunnerView | None:
+    """Return a good runner with room for a task, None if it has to wait.
+
+    All runners are looked through only while fewer than ``CANDIDATES`` are found that nothing
+    speaks against.
+    """
     best = None
     best_score = None
-    for view in field.runners:
+    found = 0
+    for view in _in_random_order(field.runners, rng):
         if not _may_take(view, job, task, field, now_ms):
             continue
         score = _score(view, task, field, zone)
         if best_score is None or score > best_score:
             best, best_score = view, score
+        found += all(score[:SOUND_FIELDS])
+        if found == CANDIDATES:
+            break
     return best
 
 
+def _in_random_order(runners: tuple[RunnerView, ...], rng: random.Random) -> tuple[RunnerView, ...]:
+    """Return the runners from one taken at random on, which costs less than to shuffle them."""
+    if not runners:
+        return runners
+    begin = rng.randrange(len(runners))
+    return runners[begin:] + runners[:begin]
+
+
 def may_ever_fit(task: Task, field: Field) -> bool:
     """Tell whether a runner would take the task if nothing ran there."""
     label = task.step.required_label
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -1,5 +1,6 @@
 """Which waiting task goes where, and how long a new one would wait."""
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -44,6 +45,7 @@
     fleet: Fleet
     jobs: dict[str, Job]
     started_ms: int
+    rng: random.Random
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
@@ -101,7 +103,7 @@
         refused = None
         ready = job.ready_tasks()
         for task in ready:
-            runner = choose_runner(job, task, field, self.zone, now_ms)
+            runner = choose_runner(job, task, field, self.zone, now_ms, self.rng)
             if runner is None:
                 held = True
                 self._note_held(job, task)
@@ -179,7 +181,7 @@
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
         field = build_field(self.fleet.runners.values(), job.upstream)
-        target = choose_runner(job, task, field, self.zone, now_ms)
+        target = choose_runner(job, task, field, self.zone, now_ms, self.rng)
         has_room = target is not None and target.place.runner_id not in task.avoided
         # A run that stands still may as well wait: it would not end where it is.
         worth_it = has_room or reason == orders.STANDS_STILL
