Serve HTTP of all programs by one listener, without a thread a connection

Cause: cheroot gives a thread to each connection that sends slowly; 400 half-open connections held up a one-task job until they timed out. 300 of them, with 96 threads, did not hold it up for as long. Change: http.HttpServer runs the listener of transport/ in a loop of its own and handlers in a pool; TLS and half-closed requests are served there. Two exceptions that nothing raises any more are gone. The scenario failed first.

--- a/features/http_input.feature
+++ b/features/http_input.feature
@@ -14,3 +14,10 @@
       | slow body          | 408    |
     When the job "h1" of 2 tasks of 50 ms is submitted to entry 0
     Then the answer is complete
+
+  Scenario: Connections that stay half-open hold up nobody else
+    Given a system of 1 entries and 1 runners
+    When 400 connections send half a request line
+    And the job "h2" of 1 tasks of 50 ms is submitted to entry 0
+    Then the answer is complete
+    And the half-open connections have not ended before it
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -3,7 +3,7 @@
 import json
 import socket
 
-from behave import then
+from behave import then, when
 from local_system import CALLER_TOKEN, HOST
 from whole_path_steps import job_document
 
@@ -58,3 +58,25 @@
             answer = connection.recv(65_536).decode()
         found.append((row["request"], answer.split(" ")[1] if answer else "none"))
     assert found == [(row["request"], row["status"]) for row in context.table], found
+
+
+@when("{count:d} connections send half a request line")
+def send_half_lines(context, count):
+    port = context.system.entries[0].port
+    context.half_open = []
+    for _ in range(count):
+        connection = socket.create_connection((HOST, port))
+        context.add_cleanup(connection.close)
+        connection.sendall(b"POST /v1/jo")
+        context.half_open.append(connection)
+
+
+@then("the half-open connections have not ended before it")
+def still_open(context):
+    for connection in context.half_open:
+        connection.setblocking(False)
+        try:
+            ended = connection.recv(1)
+        except BlockingIOError:
+            continue
+        raise AssertionError(f"a connection was ended: {ended}")
--- a/src/gapdrum/exceptions.py
+++ b/src/gapdrum/exceptions.py
@@ -41,20 +41,6 @@
     http_status = 400
 
 
-class BodyTooLargeError(GapdrumError):
-    """The request body is larger than the entry accepts."""
-
-    code = "body_too_large"
-    http_status = 413
-
-
-class BodyTooSlowError(GapdrumError):
-    """The request body did not arrive in time."""
-
-    code = "body_too_slow"
-    http_status = 408
-
-
 class UnauthorizedError(GapdrumError):
     """The request carries no valid credential."""
 
--- a/src/gapdrum/http.py
+++ b/src/gapdrum/http.py
@@ -1,54 +1,43 @@
-"""HTTP by cheroot: a registry of routes, JSON in and out, errors with codes.
+"""The HTTP interface of the programs: a registry of routes, JSON in and out, errors with codes.
 
-Handlers run in cheroot's threads.  What they need of the event loop they call
+Handlers run in threads of their own.  What they need of the program's event loop they call
 through ``run_on_loop``.
 """
 
 import asyncio
 import json
 import re
+import ssl
 import threading
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import SplitResult, parse_qs, unquote, urlsplit
 
 import attrs
-from cheroot import wsgi
-from cheroot.ssl.builtin import BuiltinSSLAdapter
 from loguru import logger
 
 from gapdrum.config import Address, Tls
 from gapdrum.exceptions import (
-    BodyTooLargeError,
-    BodyTooSlowError,
     Finding,
     GapdrumError,
     InvalidInputError,
     NotFoundError,
     RefusedError,
 )
+from gapdrum.timers import MS_PER_S, Timers
+from gapdrum.transport.http_messages import JSON_TYPE, HttpRequest, HttpResponse
+from gapdrum.transport.http_server import HttpLimits, HttpListener
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 32 * 1024
-SOCKET_TIMEOUT_S = 5
-KEPT_CONNECTIONS = 1_000
-SERVER_REQUEST = "gapdrum.server_request"
-JSON_TYPE = "application/json"
-STATUS_TEXTS = {
-    200: "OK",
-    202: "Accepted",
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    408: "Request Timeout",
-    409: "Conflict",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-}
+# A sender that needs longer for one request is told so; callers are programs, not people.
+REQUEST_TIMEOUT_MS = 5_000
+# Callers that poll come back within seconds; other connections are not worth keeping.
+CONNECTION_IDLE_MS = 60_000
+# How long answers may take to be read before the process ends.
+STOP_WAIT_MS = 1_000
+STOP_POLL_MS = 10
 
 
 @attrs.frozen
@@ -131,70 +120,75 @@
         raise NotFoundError(f"no such resource: {method} {path[:100]}")
 
 
-class Gateway(wsgi.Gateway_10):
-    """Hands the server's own request to the application, which may have to close it."""
-
-    def get_environ(self) -> dict:
-        """Return the WSGI environment with the server's request in it."""
-        return {**super().get_environ(), SERVER_REQUEST: self.req}
-
-
 class HttpServer:
-    """A cheroot server in a thread of its own, serving a router."""
+    """Serves a router: an event loop in a thread reads and writes, a pool of threads handles.
+
+    So a slow sender holds up nobody but itself.
+    """
 
     def __init__(self, address: Address, router: Router, threads: int, tls: Tls | None = None):
+        self._address = address
         self._router = router
-        self._server = wsgi.Server(
-            (address.host, address.port),
-            self._application,
-            numthreads=threads,
-            request_queue_size=256,
-            timeout=SOCKET_TIMEOUT_S,
-            shutdown_timeout=1,
+        self._tls = _build_context(tls) if tls is not None else None
+        self._pool = ThreadPoolExecutor(threads, "http-handler")
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, name="http", daemon=True)
+        self._timers = Timers()
+        limits = HttpLimits(
+            MAX_HEADER_BYTES, MAX_BODY_BYTES, REQUEST_TIMEOUT_MS, CONNECTION_IDLE_MS
         )
-        self._server.gateway = Gateway
-        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
-        self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.max_request_header_size = MAX_HEADER_BYTES
-        if tls is not None:
-            self._server.ssl_adapter = BuiltinSSLAdapter(tls.certificate, tls.key)
-        self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
+        self._listener = HttpListener(self._handle, limits, self._timers)
 
     def start(self) -> int:
-        """Listen and serve; return the port."""
-        self._server.prepare()
+        """Listen and serve; return the port. Raises OSError if the address is taken."""
         self._thread.start()
-        return self._server.bind_addr[1]
+        opening = self._listener.open(self._address.host, self._address.port, self._tls)
+        return run_on_loop(self._loop, opening, None)
 
     def stop(self) -> None:
-        """Stop serving after the requests in progress."""
-        self._server.stop()
-
-    def _application(self, environ: dict, start_response: Callable) -> list[bytes]:
-        response = self._respond(environ)
-        content = response.content
-        if content is None:
-            content = json.dumps(response.document).encode() + b"\n"
-        headers = [
-            ("Content-Type", response.content_type),
-            ("Content-Length", str(len(content))),
-        ]
-        if response.retry_after_ms is not None:
-            seconds = -(-response.retry_after_ms // 1000)
-            headers.append(("Retry-After", str(seconds)))
-        text = STATUS_TEXTS.get(response.status, "Status")
-        start_response(f"{response.status} {text}", headers)
-        return [content]
-
-    def _respond(self, environ: dict) -> Response:
+        """Answer what has come, end all connections, and stop serving."""
+        run_on_loop(self._loop, self._close(), None)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    async def _close(self) -> None:
+        self._listener.start_closing()
+        self._listener.close_idle()
+        limit_ms = self._timers.now_ms() + STOP_WAIT_MS
+        while self._listener.connections and self._timers.now_ms() < limit_ms:
+            await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
+        self._listener.close()
+        self._timers.stop()
+
+    def _handle(self, request: HttpRequest) -> Awaitable[HttpResponse]:
+        return asyncio.get_running_loop().run_in_executor(self._pool, self._respond, request)
+
+    def _respond(self, request: HttpRequest) -> HttpResponse:
         try:
-            handler, parts = self._router.find(environ["REQUEST_METHOD"], environ["PATH_INFO"])
-            return handler(_read_request(environ, parts))
+            target = urlsplit(request.path)
+            handler, parts = self._router.find(request.method, unquote(target.path))
+            response = handler(_read_request(request, target, parts))
         except GapdrumError as error:
-            return error_response(error)
+            response = error_response(error)
         except Exception as error:  # a defect: report it as such, and go on serving
             logger.exception("a handler failed")
-            return error_response(GapdrumError(f"internal: {type(error).__name__}"))
+            response = error_response(GapdrumError(f"internal: {type(error).__name__}"))
+        return _encode_response(response)
+
+
+def _build_context(tls: Tls) -> ssl.SSLContext:
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+def _encode_response(response: Response) -> HttpResponse:
+    content = response.content
+    if content is None:
+        content = json.dumps(response.document).encode() + b"\n"
+    retry_after_s = -(-(response.retry_after_ms or 0) // MS_PER_S)
+    return HttpResponse(response.status, content, response.content_type, retry_after_s)
 
 
 def error_response(error: GapdrumError) -> Response:
@@ -219,23 +213,8 @@
         raise
 
 
-def _read_request(environ: dict, parts: dict[str, str]) -> Request:
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if not length.isdecimal():
-        raise InvalidInputError("the content length is not a number")
-    if int(length) > MAX_BODY_BYTES:
-        raise BodyTooLargeError(f"the body is larger than {MAX_BODY_BYTES} bytes")
-    try:
-        body = environ["wsgi.input"].read(int(length)) if int(length) else b""
-    except OSError as error:
-        # Else the server would wait for the rest of the body before it answers.
-        environ[SERVER_REQUEST].close_connection = True
-        raise BodyTooSlowError("the body did not arrive in time") from error
-    if len(body) < int(length):
-        raise InvalidInputError("the body ended early")
-    query = {name: values[-1] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
-    scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+def _read_request(request: HttpRequest, target: SplitResult, parts: dict[str, str]) -> Request:
+    query = {name: values[-1] for name, values in parse_qs(target.query).items()}
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
     token = token if scheme.lower() == "bearer" else ""
-    return Request(
-        environ["REQUEST_METHOD"], environ["PATH_INFO"], parts, query, body, token.strip()
-    )
+    return Request(request.method, unquote(target.path), parts, query, request.body, token.strip())
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 listener on asyncio: one protocol object a connection, parsed by httptools."""
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -43,13 +44,18 @@
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
 
-    async def open(self, host: str, port: int) -> None:
-        """Listen; raises OSError if the address is taken."""
+    async def open(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
+        """Listen, and return the port; raises OSError if the address is taken."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), host, port, backlog=BACKLOG_CONNECTIONS
+            lambda: _Connection(self), host, port, backlog=BACKLOG_CONNECTIONS, ssl=tls
         )
         self.timers.subscribe(SWEEP_INTERVAL_MS, self._sweep)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Take no new connections."""
+        self._server.close()
 
     def start_closing(self) -> None:
         """Answer what still comes, and end each connection after its next answer."""
@@ -121,6 +127,12 @@
             if self._in_headers and self._header_bytes > self._listener.limits.max_header_bytes:
                 self._refuse(431, "headers_too_large")
 
+    def eof_received(self) -> bool:
+        """Answer a sender that has ended in the middle of a request; else end with it."""
+        if self._reading_since_ms and not self._refused:
+            self._refuse(400, "request_cut_short")
+        return self._refused
+
     # What the parser calls back, named as it asks for.
 
     def on_message_begin(self) -> None:
