Pause before calls to a runner that resets them, and give it no work meanwhile

Ruled out: refused connections, which had a pause of 50 ms. Change: Backoff, 10 to 160 ms, for looks and starts; a look without an answer takes the runner's room away until one is answered, and that is told again.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -194,6 +194,16 @@
     When 400 ms after its clock was read a run is started there
     Then its room is held until the expiry that the runner was told
 
+  Scenario: a runner that resets every call is not flooded with connections
+    Given a keeper of a runner that resets every look
+    When it keeps looking for 300 ms
+    Then it has looked at most 30 times
+
+  Scenario: a runner that leaves a look unanswered has no room until it answers again
+    Given a keeper of a runner that leaves its second look unanswered
+    When it keeps looking for 300 ms
+    Then entries are told of its room, of none, and of its room again
+
   Scenario Outline: malformed answers of store and runner are errors and no crashes
     Given a server that answers <status> with <body>
     Then a read of rows fails as "store_outcome_unknown"
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -13,6 +13,7 @@
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.agent.runner_context import RunnerContext
+from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.agent.runner_starts import RunnerStarts
 from gapdrum.background import Background
 from gapdrum.codec import Decoder
@@ -520,6 +521,70 @@
         raise self.outcomes.pop(0)
 
 
+class LookedAt:
+    """Shows an empty runner at each look but those of ``unanswered``; counts the looks."""
+
+    def __init__(self, unanswered):
+        self.unanswered = unanswered
+        self.looks = 0
+
+    async def look(self, _until_ms, _seen, fence, _wait_ms, _timeout_ms):
+        await asyncio.sleep(0.001)
+        self.looks += 1
+        if fence and self.unanswered(self.looks):
+            raise NoReplyError("reset")
+        return RunnerLook(self.looks, (), ())
+
+    def close(self):
+        pass
+
+
+def new_keeper(context, unanswered):
+    timers = ManualTimers()
+    context.room_told = []
+
+    def report(keeper, _events):
+        context.room_told.append(bool(keeper.ledger.free.cpu_milli))
+
+    context.keeper = RunnerKeeper(
+        "i-1", Endpoint("127.0.0.1", 1), Grants(0), 1_000, timers, new_log(timers), report,
+        lambda keeper: report(keeper, []),
+    )  # fmt: skip
+    context.keeper.ledger.capacity = Resources(4_000, 100, 0)
+    context.keeper._context.calls = context.calls = LookedAt(unanswered)
+
+
+@given("a keeper of a runner that resets every look")
+def resets_looks(context):
+    new_keeper(context, lambda _look: True)
+
+
+@given("a keeper of a runner that leaves its second look unanswered")
+def second_unanswered(context):
+    # The very first call only learns the runner's clock.
+    new_keeper(context, lambda look: look == 3)
+
+
+@when("it keeps looking for {duration:d} ms")
+def keep_looking(context, duration):
+    async def run():
+        keeping = asyncio.create_task(context.keeper.keep())
+        await asyncio.sleep(duration / 1_000)
+        keeping.cancel()
+
+    asyncio.run(run())
+
+
+@then("it has looked at most {count:d} times")
+def looked_at_most(context, count):
+    assert context.calls.looks <= count, context.calls.looks
+
+
+@then("entries are told of its room, of none, and of its room again")
+def told_of_room(context):
+    assert context.room_told == [True, False, True], context.room_told
+
+
 @given("a runner that leaves the first start unanswered and rejects the second")
 def reject_second(context):
     rejection = RunnerRejectedError(503, "", None)
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -5,7 +5,8 @@
 
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
-from gapdrum.agent.runner_starts import PAUSE_MS, RunnerStarts
+from gapdrum.agent.runner_starts import RETRY_FIRST_MS, RETRY_MOST_MS, RunnerStarts
+from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.runner_ledger import Run, RunnerLedger
@@ -74,6 +75,7 @@
 
     async def keep(self) -> None:
         """Look and renew until this incarnation is gone."""
+        backoff = Backoff(RETRY_FIRST_MS, RETRY_MOST_MS)
         while not self.ledger.gone:
             try:
                 await self._step()
@@ -81,13 +83,13 @@
                 self.set_gone("replaced")
             except RunnerRejectedError as error:
                 self._take_rejection(error)
-                await asyncio.sleep(PAUSE_MS / MS_PER_S)
-            except NotSentError:
-                self._note_unreachable()
-                self._check_lapse()
-                await asyncio.sleep(PAUSE_MS / MS_PER_S)
-            except NoReplyError:
+                await backoff.pause()
+            except (NotSentError, NoReplyError) as error:
+                self._note_unreachable(error.code)
                 self._check_lapse()
+                await backoff.pause()
+            else:
+                backoff.reset()
         self._context.calls.close()
 
     async def _step(self) -> None:
@@ -115,7 +117,7 @@
         ledger = self.ledger
         was_resting = bool(ledger.health.resting_until_ms)
         ledger.note_clock(look.clock_ms, now_ms)
-        ledger.reachable = True
+        self._note_reachable()
         events = ledger.take_look(look, now_ms)
         if ledger.must_lapse() and look.clock_ms > self._context.lease_until_ms:
             ledger.note_lapse()
@@ -179,11 +181,17 @@
         if error.reason == REASON_FENCED and error.clock_ms is not None:
             self._context.fence = max(self._context.fence, error.clock_ms)
 
-    def _note_unreachable(self) -> None:
-        """Tell entries that there is no room while nobody listens at the runner."""
+    def _note_unreachable(self, reason: str) -> None:
+        """Tell entries that there is no room until the runner answers a look again."""
         if self.ledger.reachable:
             self.ledger.reachable = False
-            self._log.write("runner_unreachable", runner=self.runner_id)
+            self._log.write("runner_unreachable", runner=self.runner_id, reason=reason)
+            self._context.report([])
+
+    def _note_reachable(self) -> None:
+        if not self.ledger.reachable:
+            self.ledger.reachable = True
+            self._log.write("runner_reachable", runner=self.runner_id)
             self._context.report([])
 
     def _check_lapse(self) -> None:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -1,9 +1,8 @@
 """Starts and stops runs at one incarnation of a runner, as entries order."""
 
-import asyncio
-
 from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
 from gapdrum.background import Background
+from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.models import Resources, RunKey
 from gapdrum.core.runner_ledger import Run, not_started
@@ -13,7 +12,6 @@
     RunnerRejectedError,
     RunnerReplacedError,
 )
-from gapdrum.timers import MS_PER_S
 from gapdrum.transport.http_client import NoReplyError, NotSentError
 
 # The runner is on the same machine; it answers in about a millisecond.
@@ -22,7 +20,10 @@
 STOP_REPEAT_MS = 300
 # An unanswered start holds its room until then, as it may take effect so late.
 START_WINDOW_MS = 700
-PAUSE_MS = 50
+# Pauses before a call to the runner is tried again: a lost answer costs little, and a runner
+# that resets every connection is not flooded with new ones, which are dear there.
+RETRY_FIRST_MS = 10
+RETRY_MOST_MS = 160
 
 
 class RunnerStarts:
@@ -86,6 +87,7 @@
         settled = None
         unanswered = False
         sent = False
+        backoff = Backoff(RETRY_FIRST_MS, RETRY_MOST_MS)
         call = self._context.bound.propose(lease_ends_ms)
         while settled is None and self._may_still_start(run):
             try:
@@ -98,10 +100,11 @@
             except NoReplyError:
                 unanswered = True
                 sent = True
+                await backoff.pause()
             except NotSentError:
                 if not unanswered:
                     break
-                await asyncio.sleep(PAUSE_MS / MS_PER_S)
+                await backoff.pause()
             except RunnerReplacedError:
                 self._context.set_gone("replaced")
             except RunnerRejectedError as error:
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -137,7 +137,11 @@
     "runner_reported", "The runner's room or draining has changed.",
     "runner", "draining", "cpu_milli", "sequence",
 )  # fmt: skip
-_add("runner_unreachable", "Nobody listens at the runner; it has no room.", "runner")
+_add(
+    "runner_unreachable", "The runner leaves looks unanswered; it has no room.",
+    "runner", "reason",
+)  # fmt: skip
+_add("runner_reachable", "The runner answers looks again.", "runner")
 _add("runner_suspect", "The runner fails what it starts; it rests.", "runner", "rest_ms")
 _add("runner_on_trial", "The runner gets one run at a time.", "runner")
 _add("runner_gone", "This life of the runner is over.", "runner", "reason")
