Read a runner's room from the platform's list when an agent starts

Ruled out: the agents' start (all within 0.16 s) and streams. Change: the agent looks its runner up in the list of machines; a heartbeat goes before it. The scenario (a runner without heartbeats) failed first.

--- a/features/platform_failures.feature
+++ b/features/platform_failures.feature
@@ -60,6 +60,13 @@
     Then the waiting caller is told "succeeded"
     And no task ran twice at the same time
 
+  Scenario: an agent that starts anew gets work before its runner's next heartbeat
+    Given a platform with 1 entries and 1 agents
+    When runner 0 sends no heartbeats
+    And process agent-0 is killed and started again
+    And the stored job "00000000000000dc" of 2 tasks of 50 ms is submitted at entry 0
+    Then the job "00000000000000dc" becomes "succeeded" at entry 0
+
   Scenario: tasks of an agent that is lost are placed at another
     Given a platform with 1 entries and 2 agents
     When the waiting job "00000000000000c7" of 12 tasks of 800 ms is on its way at entry 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -257,6 +257,11 @@
     context.system.set_runner_fault(number, mode="hang", count=count)
 
 
+@when("runner {number:d} sends no heartbeats")
+def stop_heartbeats(context, number):
+    context.system.set_runner_fault(number, mode="no_heartbeats", count=1_000_000)
+
+
 @when('the store is in "{mode}"')
 def set_store_fault(context, mode):
     context.system.set_store_fault(mode=mode)
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -15,6 +15,7 @@
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.event_log import EventLog, run_program
 from gapdrum.platform.boot import Boot, load_boot
+from gapdrum.platform.machine_list import find_listed_runner
 from gapdrum.platform.rows import RowStore
 from gapdrum.platform.runner_calls import (
     DEREGISTER_PREFIX,
@@ -30,6 +31,9 @@
 
 IDENTITY_TIMEOUT_MS = 300
 IDENTITY_RETRY_MS = 250
+LIST_TIMEOUT_MS = 500
+# All agents may start at once, and share what the list answers a second.
+LIST_RETRY_MS = 500
 REPORT_INTERVAL_MS = 25  # room is told to all entries this often at most
 # How often ends that nobody has stored are told to all entries again.
 ORPHAN_INTERVAL_MS = 1_000
@@ -141,10 +145,29 @@
                 self.log.write("runner_not_found", address=str(address), code=error.code)
                 runner_id = ""
             if runner_id and not self.keepers:
-                self._keeper(runner_id, address)
+                await self._learn_room(self._keeper(runner_id, address))
                 return
             await asyncio.sleep(IDENTITY_RETRY_MS / MS_PER_S)
 
+    async def _learn_room(self, keeper: RunnerKeeper) -> None:
+        """Look the runner's room up, as its next heartbeat may be a second or more away."""
+        machines = self.boot.machine_list
+        while machines is not None and keeper.ledger.capacity is None and not keeper.ledger.gone:
+            try:
+                listed = await find_listed_runner(machines, keeper.runner_id, LIST_TIMEOUT_MS)
+            except (NotSentError, NoReplyError) as error:
+                self.log.write(
+                    "runner_not_listed",
+                    runner=keeper.runner_id,
+                    code=error.code,
+                    reason=error.message,
+                )
+                listed = None
+            if listed is not None:
+                keeper.take_listed(listed)
+                return
+            await asyncio.sleep(LIST_RETRY_MS / MS_PER_S)
+
     # Start and end.
 
     async def run(self) -> int:
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -10,7 +10,7 @@
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.runner_ledger import Run, RunnerLedger
-from gapdrum.core.runner_models import Heartbeat, RunnerLook
+from gapdrum.core.runner_models import Heartbeat, ListedRunner, RunnerLook
 from gapdrum.event_log import EventLog
 from gapdrum.platform.runner_calls import (
     REASON_FENCED,
@@ -222,6 +222,17 @@
             )
             self._context.report([])
 
+    def take_listed(self, listed: ListedRunner) -> None:
+        """Take what the platform's list says, unless the runner has told of itself meanwhile."""
+        ledger = self.ledger
+        if ledger.capacity is not None or ledger.gone:
+            return
+        ledger.upstream = listed.upstream
+        ledger.labels = listed.labels
+        ledger.capacity = listed.capacity
+        self._log.write("runner_listed", runner=self.runner_id, cpu_milli=listed.capacity.cpu_milli)
+        self._context.report([])
+
     async def renew_fully(self) -> None:
         """Renew once more before the agent ends, so that its successor finds the runs alive."""
         if self.ledger.gone or not self._context.fence or not self.ledger.looked:
--- a/src/gapdrum/core/runner_models.py
+++ b/src/gapdrum/core/runner_models.py
@@ -20,6 +20,15 @@
     sequence: int
 
 
+@attrs.frozen
+class ListedRunner:
+    """What the platform's list of machines says of a runner."""
+
+    upstream: str
+    capacity: Resources
+    labels: tuple[str, ...]
+
+
 @attrs.frozen
 class RunningTask:
     """A run at work; ``percent`` is how much of its work is done."""
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -132,6 +132,8 @@
 _add("runner_state", "A runner's state has changed.", "runner", "state")
 _add("runner_found", "A runner is known here.", "runner", "address")
 _add("runner_not_found", "Nobody tells who the runner here is.", "address", "code")
+_add("runner_listed", "The platform's list names the runner's room.", "runner", "cpu_milli")
+_add("runner_not_listed", "The platform's list does not help.", "runner", "code", "reason")
 _add("runner_looked", "What the runner holds is known.", "runner", "fence", "running", "ended")
 _add(
     "runner_reported", "The runner's room or draining has changed.",
--- a/src/gapdrum/platform/boot.py
+++ b/src/gapdrum/platform/boot.py
@@ -37,6 +37,7 @@
     readiness: Endpoint | None
     runner_reports: Endpoint | None
     runner: Endpoint | None
+    machine_list: Endpoint | None
 
 
 def load_boot(path: str | None = None) -> Boot:
@@ -77,6 +78,8 @@
         runner_reports=_optional(listen.get("control")),
         # ``app`` is the address of the runner on the same machine.
         runner=_optional(document.get("app")),
+        # ``cloud_api`` lists the machines of the runners.
+        machine_list=_optional(document.get("cloud_api", {}).get("address")),
     )
 
 
--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -186,10 +186,24 @@
             return json_response(200, self.state.history)
         if request.path == "/healthz":
             return HttpResponse(200, headers={"X-Instance-Id": self.runner_id})
+        if request.path == "/machines":
+            return json_response(200, {"machines": [self._describe_machine()], "next_token": None})
         if request.headers.get("x-target-instance", self.runner_id) != self.runner_id:
             return HttpResponse(421)
         return await self._command(request.path, json.loads(request.body))
 
+    def _describe_machine(self) -> dict[str, Any]:
+        """Return this runner as the platform's list of machines shows it."""
+        return {
+            "machine": f"m-{self.runner_id}",
+            "pool": self._report["service"],
+            "state": "up",
+            "zone": self._report["zone"],
+            "labels": self._report["labels"],
+            "capacity": self._report["capacity"],
+            "id": self.runner_id,
+        }
+
     async def _command(self, path: str, body: dict[str, Any]) -> HttpResponse:
         state = self.state
         if state.use_fault("unanswered"):
@@ -242,6 +256,8 @@
 
     async def beat(self) -> None:
         """Send one heartbeat to the agent beside this runner."""
+        if self.state.use_fault("no_heartbeats"):
+            return
         self._sequence += 1
         body = json.dumps({**self._report, "sequence": self._sequence}).encode()
         path = f"/Instances.Heartbeat/{self.runner_id}"
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -80,7 +80,8 @@
         """Tell whether an agent knows its runner's room and all entries."""
         name = f"agent-{number}"
         joined = {row["entry"] for row in self.events(name, "entry_joined")}
-        return len(joined) == len(self.entries) and bool(self.events(name, "runner_reported"))
+        has_room = self.events(name, "runner_reported") or self.events(name, "runner_listed")
+        return len(joined) == len(self.entries) and bool(has_room)
 
     def put_configuration(self, version: int, queues=QUEUES) -> None:
         """Write a version of the configuration, as operators do."""
@@ -219,6 +220,8 @@
         control, port = find_port(), find_port()
         listen = f'control = "{HOST}:{control}"\n'
         name = f"agent-{number}"
+        # The runner stands in for the platform's list of machines, too, and lists itself.
+        listen += f'[cloud_api]\naddress = "{HOST}:{port}"\n'
         settings = self._write_settings(name, number, listen, f'app = "{HOST}:{port}"\n')
         self.agents.append(self._module(name, "gapdrum.agent", control, [], settings))
         arguments = ["--port", str(port), "--control-port", str(control)]
