Judge the wait by the time since work was placed again

Ruled out: lack of room, it had just come. Change: the window begins with the first work after a pause, 100 ms at least. The scenario failed first (500 ms instead of 100).

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -159,6 +159,11 @@
     When a job of 1 tasks is added behind them
     Then 1 tasks are ordered
 
+  Scenario: the wait is judged by the time since work was placed again
+    Given an entry that places work of 20 a millisecond, from 5000 ms on
+    Then work of 2000 waits 100 ms at 5200 ms
+    And work of 2000 waits 100 ms at 7000 ms
+
   Scenario: a task goes where it may, and where it is likely to end soon
     Given runners of one upstream
       | runner | state    | labels | free | slowness |
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -18,6 +18,7 @@
 from gapdrum.background import Background
 from gapdrum.codec import Decoder
 from gapdrum.core import orders
+from gapdrum.core.backlog import Backlog
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.endpoints import Endpoint
@@ -698,6 +699,20 @@
 # Placement.
 
 
+@given("an entry that places work of {work:d} a millisecond, from {begin:d} ms on")
+def placing_entry(context, work, begin):
+    context.work = work
+    context.begin_ms = begin
+
+
+@then("work of {ahead:d} waits {wait:d} ms at {now:d} ms")
+def work_waits(context, ahead, wait, now):
+    backlog = Backlog()
+    for time_ms in range(context.begin_ms, now):
+        backlog.note_placed(context.work, time_ms)
+    assert abs(backlog.wait_ms(ahead, now) - wait) <= 1, backlog.wait_ms(ahead, now)
+
+
 @given("runners of one upstream")
 def new_runners(context):
     context.runners = []
--- a/src/gapdrum/core/backlog.py
+++ b/src/gapdrum/core/backlog.py
@@ -11,6 +11,9 @@
 # Over this time the rate of placed work is measured: longer than most tasks, shorter than the
 # bursts that matter.
 RATE_WINDOW_MS = 1_000
+# After a pause or a start, the rate is that of the time since then, but of no less than this:
+# what is placed in the first moment says little.
+MIN_RATE_WINDOW_MS = 100
 # Room that is free already takes this share of a job's own work off the wait.
 OWN_SHARE = 0.3
 
@@ -31,9 +34,12 @@
 
     _placed: deque[tuple[int, int]] = attrs.Factory(deque)
     _sum: int = 0
+    _since_ms: int = 0
 
     def note_placed(self, work: int, now_ms: int) -> None:
         """Note work that was handed to a runner."""
+        if not self._placed:
+            self._since_ms = now_ms
         self._placed.append((now_ms, work))
         self._sum += work
         self._trim(now_ms)
@@ -49,7 +55,8 @@
     def rate(self, now_ms: int) -> float:
         """Return how much work was placed a millisecond, lately."""
         self._trim(now_ms)
-        return max(0, self._sum) / RATE_WINDOW_MS
+        window_ms = min(RATE_WINDOW_MS, max(MIN_RATE_WINDOW_MS, now_ms - self._since_ms))
+        return max(0, self._sum) / window_ms
 
     def wait_ms(self, work_ahead: float, now_ms: int) -> int:
         """Return how long so much work takes to be placed; 0 if nothing is known yet."""
