--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -7,7 +7,7 @@
 import attrs
 
 from gapdrum.core import orders
-from gapdrum.core.jobs import Job, Task
+from gapdrum.core.jobs import Job, Task, TaskPhase
 from gapdrum.core.runner_views import RunnerView
 
 # The freest of so many runners, taken at random, gets a task. All entries hear of the same room:
@@ -20,6 +20,10 @@
 # A runner counts as slow from this many times the usual slowness on; sound ones differ by 1.6.
 SLOW_FACTOR = 2.5
 PERMILLE = 1_000
+# What a late end is worth: users count a fifth.
+LATE_VALUE = 0.2
+# What a queue counts for against the one whose priority is a step higher.
+PRIORITY_WEIGHT = 0.5
 # The first fields of a score tell whether anything speaks against a runner.
 SOUND_FIELDS = 3
 
@@ -52,17 +56,22 @@
     return Field(views, suspects > len(views) * MAX_SUSPECT_SHARE, usual)
 
 
-def waiting_order(job: Job, now_ms: int) -> tuple[int, int, bool, int, str]:
-    """Return the key by which jobs wait.
+def waiting_order(job: Job, now_ms: int) -> tuple[float, int, str]:
+    """Return the key by which jobs wait: what their end is worth for the room it still needs.
 
-    Jobs that can still meet their objective come first, then those that would be late, then
-    those whose end is of no use any more. Among them the queue's priority decides, then what
-    has begun, then which job must start first.
+    A job that has begun goes before one that has not, the more the less of it is left; so jobs
+    of many tasks do not all begin and none end. Among equals the one that must start first goes
+    first.
     """
-    rank = 0
-    if now_ms > job.latest_start_ms:
-        rank = 1 if now_ms < job.useless_from_ms else 2
-    return (rank, job.priority, not job.begun, job.latest_start_ms, job.job_id)
+    left = sum(task.phase is TaskPhase.WAITING for task in job.tasks) or 1
+    value = _value_of_end(job, now_ms) * PRIORITY_WEIGHT**job.priority
+    return (-value * len(job.tasks) / left, job.latest_start_ms, job.job_id)
+
+
+def _value_of_end(job: Job, now_ms: int) -> float:
+    if now_ms <= job.latest_start_ms:
+        return 1.0
+    return LATE_VALUE if now_ms < job.useless_from_ms else 0.0
 
 
 def choose_runner(
