--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -159,6 +159,17 @@
     When a job of 1 tasks is added behind them
     Then 1 tasks are ordered
 
+  Scenario: what has begun is ended before more is begun, and what is late waits
+    Given these jobs wait at 1000 ms, accepted at 900 ms
+      | job | priority | tasks | placed | estimate |
+      | new | 0        | 8     | 0      | 200      |
+      | 1st | 0        | 8     | 7      | 200      |
+      | tag | 1        | 2     | 0      | 200      |
+      | mid | 1        | 2     | 1      | 200      |
+      | old | 0        | 8     | 0      | 10       |
+      | end | 0        | 8     | 7      | 10       |
+    Then they are placed in the order "1st end mid new tag old"
+
   Scenario: the wait is judged by the time since work was placed again
     Given an entry that places work of 20 a millisecond, from 5000 ms on
     Then work of 2000 waits 100 ms at 5200 ms
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -24,7 +24,7 @@
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.jobs import Place, TaskPhase, build_job
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
-from gapdrum.core.placement_rules import build_field, choose_runner
+from gapdrum.core.placement_rules import build_field, choose_runner, waiting_order
 from gapdrum.core.records import EntryAddress, OpenJob, step_row
 from gapdrum.core.rows import (
     ABSENT,
@@ -756,6 +756,36 @@
         assert name == row["runner"], (row, name)
 
 
+@given("these jobs wait at {now_ms:d} ms, accepted at {accepted_ms:d} ms")
+def waiting_jobs(context, now_ms, accepted_ms):
+    context.now_ms = now_ms
+    context.jobs = []
+    for row in context.table:
+        step = Step(int(row["tasks"]), Resources(500, 10, 0), int(row["estimate"]))
+        record = OpenJob("flags", "inspect-desk", "{}", OWNER, 1, 0, (step_row(step),))
+        job = build_job(
+            row["job"],
+            record,
+            0,
+            accepted_ms,
+            kept=False,
+            failures_allowed=1,
+            priority=int(row["priority"]),
+            latency_factor=1.6,
+            latency_slack_ms=100,
+        )
+        for task in job.tasks[: int(row["placed"])]:
+            task.phase = TaskPhase.RUNNING
+        context.jobs.append(job)
+
+
+@then('they are placed in the order "{names}"')
+def placed_in_order(context, names):
+    context.jobs.sort(key=lambda job: waiting_order(job, context.now_ms))
+    order = " ".join(job.job_id for job in context.jobs)
+    assert order == names, order
+
+
 @given("{count:d} equal runners of one upstream that {entries:d} entries see alike")
 def equal_runners(context, count, entries):
     agent = AgentView("side", "life", "plaine-nord", 0, 1_000)
