Tell freed room first to the entry where the most urgent work waits

Cause: an entry without urgent work took freed room at once, as the owner of the run that ended; urgent jobs at others waited.

--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -44,6 +44,7 @@
         self.owner = ""
         self.stream: Stream | None = None
         self.orders = 0
+        self.urgency = 0  # of what waits for room there
         self.heard_ms = 0
         self.listed = True
         self.task: asyncio.Task | None = None
@@ -192,6 +193,7 @@
             self._timers.call_after(AWAY_ALLOWANCE_MS, partial(self._check_away, link.owner))
         link.stream = None
         link.owner = ""
+        link.urgency = 0
 
     def _check_away(self, owner: str) -> None:
         if self.of_owner(owner) is None:
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -48,6 +48,9 @@
     def _take_echo(self, link: EntryLink, echo: orders.BeatEcho) -> None:
         self._grants.note(link.owner, echo.clock_ms, echo.lease_held)
 
+    def _take_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
+        link.urgency = demand.urgency
+
     def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
         link.orders += len(order.runs)
         self._grants.note(link.owner, order.clock_ms, order.kept)
@@ -158,6 +161,7 @@
 
     _HANDLERS: dict[type, Callable] = {
         orders.BeatEcho: _take_echo,
+        orders.RoomDemand: _take_demand,
         orders.StartOrder: _take_order,
         orders.StopOrder: _take_stop,
         orders.EndsStored: _take_stored,
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -1,5 +1,6 @@
 """What the agent tells entries: events of runs, room, and what the runners hold."""
 
+import random
 from collections.abc import Mapping
 
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
@@ -11,6 +12,7 @@
 
 # Ends that nobody has stored after this long are told to all entries again.
 ORPHAN_AFTER_MS = 1_500
+FREES_ROOM = (orders.ENDED, orders.NOT_STARTED, orders.LOST)
 
 
 class Reports:
@@ -31,13 +33,27 @@
         by_owner: dict[str, list[orders.RunEvent]] = {}
         for run, event in events:
             by_owner.setdefault(run.owner, []).append(event)
-        for owner, rows in by_owner.items():
-            link = self._links.of_owner(owner)
-            if link is not None:
-                link.send(orders.RunEvents(keeper.runner_id, tuple(rows)))
+        owners = [link for link in map(self._links.of_owner, by_owner) if link is not None]
+        for link in owners:
+            link.send(orders.RunEvents(keeper.runner_id, tuple(by_owner[link.owner])))
+        if any(event.kind in FREES_ROOM for _, event in events):
+            for link in self._first_to_hear(owners):
                 link.send(self._count_room(keeper, link))
         self._unreported.add(keeper.runner_id)
 
+    def _first_to_hear(self, owners: list[EntryLink]) -> list[EntryLink]:
+        """Return who hears of freed room at once, so that not all of them ask for the same.
+
+        That is one of those where the most urgent work waits, or whose run has ended if none
+        waits.
+        """
+        urgency = max((link.urgency for link in self._links), default=0)
+        if not urgency:
+            return owners
+        most_urgent = [link for link in self._links if link.urgency == urgency]
+        preferred = [link for link in most_urgent if link in owners]
+        return [random.choice(preferred or most_urgent)]
+
     @staticmethod
     def _describe(keeper: RunnerKeeper) -> orders.RunnerReport:
         ledger = keeper.ledger
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -278,6 +278,14 @@
     outrun: tuple[int, ...] = attrs.field(converter=tuple)
 
 
+@message(57)
+@attrs.frozen
+class RoomDemand:
+    """How urgently the entry waits for room; 0 if nothing of its waits."""
+
+    urgency: int = count_field()
+
+
 @attrs.frozen
 class JobEpoch:
     """A job and the epoch of its owner."""
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -57,15 +57,24 @@
 
 
 def waiting_order(job: Job, now_ms: int) -> tuple[float, int, str]:
-    """Return the key by which jobs wait: what their end is worth for the room it still needs.
+    """Return the key by which jobs wait; among equals the one that must start first goes first."""
+    return (-_value_for_room(job, now_ms), job.latest_start_ms, job.job_id)
+
+
+def urgency_of(job: Job, now_ms: int) -> int:
+    """Return the value of a job for the room that it needs, in steps that double."""
+    return int(_value_for_room(job, now_ms) * PERMILLE).bit_length()
+
+
+def _value_for_room(job: Job, now_ms: int) -> float:
+    """Return what the job's end is worth for the room it still needs, 1 for one that is new.
 
     A job that has begun goes before one that has not, the more the less of it is left; so jobs
-    of many tasks do not all begin and none end. Among equals the one that must start first goes
-    first.
+    of many tasks do not all begin and none end.
     """
     left = sum(task.phase is TaskPhase.WAITING for task in job.tasks) or 1
     value = _value_of_end(job, now_ms) * PRIORITY_WEIGHT**job.priority
-    return (-value * len(job.tasks) / left, job.latest_start_ms, job.job_id)
+    return value * len(job.tasks) / left
 
 
 def _value_of_end(job: Job, now_ms: int) -> float:
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -17,6 +17,7 @@
     build_field,
     choose_runner,
     may_ever_fit,
+    urgency_of,
     waiting_order,
 )
 from gapdrum.core.runner_views import RunnerView
@@ -48,6 +49,7 @@
     rng: random.Random
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
+    urgency: int = 0  # of the most urgent job that found no room when it was last tried
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     def expected_wait_ms(
@@ -77,6 +79,7 @@
 
     def place_waiting(self, now_ms: int) -> None:
         """Place the waiting tasks that find room, the most urgent first."""
+        self.urgency = 0
         if not self.waiting:
             return
         may_act = self.may_act()
@@ -92,7 +95,9 @@
             if job.ending is not None or not self._place_job(job, fields[job.upstream], now_ms):
                 self.waiting.discard(job.job_id)
                 continue
-            held += any(may_ever_fit(task, fields[job.upstream]) for task in job.ready_tasks())
+            if any(may_ever_fit(task, fields[job.upstream]) for task in job.ready_tasks()):
+                held += 1
+                self.urgency = max(self.urgency, urgency_of(job, now_ms))
             if held >= HELD_JOBS_TRIED:
                 return
 
--- /dev/null
+++ b/src/gapdrum/entry/demand.py
@@ -0,0 +1,27 @@
+"""Tells agents how urgently this entry waits for room."""
+
+from gapdrum.core import orders
+from gapdrum.entry.links import AgentLinks
+from gapdrum.timers import Timers
+
+# Demand is told this often at most: a few times while the shortest tasks run.
+TELL_INTERVAL_MS = 10
+
+
+class Demand:
+    """The urgency that agents were told last; they offer freed room to the most urgent first."""
+
+    def __init__(self, links: AgentLinks, timers: Timers) -> None:
+        self._links = links
+        self._timers = timers
+        self._told = 0
+        self._told_ms = 0
+
+    def tell(self, urgency: int) -> None:
+        """Tell all agents, if it has changed and they were not told just now."""
+        now_ms = self._timers.now_ms()
+        if urgency == self._told or now_ms - self._told_ms < TELL_INTERVAL_MS:
+            return
+        self._told = urgency
+        self._told_ms = now_ms
+        self._links.broadcast(orders.RoomDemand(urgency))
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -14,6 +14,7 @@
 from gapdrum.entry.acceptance import Acceptor
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.demand import Demand
 from gapdrum.entry.endings import PROGRESS_INTERVAL_MS, Endings
 from gapdrum.entry.front import Front
 from gapdrum.entry.lease import Lease
@@ -64,6 +65,7 @@
         address = EntryAddress("", boot.zone, boot.host, boot.streams_port)
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
+        self.demand = Demand(self.links, timers)
         self.dispatch = build_dispatch(boot.zone, self, lambda: self.lease.valid, timers.now_ms())
         self.endings = Endings(self.store, self.writer, self.dispatch, self.links, timers, log)
         self.acceptor = Acceptor(self.store, self.writer, self.lease, timers, log, self._own)
@@ -164,7 +166,12 @@
 
     def _place(self) -> None:
         self._placing = False
-        self.dispatch.placer.place_waiting(self.timers.now_ms())
+        self._place_waiting()
+
+    def _place_waiting(self) -> None:
+        placer = self.dispatch.placer
+        placer.place_waiting(self.timers.now_ms())
+        self.demand.tell(placer.urgency)
 
     def note(self, event: str, **fields: object) -> None:
         """Record a decision."""
@@ -201,7 +208,7 @@
         now_ms = self.timers.now_ms()
         self.dispatch.check_silence(now_ms)
         self.dispatch.settle_unknown(now_ms)
-        self.dispatch.placer.place_waiting(now_ms)
+        self._place_waiting()
         self.dispatch.refuse_hopeless(now_ms)
 
     async def _keep_lease(self) -> None:
