Order waiting jobs by apparent tardiness cost

Ruled out: their size alone. Change: the value counts less while there is slack; a priority step counts 0.7.

--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -1,5 +1,6 @@
 """Which runner a task goes to, and in which order tasks wait."""
 
+import math
 import random
 import statistics
 from collections.abc import Iterable
@@ -23,7 +24,9 @@
 # What a late end is worth: users count a fifth.
 LATE_VALUE = 0.2
 # What a queue counts for against the one whose priority is a step higher.
-PRIORITY_WEIGHT = 0.5
+PRIORITY_WEIGHT = 0.7
+# A job that may still wait for so long counts for a factor e less than one that must start now.
+SLACK_SCALE_MS = 200
 # The first fields of a score tell whether anything speaks against a runner.
 SOUND_FIELDS = 3
 
@@ -69,12 +72,14 @@
 def _value_for_room(job: Job, now_ms: int) -> float:
     """Return what the job's end is worth for the room it still needs, 1 for one that is new.
 
-    A job that has begun goes before one that has not, the more the less of it is left; so jobs
-    of many tasks do not all begin and none end.
+    This is the apparent tardiness cost of scheduling: the value for the work that is left, less
+    while there still is time. A job that has begun goes before one that has not, the more the
+    less of it is left; so jobs of many tasks do not all begin and none end.
     """
     left = sum(task.phase is TaskPhase.WAITING for task in job.tasks) or 1
     value = _value_of_end(job, now_ms) * PRIORITY_WEIGHT**job.priority
-    return value * len(job.tasks) / left
+    slack_ms = max(0, job.latest_start_ms - now_ms)
+    return value * len(job.tasks) / left * math.exp(-slack_ms / SLACK_SCALE_MS)
 
 
 def _value_of_end(job: Job, now_ms: int) -> float:
