--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -192,6 +192,16 @@
       | 2500 |          |      |        | none   |
       | 500  | c        |      |        | none   |
 
+  Scenario: freed room is told at once to the entry where the most urgent work waits
+    Given an agent whose entries wait for room
+      | entry | urgency | jobs |
+      | one   | 0       | 0    |
+      | two   | 9       | 4    |
+      | three | 10      | 2    |
+    When a run of entry "one" has ended
+    Then entry "one" is told of the end and "three" of the room
+    And all entries are told of the room at the next interval
+
   Scenario: entries that see the same room do not all send their work to one runner
     Given 40 equal runners of one upstream that 12 entries see alike
     Then one task of each entry goes to 6 runners or more
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -10,8 +10,10 @@
 from core_model import ManualTimers
 from local_system import HOST, find_port
 
+from gapdrum.agent.entry_links import EntryLink
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
+from gapdrum.agent.reports import Reports
 from gapdrum.agent.runner_context import RunnerContext
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.agent.runner_starts import RunnerStarts
@@ -566,6 +568,56 @@
     new_keeper(context, lambda look: look == 3)
 
 
+class TellingLinks(list):
+    """Links to entries that remember what was sent; each is named like its owner."""
+
+    def of_owner(self, owner):
+        return next((link for link in self if link.owner == owner), None)
+
+
+@given("an agent whose entries wait for room")
+def agent_with_demand(context):
+    context.links = TellingLinks()
+    for row in context.table:
+        link = EntryLink(row["entry"], None)
+        link.owner = row["entry"]
+        link.urgency = int(row["urgency"])
+        link.waiting_jobs = int(row["jobs"])
+        link.sent = []
+        link.send = link.sent.append
+        context.links.append(link)
+    new_keeper(context, lambda _look: False)
+    context.reports = Reports(context.links, {"i-1": context.keeper}, ManualTimers())
+
+
+@when('a run of entry "{owner}" has ended')
+def run_of_entry_ended(context, owner):
+    run = Run(RUN, owner, 1, Resources(500), 0, 0)
+    event = orders.RunEvent(TASK.text, 1, 1, orders.ENDED, "done", 1)
+    context.reports.report(context.keeper, [(run, event)])
+
+
+def kinds_told(context):
+    return {link.owner: [type(one).__name__ for one in link.sent] for link in context.links}
+
+
+@then('entry "{owner}" is told of the end and "{urgent}" of the room')
+def told_first(context, owner, urgent):
+    expected = {link.owner: [] for link in context.links}
+    expected[owner] = ["RunEvents"]
+    expected[urgent] = ["RoomReport"]
+    assert kinds_told(context) == expected, kinds_told(context)
+
+
+@then("all entries are told of the room at the next interval")
+def told_all(context):
+    for link in context.links:
+        link.sent.clear()
+    context.reports.send_room()
+    told = kinds_told(context)
+    assert all(kinds[-1] == "RoomReport" for kinds in told.values()), told
+
+
 @when("it keeps looking for {duration:d} ms")
 def keep_looking(context, duration):
     async def run():
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -44,7 +44,8 @@
         self.owner = ""
         self.stream: Stream | None = None
         self.orders = 0
-        self.urgency = 0  # of what waits for room there
+        self.urgency = 0  # of the jobs that wait for room there
+        self.waiting_jobs = 0
         self.heard_ms = 0
         self.listed = True
         self.task: asyncio.Task | None = None
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -50,6 +50,7 @@
 
     def _take_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
         link.urgency = demand.urgency
+        link.waiting_jobs = demand.jobs
 
     def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
         link.orders += len(order.runs)
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -44,15 +44,14 @@
     def _first_to_hear(self, owners: list[EntryLink]) -> list[EntryLink]:
         """Return who hears of freed room at once, so that not all of them ask for the same.
 
-        That is one of those where the most urgent work waits, or whose run has ended if none
-        waits.
+        That is one of those where the most urgent work waits, by chance and by how much waits;
+        if none waits, the entries whose runs have ended.
         """
         urgency = max((link.urgency for link in self._links), default=0)
         if not urgency:
             return owners
         most_urgent = [link for link in self._links if link.urgency == urgency]
-        preferred = [link for link in most_urgent if link in owners]
-        return [random.choice(preferred or most_urgent)]
+        return random.choices(most_urgent, [link.waiting_jobs or 1 for link in most_urgent])
 
     @staticmethod
     def _describe(keeper: RunnerKeeper) -> orders.RunnerReport:
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -281,9 +281,10 @@
 @message(57)
 @attrs.frozen
 class RoomDemand:
-    """How urgently the entry waits for room; 0 if nothing of its waits."""
+    """How urgently the entry waits for room, 0 if nothing of its waits, and how many jobs wait."""
 
     urgency: int = count_field()
+    jobs: int = count_field()
 
 
 @attrs.frozen
--- a/src/gapdrum/entry/demand.py
+++ b/src/gapdrum/entry/demand.py
@@ -9,19 +9,23 @@
 
 
 class Demand:
-    """The urgency that agents were told last; they offer freed room to the most urgent first."""
+    """The demand that agents were told last; they offer freed room to the most urgent first."""
 
     def __init__(self, links: AgentLinks, timers: Timers) -> None:
         self._links = links
         self._timers = timers
-        self._told = 0
+        self._told = (0, 0)
         self._told_ms = 0
 
-    def tell(self, urgency: int) -> None:
-        """Tell all agents, if it has changed and they were not told just now."""
+    def tell(self, urgency: int, jobs: int) -> None:
+        """Tell all agents, if it has changed and they were not told just now.
+
+        How many jobs wait is told again only when it has doubled or halved.
+        """
         now_ms = self._timers.now_ms()
-        if urgency == self._told or now_ms - self._told_ms < TELL_INTERVAL_MS:
+        demand = (urgency, jobs.bit_length() if urgency else 0)
+        if demand == self._told or now_ms - self._told_ms < TELL_INTERVAL_MS:
             return
-        self._told = urgency
+        self._told = demand
         self._told_ms = now_ms
-        self._links.broadcast(orders.RoomDemand(urgency))
+        self._links.broadcast(orders.RoomDemand(urgency, jobs))
