Harm the streams between entries and agents in the soak, and plant faults

Cause: only links to the store had proxies, and two promises were not seen to fail with their mechanism off. Change: entries may advertise another port for their streams, the soak puts a proxy there; planted.py switches one mechanism off and runs a program.

--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -1,6 +1,7 @@
 """The entry process: its parts, their wiring, its start and its shutdown."""
 
 import asyncio
+import os
 import signal
 from collections import Counter
 from collections.abc import Callable
@@ -31,6 +32,9 @@
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 from gapdrum.transport.metrics_listener import open_metrics
 
+# The port that agents are told, where it is not the one that is listened at: behind a port
+# mapping, or a proxy in a test.
+ADVERTISED_PORT_VARIABLE = "GAPDRUM_STREAMS_ADVERTISED_PORT"
 TICK_INTERVAL_MS = 50
 LINK_CHECK_INTERVAL_MS = 500
 TAKEOVER_INTERVAL_MS = 100
@@ -62,7 +66,7 @@
         self.background = Background(log)
         self.writer = Writer(self.store, self.background)
         self.configuration = ConfigurationWatch(RowStore(boot.store), timers, log)
-        address = EntryAddress("", boot.zone, boot.host, boot.streams_port)
+        address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
         self.demand = Demand(self.links, timers)
@@ -272,6 +276,11 @@
             await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
 
 
+def _advertised_port(boot: Boot) -> int:
+    """Return the port at which agents are to reach the streams."""
+    return int(os.environ.get(ADVERTISED_PORT_VARIABLE, boot.streams_port))
+
+
 async def main() -> int:
     """Run the entry process."""
     boot = load_boot()
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -17,13 +17,16 @@
 QUEUES = (("flags", "/flags/", 0, 3), ("tags", "/tags/", 1, 2))
 RUNNER_CPU_MILLI = 16_000
 CALL_TIMEOUT_S = 30
+PLANTED = Path(__file__).parent / "planted.py"
 
 
 class PlatformSystem:
     """A row store, entries, and agents with their runners; leaving it ends all it started.
 
     ``store_ports`` may put something between a process and the store, such as a proxy: it is
-    called with the store's port for each process and returns the port to use.
+    called with the store's port for each process and returns the port to use. ``stream_ports``
+    does the same for the streams of agents to each entry. ``planted`` names a mechanism that
+    ``planted.py`` switches off in all entries and agents.
 
     ::
 
@@ -36,12 +39,16 @@
         entries: int = 2,
         agents: int = 2,
         store_ports: Callable[[int], int] = lambda port: port,
+        stream_ports: Callable[[int], int] = lambda port: port,
+        planted: str = "",
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="gapdrum-platform-"))
         self.pool = urllib3.PoolManager(maxsize=64, retries=False, timeout=CALL_TIMEOUT_S)
         self.metrics_ports: dict[str, int] = {}
-        self.store = self._module("store", "gapdrum_standins.row_store", find_port(), [])
         self._store_ports = store_ports
+        self._stream_ports = stream_ports
+        self._planted = planted
+        self.store = self._module("store", "gapdrum_standins.row_store", find_port(), [])
         self.entries: list[Process] = []
         self.ready_ports: list[int] = []
         self.agents: list[Process] = []
@@ -213,8 +220,12 @@
         port, ready = find_port(), find_port()
         self.ready_ports.append(ready)
         listen = f'front = "{HOST}:{port}"\nready = "{HOST}:{ready}"\n'
-        settings = self._write_settings(f"entry-{number}", number, listen, "")
-        self.entries.append(self._module(f"entry-{number}", "gapdrum.entry", port, [], settings))
+        streams = find_port()
+        settings = self._write_settings(f"entry-{number}", number, listen, "", streams)
+        options = {"GAPDRUM_STREAMS_ADVERTISED_PORT": str(self._stream_ports(streams))}
+        self.entries.append(
+            self._module(f"entry-{number}", "gapdrum.entry", port, [], settings, options)
+        )
 
     def _add_agent(self, number: int) -> None:
         control, port = find_port(), find_port()
@@ -222,7 +233,8 @@
         name = f"agent-{number}"
         # The runner stands in for the platform's list of machines, too, and lists itself.
         listen += f'[cloud_api]\naddress = "{HOST}:{port}"\n'
-        settings = self._write_settings(name, number, listen, f'app = "{HOST}:{port}"\n')
+        app = f'app = "{HOST}:{port}"\n'
+        settings = self._write_settings(name, number, listen, app, find_port())
         self.agents.append(self._module(name, "gapdrum.agent", control, [], settings))
         arguments = ["--port", str(port), "--control-port", str(control)]
         arguments += ["--upstream", UPSTREAM, "--cpu-milli", str(RUNNER_CPU_MILLI)]
@@ -232,25 +244,35 @@
         )
 
     def _module(
-        self, name: str, module: str, port: int, arguments: list[str], settings: Path | None = None
+        self,
+        name: str,
+        module: str,
+        port: int,
+        arguments: list[str],
+        settings: Path | None = None,
+        options: dict[str, str] | None = None,
     ) -> Process:
         command = [sys.executable, "-m", module, *arguments]
+        if self._planted and settings is not None:
+            command = [sys.executable, str(PLANTED), self._planted, module]
         if module.endswith("row_store"):
             command += ["--port", str(port)]
-        environment = dict(os.environ)
+        environment = {**os.environ, **(options or {})}
         if settings is not None:
             environment["GAPDRUM_SETTINGS"] = str(settings)
             self.metrics_ports[name] = find_port()
             environment["GAPDRUM_METRICS_PORT"] = str(self.metrics_ports[name])
         return Process(name, command, port, self.folder / f"{name}.log", environment=environment)
 
-    def _write_settings(self, name: str, number: int, listen: str, top: str) -> Path:
+    def _write_settings(
+        self, name: str, number: int, listen: str, top: str, streams_port: int
+    ) -> Path:
         path = self.folder / f"{name}.toml"
         path.write_text(
             f"""node_name = "{name}"
 zone = "{ZONES[number % len(ZONES)]}"
 ip = "{HOST}"
-port_range = [{find_port()}, 0]
+port_range = [{streams_port}, 0]
 {top}
 [listen]
 {listen}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,12 +3,15 @@
     python tools/soak.py --seed 7 --seconds 20
 
 Faults come in series and overlap: processes are killed, paused, asked to stop and started
-again; the links of entries and agents to the store are delayed, silenced, cut one way or reset;
-the store is away, loses answers or carries out late; runners leave calls unanswered or carry
-them out late. Checked, from what callers and runners see: no task runs at two places at once,
-no runner's room is exceeded, a stored task is not started again after an end as done that
-counts (the runner was told to forget it, with no lapse of its lease in between), a job that was
-refused never runs, a stored job that was accepted ends in one state at all entries.
+again; the links to the store, and those of agents to each entry, are delayed, silenced, cut one
+way or reset; the store is away, loses answers or carries out late; runners leave calls
+unanswered or carry them out late. Checked, from what callers and runners see: no task runs at
+two places at once, no runner's room is exceeded, a stored task is not started again after an
+end as done that counts (the runner was told to forget it, with no lapse of its lease in
+between), a job that was refused never runs, a stored job that was accepted ends in one state at
+all entries.
+
+``--planted`` switches a mechanism off, to see that the soak notices: see ``planted.py``.
 """
 
 import argparse
@@ -48,23 +51,27 @@
 class Soak:
     """One seed: a system, its callers, its faults, and what was seen."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, planted: str = "") -> None:
         self.random = random.Random(seed)
         self.seconds = seconds
-        self.system = PlatformSystem(ENTRIES, AGENTS, store_ports=self._store_port)
+        self._proxies: list[Proxy] = []
+        self.system = PlatformSystem(
+            ENTRIES,
+            AGENTS,
+            store_ports=self._add_proxy,
+            stream_ports=self._add_proxy,
+            planted=planted,
+        )
         self.jobs: list[Submitted] = []
         self.faults: list[str] = []
         self.killed_ms: dict[int, int] = {}
         self._stop = threading.Event()
         self._timers: list[threading.Timer] = []
         self._starting = threading.Lock()
-        self._proxies: list[Proxy]
 
-    def _store_port(self, store_port: int) -> int:
-        """Give each process a proxy of its own to the store."""
-        if not hasattr(self, "_proxies"):
-            self._proxies = []
-        proxy = Proxy(find_port(), store_port)
+    def _add_proxy(self, port: int) -> int:
+        """Put a proxy before a port, for one process; return the proxy's port."""
+        proxy = Proxy(find_port(), port)
         self._proxies.append(proxy)
         return proxy.port
 
@@ -313,10 +320,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--planted", default="", help="a mechanism of planted.py to switch off")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options.seconds)
+        soak = Soak(seed, options.seconds, options.planted)
         broken = soak.run()
         failed += bool(broken)
         result = {
