--- a/tools/soak.py
+++ b/tools/soak.py
@@ -107,7 +107,8 @@
     def _submit(self, job: Submitted, chooser: random.Random) -> None:
         """Hand a job in, and again while nothing is known of it, as callers do."""
         steps = [{"count": chooser.randint(1, 6), "cpu": TASK_CPU_MILLI, "estimate_ms": 200}]
-        run_ms = chooser.choice((30, 150, 400, 1_500))
+        # The longest outlast the silence after which an entry takes a run for over.
+        run_ms = chooser.choice((30, 150, 400, 1_500, 4_000))
         for _ in range(5):
             try:
                 status, answer = self.system.submit(
