--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -267,6 +267,9 @@
         await self.lease.leave()
         await self._wait_while(self.listener.busy_connections, end_ms - ANSWER_BEFORE_END_MS)
         self.callers.give_up()
+        # Nothing may be read any more that would not be answered.
+        self.listener.close()
+        self.listener.close_idle()
         await self._wait_while(self.listener.busy_connections, end_ms - EXIT_BEFORE_END_MS)
         self.log.write("stopped", jobs_handed_over=jobs_left)
         self.log.flush()
