One piece for asyncio tasks that nobody waits for

Cause: keeping a reference to a spawned task stood six times (agents, background, dispatcher, entrylinks, peers, timers). Change: TaskSet.

--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -37,6 +37,7 @@
 from gapdrum.settings import SettingsHolder, load_tree
 from gapdrum.states import load_chart
 from gapdrum.store import StoreClient
+from gapdrum.task_set import TaskSet
 from gapdrum.timers import Timers
 
 HEARTBEAT_INTERVAL_MS = 1_000
@@ -65,7 +66,7 @@
         self.running = 0
         self._client = RunnerClient()
         self._threads = ThreadPoolExecutor(MAX_SLOTS, "run")
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     @property
     def free_slots(self) -> int:
@@ -126,7 +127,7 @@
                 return
             self.running += 1
             self.metrics.starts.inc()
-            self._spawn(self._run(task))
+            self._tasks.spawn(self._run(task))
 
     async def _run(self, task: HeldTask) -> None:
         """Call the runner for one task in a thread and report what came of it."""
@@ -222,11 +223,6 @@
         self.metrics.settings_version.set(tree.version)
         self.links.push_loads()
 
-    def _spawn(self, steps) -> None:
-        task = asyncio.get_running_loop().create_task(steps)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def build_router(agent: Agent, loop: asyncio.AbstractEventLoop) -> Router:
     """Return the routes that the runner and the platform call."""
--- a/src/gapdrum/background.py
+++ b/src/gapdrum/background.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from gapdrum.event_log import EventLog
+from gapdrum.task_set import TaskSet
 from gapdrum.timers import MS_PER_S
 
 RESTART_PAUSE_MS = 200  # a loop that crashes again and again must not take the processor
@@ -23,13 +24,12 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine to its end."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
+        task = self._tasks.spawn(work)
+        task.add_done_callback(self._hear)
         return task
 
     def keep(self, work: Callable[[], Coroutine[Any, Any, Any]]) -> asyncio.Task:
@@ -46,8 +46,7 @@
             else:
                 return
 
-    def _finish(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+    def _hear(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
             self._note(task.exception())
 
@@ -57,5 +56,4 @@
 
     def stop(self) -> None:
         """Cancel all that still runs."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
--- a/src/gapdrum/dispatcher.py
+++ b/src/gapdrum/dispatcher.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 from collections import OrderedDict
-from collections.abc import Coroutine
 
 import attrs
 
@@ -39,6 +38,7 @@
 from gapdrum.recoveries import Recoveries
 from gapdrum.scheduler import OpenJob, Scheduler, Sender
 from gapdrum.settings import SettingsHolder
+from gapdrum.task_set import TaskSet
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.tracking import Tracked
 
@@ -92,7 +92,7 @@
         self._tracked: OrderedDict[str, Tracked] = OrderedDict()
         self._answered_tasks = 0
         self.recoveries = Recoveries(self, send)
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     # -- callers ---------------------------------------------------------
 
@@ -251,7 +251,7 @@
         self.scheduler.close(open_job)
         tracked = self._tracked[open_job.job.job_id]
         if open_job.job.has_not_run and not tracked.claim.claim.closed:
-            self._spawn(self._close_claim(tracked, open_job))
+            self._tasks.spawn(self._close_claim(tracked, open_job))
             return
         self._answer(open_job)
 
@@ -347,7 +347,7 @@
 
     def _run_probe(self) -> None:
         """Let one read find out whether the store is back."""
-        self._spawn(self._probe_store())
+        self._tasks.spawn(self._probe_store())
 
     async def _probe_store(self) -> None:
         try:
@@ -364,12 +364,7 @@
         return tracked
 
     def _run(self, tracked: Tracked, steps) -> None:
-        self._spawn(self._drive(tracked, steps))
-
-    def _spawn(self, steps: Coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(steps)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._drive(tracked, steps))
 
     async def _drive(self, tracked: Tracked, steps) -> None:
         """Run the steps of a job; an error is its result, and the key stays free."""
--- a/src/gapdrum/entrylinks.py
+++ b/src/gapdrum/entrylinks.py
@@ -20,6 +20,7 @@
 from gapdrum.shares import Claimant, Shares
 from gapdrum.store import StoreClient
 from gapdrum.streams import Stream, open_stream
+from gapdrum.task_set import TaskSet
 
 DISCOVERY_INTERVAL_MS = 1_000
 SETTLED_INTERVAL_MS = 10_000
@@ -73,7 +74,7 @@
         self._read_at_ms = 0
         self._push_due: asyncio.TimerHandle | None = None
         self._threads = ThreadPoolExecutor(1, "discovery")
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     def start(self) -> None:
         """Begin to look for entries."""
@@ -113,7 +114,7 @@
             key = (record.entry_id, record.incarnation)
             if key not in self._links:
                 link = self._links[key] = EntryLink(record)
-                self._keep(asyncio.get_running_loop().create_task(self._maintain(key, link)))
+                self._tasks.spawn(self._maintain(key, link))
 
     def free_for(self, link: EntryLink) -> int:
         """Return the free slots to state to an entry: fewer when entries compete."""
@@ -217,7 +218,3 @@
             self.load_changed()
         elif not isinstance(message, EntryHello | EntryLeaving):
             self._agent.take(link, message)
-
-    def _keep(self, task: asyncio.Task) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/gapdrum/peers.py
+++ b/src/gapdrum/peers.py
@@ -9,6 +9,7 @@
 from gapdrum.messages import EntryHello, PeerHello, PeerReply, PeerRequest
 from gapdrum.metrics import Metrics
 from gapdrum.streams import Stream, open_stream
+from gapdrum.task_set import TaskSet
 
 REPLY_MARGIN_MS = 1_000
 MS_PER_S = 1000
@@ -61,7 +62,7 @@
         self._metrics = metrics
         self._tls = tls
         self._links: dict[tuple[str, str], PeerLink] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
         self._ids = itertools.count(1)
 
     async def ask(self, record: EntryRecord, kind: str, job_id: str, wait_ms: int) -> str:
@@ -93,9 +94,7 @@
         )
         stream.send(self._hello)
         link = self._links[key] = PeerLink(stream)
-        task = asyncio.get_running_loop().create_task(link.receive())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(link.receive())
         return link
 
 
--- a/src/gapdrum/timers.py
+++ b/src/gapdrum/timers.py
@@ -10,6 +10,8 @@
 
 from loguru import logger
 
+from gapdrum.task_set import TaskSet
+
 MS_PER_S = 1000
 
 
@@ -24,7 +26,7 @@
     """
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     @staticmethod
     def now_ms() -> int:
@@ -38,7 +40,7 @@
 
     def subscribe(self, interval_ms: int, callback: Callable[[], object]) -> None:
         """Call back every ``interval_ms``; a coroutine function is awaited."""
-        self._keep(asyncio.get_running_loop().create_task(self._repeat(interval_ms, callback)))
+        self._tasks.spawn(self._repeat(interval_ms, callback))
 
     def call_after(self, delay_ms: int, callback: Callable[[], object]) -> asyncio.TimerHandle:
         """Call back once after ``delay_ms``; the handle's ``cancel`` prevents it."""
@@ -46,12 +48,7 @@
 
     def stop(self) -> None:
         """End all periodic subscriptions."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _keep(self, task: asyncio.Task) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.cancel()
 
     async def _repeat(self, interval_ms: int, callback: Callable[[], object]) -> None:
         while True:
