--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -51,6 +51,9 @@
     def _take_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
         link.urgency = demand.urgency
         link.waiting_jobs = demand.jobs
+        if not demand.urgency:
+            for keeper in self._keepers.values():
+                keeper.offers.decline(link.owner)
 
     def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
         link.orders += len(order.runs)
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -6,7 +6,7 @@
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
-from gapdrum.core.models import Resources
+from gapdrum.core.models import NOTHING, Resources
 from gapdrum.core.runner_ledger import Run
 from gapdrum.timers import Timers
 
@@ -36,22 +36,26 @@
         owners = [link for link in map(self._links.of_owner, by_owner) if link is not None]
         for link in owners:
             link.send(orders.RunEvents(keeper.runner_id, tuple(by_owner[link.owner])))
-        if any(event.kind in FREES_ROOM for _, event in events):
-            for link in self._first_to_hear(owners):
-                link.send(self._count_room(keeper, link))
+        freed = [run.room or NOTHING for run, event in events if event.kind in FREES_ROOM]
+        if freed:
+            self._tell_freed(keeper, sum(freed, NOTHING), owners)
         self._unreported.add(keeper.runner_id)
 
-    def _first_to_hear(self, owners: list[EntryLink]) -> list[EntryLink]:
-        """Return who hears of freed room at once, so that not all of them ask for the same.
+    def _tell_freed(self, keeper: RunnerKeeper, freed: Resources, owners: list[EntryLink]) -> None:
+        """Tell of freed room at once, so that not all entries ask for the same.
 
-        That is one of those where the most urgent work waits, by chance and by how much waits;
-        if none waits, the entries whose runs have ended.
+        If work waits for room, one of the entries with the most urgent work hears of it, by
+        chance and by how much waits there, and the room is kept for it for a moment. If none
+        waits, the entries whose runs have ended hear of it.
         """
         urgency = max((link.urgency for link in self._links), default=0)
-        if not urgency:
-            return owners
-        most_urgent = [link for link in self._links if link.urgency == urgency]
-        return random.choices(most_urgent, [link.waiting_jobs or 1 for link in most_urgent])
+        if urgency:
+            most_urgent = [link for link in self._links if link.urgency == urgency]
+            weights = [link.waiting_jobs or 1 for link in most_urgent]
+            owners = random.choices(most_urgent, weights)
+            keeper.offers.make(owners[0].owner, freed, self._timers.now_ms())
+        for link in owners:
+            link.send(self._count_room(keeper, link))
 
     @staticmethod
     def _describe(keeper: RunnerKeeper) -> orders.RunnerReport:
@@ -70,7 +74,7 @@
     def _count_room(self, keeper: RunnerKeeper, link: EntryLink) -> orders.RoomReport:
         """Return a runner's room as one entry is told it."""
         ledger = keeper.ledger
-        free = ledger.free
+        free = keeper.free_for(link.owner)
         return orders.RoomReport(
             ledger.runner_id,
             free.cpu_milli,
@@ -104,6 +108,8 @@
         self._told[keeper.runner_id] = description
         if keeper.ledger.gone:
             del self._told[keeper.runner_id]
+        elif keeper.offers.any(self._timers.now_ms()):
+            self._unreported.add(keeper.runner_id)  # what is not used is told to all later
 
     def room_changed(self, runner_id: str) -> None:
         """Note that all entries are to hear of a runner's room."""
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -6,7 +6,9 @@
 
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
+from gapdrum.core.models import Resources
 from gapdrum.core.orders import RunEvent
+from gapdrum.core.room_offers import RoomOffers
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.event_log import EventLog
 from gapdrum.platform.runner_calls import RunnerCalls
@@ -33,6 +35,7 @@
     report: Callable[[list[tuple[Run, RunEvent]]], None]
     fence: int = 0
     lease_until_ms: int = 0
+    offers: RoomOffers = attrs.Factory(RoomOffers)
     bound: LeaseBound = attrs.Factory(LeaseBound)
 
     @property
@@ -40,6 +43,10 @@
         """Return the identity of this incarnation."""
         return self.ledger.runner_id
 
+    def free_for(self, owner: str, now_ms: int) -> Resources:
+        """Return the room that an owner may use now."""
+        return self.ledger.free - self.offers.kept_from(owner, now_ms)
+
     def lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, less if an owner is silent.
 
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -9,6 +9,8 @@
 from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
+from gapdrum.core.models import Resources
+from gapdrum.core.room_offers import RoomOffers
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.core.runner_models import Heartbeat, ListedRunner, RunnerLook
 from gapdrum.event_log import EventLog
@@ -66,6 +68,15 @@
         self._log = log
         self._on_looked = on_looked
 
+    @property
+    def offers(self) -> RoomOffers:
+        """Return what freed room is kept for whom."""
+        return self._context.offers
+
+    def free_for(self, owner: str) -> Resources:
+        """Return the room that an owner may use now."""
+        return self._context.free_for(owner, self._timers.now_ms())
+
     @property
     def runner_id(self) -> str:
         """Return the identity of this incarnation."""
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -57,7 +57,8 @@
             return orders.ORDER_EXPIRED
         if now_ms >= self._context.grants.until_ms(owner, order.kept):
             return orders.ORDER_EXPIRED
-        if self.ledger.must_lapse() or not self.ledger.free.holds(room):
+        free = self._context.free_for(owner, now_ms)
+        if self.ledger.must_lapse() or not free.holds(room):
             return orders.NO_ROOM
         return None
 
@@ -80,6 +81,7 @@
             estimate_ms=row.estimate_ms,
         )
         self.ledger.begin(run)
+        self._context.offers.use(owner, row.room)
         self._background.spawn(self._start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS))
 
     async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
--- a/src/gapdrum/core/models.py
+++ b/src/gapdrum/core/models.py
@@ -48,6 +48,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def overlap(self, other: "Resources") -> "Resources":
+        """Return the room that both have, each part by itself."""
+        return Resources(
+            min(self.cpu_milli, other.cpu_milli),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def holds(self, other: "Resources") -> bool:
         """Tell whether the other fits into this room."""
         return (
