--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -214,6 +214,21 @@
     Given a runner with an agent and 3000 thousandths of a core
     Then an order is refused as "order_expired" if it is older than a second
 
+  Scenario: freed room is kept for the entry that was told of it, and for a moment only
+    Given a runner with an agent and 3000 thousandths of a core
+    When 2000 of them are kept for another entry
+    Then an order is refused as "no_room"
+    When the offer has lapsed
+    Then an order begins
+
+  Scenario: an entry uses the room that is kept for it, and declines what it has no use for
+    Given a runner with an agent and 4000 thousandths of a core
+    When 4000 of them are kept for the entry itself
+    Then an order begins
+    And 2000 of them are still kept from others
+    When the entry tells that nothing waits there
+    Then 0 of them are still kept from others
+
   Scenario: a start that was left unanswered and then rejected holds its room until its expiry
     Given a runner with an agent and 3000 thousandths of a core
     And a runner that leaves the first start unanswered and rejects the second
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -28,6 +28,7 @@
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.placement_rules import build_field, choose_runner, waiting_order
 from gapdrum.core.records import EntryAddress, OpenJob, step_row
+from gapdrum.core.room_offers import OFFER_MS
 from gapdrum.core.rows import (
     ABSENT,
     Committed,
@@ -690,6 +691,44 @@
     assert refuse_order(context, sent_ms) == [reason]
 
 
+def offers_of(context):
+    return context.starts._context.offers
+
+
+@when("{cpu:d} of them are kept for another entry")
+def keep_for_another(context, cpu):
+    offers_of(context).make("entry-2/life", Resources(cpu, 50, 0), context.timers.now_ms())
+
+
+@when("{cpu:d} of them are kept for the entry itself")
+def keep_for_itself(context, cpu):
+    offers_of(context).make(OWNER, Resources(cpu, 50, 0), context.timers.now_ms())
+
+
+@when("the offer has lapsed")
+def offer_lapsed(context):
+    context.timers.time_ms += OFFER_MS
+
+
+@when("the entry tells that nothing waits there")
+def decline_offers(context):
+    offers_of(context).decline(OWNER)
+
+
+@then("an order begins")
+def order_begins(context):
+    async def run():
+        assert give_order(context, context.timers.now_ms()) == []
+
+    asyncio.run(run())
+
+
+@then("{cpu:d} of them are still kept from others")
+def kept_from_others(context, cpu):
+    kept = offers_of(context).kept_from("entry-2/life", context.timers.now_ms())
+    assert kept.cpu_milli == cpu, kept
+
+
 # Malformed answers, and crashes.
 
 
