--- a/tools/soak.py
+++ b/tools/soak.py
@@ -204,7 +204,9 @@
             return "runner away"
         mode = self.random.choice(("unanswered", "late", "hang", "errors"))
         try:
-            self.system.set_runner_fault(number, mode=mode, count=3, delay_ms=2_500)
+            # Before and after the time at which a start that was left unanswered expires.
+            delay_ms = self.random.choice((200, 500, 2_500))
+            self.system.set_runner_fault(number, mode=mode, count=10, delay_ms=delay_ms)
         except urllib3.exceptions.HTTPError:
             return f"runner {number} was just starting"
         return f"runner {number} {mode}"
