--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -16,13 +16,16 @@
     """Passes connections on to one port; ``mode`` may change at any time.
 
     ``delay`` holds each chunk for ``delay_s``, ``silent`` holds everything, and ``one_way``
-    holds what comes back. What is held is passed on when the mode ends.
+    holds what comes back. What is held is passed on when the mode ends. With a ``parity`` only
+    every second connection meets it, so that a process loses some of its peers and keeps others.
     """
 
     def __init__(self, port: int, target_port: int) -> None:
         self.port = port
         self.mode = PASS
         self.delay_s = 0.0
+        self.parity: int | None = None
+        self._accepted = 0
         self._target_port = target_port
         self._writers: set[asyncio.StreamWriter] = set()
         self._loop = asyncio.new_event_loop()
@@ -60,19 +63,24 @@
             writer.transport.abort()
             return
         self._writers |= {writer, target[1]}
-        forth = self._pump(reader, target[1], back=False)
-        back = self._pump(target[0], writer, back=True)
+        number = self._accepted
+        self._accepted += 1
+        forth = self._pump(reader, target[1], number, back=False)
+        back = self._pump(target[0], writer, number, back=True)
         await asyncio.gather(forth, back)
         self._writers -= {writer, target[1]}
 
+    def _mode_of(self, number: int) -> str:
+        return self.mode if self.parity in (None, number % 2) else PASS
+
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int, back: bool
     ) -> None:
         try:
             while chunk := await reader.read(CHUNK_BYTES):
-                if self.mode == DELAY:
+                if self._mode_of(number) == DELAY:
                     await asyncio.sleep(self.delay_s)
-                while self.mode == SILENT or (back and self.mode == ONE_WAY):
+                while self._mode_of(number) in ((SILENT, ONE_WAY) if back else (SILENT,)):
                     await asyncio.sleep(HOLD_POLL_S)
                 writer.write(chunk)
                 await writer.drain()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -184,6 +184,7 @@
     def _harm_link(self) -> str:
         proxy = self.random.choice(self._proxies)
         proxy.delay_s = self.random.uniform(0.05, 0.5)
+        proxy.parity = self.random.choice((None, 0, 1))
         proxy.mode = self.random.choice(MODES)
         self._later(self.random.uniform(0.5, 6.0), lambda: setattr(proxy, "mode", PASS))
         return f"link {proxy.mode}"
