--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -192,7 +192,7 @@
       | 2500 |          |      |        | none   |
       | 500  | c        |      |        | none   |
 
-  Scenario: freed room is told at once to the entry where the most urgent work waits
+  Scenario: room is told first to the entry where the most urgent work waits, and kept for it
     Given an agent whose entries wait for room
       | entry | urgency | jobs |
       | one   | 0       | 0    |
@@ -201,6 +201,8 @@
     When a run of entry "one" has ended
     Then entry "one" is told of the end and "three" of the room
     And all entries are told of the room at the next interval
+    When the offer to it has lapsed
+    Then at the next interval one entry where work waits sees room, and the others none
 
   Scenario: entries that see the same room do not all send their work to one runner
     Given 40 equal runners of one upstream that 12 entries see alike
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -46,6 +46,7 @@
         self.orders = 0
         self.urgency = 0  # of the jobs that wait for room there
         self.waiting_jobs = 0
+        self.told_room: dict[str, orders.RoomReport] = {}  # the last one of each runner
         self.heard_ms = 0
         self.listed = True
         self.task: asyncio.Task | None = None
@@ -195,6 +196,7 @@
         link.stream = None
         link.owner = ""
         link.urgency = 0
+        link.told_room.clear()
 
     def _check_away(self, owner: str) -> None:
         if self.of_owner(owner) is None:
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -12,6 +12,7 @@
 
 # Ends that nobody has stored after this long are told to all entries again.
 ORPHAN_AFTER_MS = 1_500
+NOBODY = ""  # no entry's owner: all that is kept for anybody is kept from it
 FREES_ROOM = (orders.ENDED, orders.NOT_STARTED, orders.LOST)
 
 
@@ -42,20 +43,32 @@
         self._unreported.add(keeper.runner_id)
 
     def _tell_freed(self, keeper: RunnerKeeper, freed: Resources, owners: list[EntryLink]) -> None:
-        """Tell of freed room at once, so that not all entries ask for the same.
+        """Tell of freed room at once: who it is kept for, or else whose runs have ended."""
+        chosen = self._offer(keeper, freed)
+        for link in owners if chosen is None else [chosen]:
+            self._tell_room(keeper, link)
 
-        If work waits for room, one of the entries with the most urgent work hears of it, by
-        chance and by how much waits there, and the room is kept for it for a moment. If none
-        waits, the entries whose runs have ended hear of it.
+    def _offer(self, keeper: RunnerKeeper, room: Resources) -> EntryLink | None:
+        """Keep room for an entry where work waits for it; None if none waits.
+
+        It is one of those with the most urgent work, by chance and by how much waits there. If
+        all heard of the same room, most of their orders would be refused, and small entries,
+        which answer later, would get none.
         """
         urgency = max((link.urgency for link in self._links), default=0)
-        if urgency:
-            most_urgent = [link for link in self._links if link.urgency == urgency]
-            weights = [link.waiting_jobs or 1 for link in most_urgent]
-            owners = random.choices(most_urgent, weights)
-            keeper.offers.make(owners[0].owner, freed, self._timers.now_ms())
-        for link in owners:
-            link.send(self._count_room(keeper, link))
+        if not urgency:
+            return None
+        most_urgent = [link for link in self._links if link.urgency == urgency]
+        weights = [link.waiting_jobs or 1 for link in most_urgent]
+        chosen = random.choices(most_urgent, weights)[0]
+        keeper.offers.make(chosen.owner, room, self._timers.now_ms())
+        return chosen
+
+    def _offer_rest(self, keeper: RunnerKeeper) -> None:
+        """Offer room that was kept for an entry which had no use for it to another one."""
+        rest = keeper.free_for(NOBODY)
+        if rest.cpu_milli > 0 and rest.memory_mb >= 0:
+            self._offer(keeper, rest)
 
     @staticmethod
     def _describe(keeper: RunnerKeeper) -> orders.RunnerReport:
@@ -84,10 +97,18 @@
             ledger.health.slowness_permille(self._timers.now_ms()),
         )
 
+    def _tell_room(self, keeper: RunnerKeeper, link: EntryLink) -> None:
+        """Tell one entry a runner's room, unless it knows."""
+        report = self._count_room(keeper, link)
+        if link.told_room.get(keeper.runner_id) != report:
+            link.told_room[keeper.runner_id] = report
+            link.send(report)
+
     def tell_one(self, keeper: RunnerKeeper, link: EntryLink) -> None:
         """Tell one entry a runner's state and room, whether they have changed or not."""
         link.send(self._describe(keeper))
-        link.send(self._count_room(keeper, link))
+        link.told_room.pop(keeper.runner_id, None)
+        self._tell_room(keeper, link)
 
     def send_room(self) -> None:
         """Tell all entries of the states and room that have changed."""
@@ -99,18 +120,24 @@
                 self._send_changes(keeper)
 
     def _send_changes(self, keeper: RunnerKeeper) -> None:
+        self._offer_rest(keeper)
         description = self._describe(keeper)
         has_changed = self._told.get(keeper.runner_id) != description
         for link in self._links:
             if has_changed:
                 link.send(description)
-            link.send(self._count_room(keeper, link))
+            self._tell_room(keeper, link)
         self._told[keeper.runner_id] = description
         if keeper.ledger.gone:
-            del self._told[keeper.runner_id]
+            self._forget(keeper.runner_id)
         elif keeper.offers.any(self._timers.now_ms()):
             self._unreported.add(keeper.runner_id)  # what is not used is told to all later
 
+    def _forget(self, runner_id: str) -> None:
+        del self._told[runner_id]
+        for link in self._links:
+            link.told_room.pop(runner_id, None)
+
     def room_changed(self, runner_id: str) -> None:
         """Note that all entries are to hear of a runner's room."""
         self._unreported.add(runner_id)
