Tell the new owner of a run that ended before its adoption came

Change: an adoption that comes too late is answered with the end or the loss; a runner whose lease must lapse shows no room. Three scenarios failed first.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -45,6 +45,28 @@
     When the lease has lapsed
     Then ends up to 1 may be forgotten
 
+  Scenario: a runner whose lease must lapse shows no room, so that no order is sent in vain
+    Given a ledger of a runner with 1000 thousandths of a core
+    When a look at 20 shows the ends 1, 2 and 3 of stored jobs
+    Then the free room is 1000
+    When the end 2 was outrun
+    Then the free room is 0
+    When the lease has lapsed
+    Then the free room is 1000
+
+  Scenario Outline: a run that ended before its adoption came is told to the new owner
+    Given an agent whose entries wait for room
+      | entry | urgency | jobs |
+      | new   | 0       | 0    |
+    And a run of a former owner has <ended>
+    When entry "new" adopts the run
+    Then entry "new" is told that the run is <told>
+
+    Examples:
+      | ended            | told  |
+      | been stopped     | lost  |
+      | ended as done    | ended |
+
   Scenario: a task without an estimate does not crawl
     Given a ledger of a runner with 2000 thousandths of a core
     When a look at 100 shows the run at work
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -11,6 +11,7 @@
 from local_system import HOST, find_port
 
 from gapdrum.agent.entry_links import EntryLink
+from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.agent.reports import Reports
@@ -632,6 +633,33 @@
     assert seen["three"] == 4_000, seen
 
 
+@given("a run of a former owner has {ended}")
+def former_run(context, ended):
+    end = RunEnd.DONE if ended == "ended as done" else RunEnd.STOPPED
+    ledger = context.keeper.ledger
+    ledger.begin(Run(RUN, "former/life", 1, Resources(500), 0, 0, phase=orders.HELD_RUNNING))
+    ledger.take_look(RunnerLook(10, (), (EndedRun(1, RUN, end),)), 10)
+    ledger.advance_seen()
+
+
+@when('entry "{entry}" adopts the run')
+def adopt_run(context, entry):
+    timers = ManualTimers()
+    entry_orders = EntryOrders(
+        context.links, {"i-1": context.keeper}, Grants(0), context.reports, timers, new_log(timers)
+    )
+    row = orders.AdoptedRun(TASK.text, 1, 2, True, 500, 10, 0)
+    link = context.links.of_owner(entry)
+    entry_orders.take(link, orders.AdoptRuns("i-1", (row,)))
+
+
+@then('entry "{entry}" is told that the run is {kind}')
+def run_is_told(context, entry, kind):
+    link = context.links.of_owner(entry)
+    events = [event for one in link.sent for event in getattr(one, "events", ())]
+    assert [(event.task, event.kind) for event in events] == [(TASK.text, kind)], link.sent
+
+
 @when("it keeps looking for {duration:d} ms")
 def keep_looking(context, duration):
     async def run():
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -125,10 +125,18 @@
         keeper = self._keepers.get(message.runner_id)
         if keeper is None:
             return
+        missed = []
         for row in message.runs:
             key = RunKey(TaskName.parse(row.task), row.attempt)
-            if row.epoch >= self._epochs.get(key.task.job_id, 0):
+            if row.epoch < self._epochs.get(key.task.job_id, 0):
+                continue
+            event = keeper.ledger.tell_adopted(key)
+            if event is None:
                 keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, row.room)
+            else:
+                missed.append(event)
+        if missed:
+            link.send(orders.RunEvents(message.runner_id, tuple(missed)))
         self._reports.room_changed(message.runner_id)
 
     def end_former_lives(self, link: EntryLink) -> None:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -57,8 +57,7 @@
             return orders.ORDER_EXPIRED
         if now_ms >= self._context.grants.until_ms(owner, order.kept):
             return orders.ORDER_EXPIRED
-        free = self._context.free_for(owner, now_ms)
-        if self.ledger.must_lapse() or not free.holds(room):
+        if not self._context.free_for(owner, now_ms).holds(room):
             return orders.NO_ROOM
         return None
 
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -56,6 +56,7 @@
 
 # Why a run was lost, beside that its runner is gone.
 LEASE_LAPSED = "lease_lapsed"
+ENDED_BEFORE = "ended_before_adoption"
 
 # States of a runner.
 READY = "ready"
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -103,7 +103,12 @@
 
     @property
     def free(self) -> Resources:
-        """Return the room that nothing holds; none while a run's room is unknown."""
+        """Return the room that nothing holds.
+
+        There is none while a run's room is unknown, and while the lease must lapse.
+        """
+        if self.must_lapse():
+            return NOTHING
         known = self.looked and self.reachable and self.capacity is not None
         if not known or self.unknown_runs or (self.health.on_trial and self.runs):
             return NOTHING
@@ -285,6 +290,16 @@
                 )
         return tuple(rows)
 
+    def tell_adopted(self, key: RunKey) -> orders.RunEvent | None:
+        """Return what its new owner has to hear of a run that ended before it was adopted."""
+        if key in self.runs:
+            return None
+        for number, end in self.ends.items():
+            if end.key == key and not end.stored:
+                task, kind = key.task.text, orders.ENDED
+                return orders.RunEvent(task, key.attempt, end.epoch, kind, end.end.value, number)
+        return orders.RunEvent(key.task.text, key.attempt, 0, orders.LOST, orders.ENDED_BEFORE)
+
     def set_gone(self) -> list[tuple[Run, orders.RunEvent]]:
         """Note that this incarnation is gone with all its runs; return them as lost."""
         self.gone = True
