Keep room only for work that waits for this upstream, and only if two entries wait

Cause, by reading the diff: an agent kept its room for entries whose work waits for another upstream, and for the only entry that waits, so that others saw none; eight held jobs of one upstream ended the pass for all others. Ruled out on the sites so far: they have one upstream each. Change: RoomDemand by upstream, held jobs counted by upstream.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -56,8 +56,8 @@
 
   Scenario Outline: a run that ended before its adoption came is told to the new owner
     Given an agent whose entries wait for room
-      | entry | urgency | jobs |
-      | new   | 0       | 0    |
+      | entry | upstream | urgency | jobs |
+      | new   |          | 0       | 0    |
     And a run of a former owner has <ended>
     When entry "new" adopts the run
     Then entry "new" is told that the run is <told>
@@ -216,15 +216,26 @@
 
   Scenario: room is told first to the entry where the most urgent work waits, and kept for it
     Given an agent whose entries wait for room
-      | entry | urgency | jobs |
-      | one   | 0       | 0    |
-      | two   | 9       | 4    |
-      | three | 10      | 2    |
+      | entry | upstream     | urgency | jobs |
+      | one   |              | 0       | 0    |
+      | two   | inspect-desk | 9       | 4    |
+      | three | inspect-desk | 10      | 2    |
+      | four  | deskbook     | 12      | 9    |
     When a run of entry "one" has ended
     Then entry "one" is told of the end and "three" of the room
     And all entries are told of the room at the next interval
     When the offer to it has lapsed
-    Then at the next interval one entry where work waits sees room, and the others none
+    Then at the next interval entry "three" sees room, and the others none
+
+  Scenario: room is kept for nobody while work waits at one entry only
+    Given an agent whose entries wait for room
+      | entry | upstream     | urgency | jobs |
+      | one   |              | 0       | 0    |
+      | two   | inspect-desk | 9       | 4    |
+      | four  | deskbook     | 12      | 9    |
+    When a run of entry "one" has ended
+    Then entry "one" is told of the end and "two" of the room
+    And at the next interval all entries see the room
 
   Scenario: entries that see the same room do not all send their work to one runner
     Given 40 equal runners of one upstream that 12 entries see alike
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -583,12 +583,13 @@
     for row in context.table:
         link = EntryLink(row["entry"], None)
         link.owner = row["entry"]
-        link.urgency = int(row["urgency"])
-        link.waiting_jobs = int(row["jobs"])
+        demand = orders.UpstreamDemand(row["upstream"], int(row["urgency"]), int(row["jobs"]))
+        link.demand = {demand.upstream: demand} if demand.upstream else {}
         link.sent = []
         link.send = link.sent.append
         context.links.append(link)
     new_keeper(context, lambda _look: False)
+    context.keeper.ledger.upstream = "inspect-desk"
     context.reports = Reports(context.links, {"i-1": context.keeper}, ManualTimers())
 
 
@@ -624,13 +625,23 @@
     context.keeper._timers.time_ms += OFFER_MS
 
 
-@then("at the next interval one entry where work waits sees room, and the others none")
-def one_sees_room(context):
+def room_seen(context):
+    """Return the room that each entry sees after the next interval, in thousandths of a core."""
     context.keeper.ledger.looked = True
     context.reports.send_room()
-    seen = {link.owner: link.told_room["i-1"].free_cpu_milli for link in context.links}
-    assert sorted(seen.values())[:2] == [0, 0], seen
-    assert seen["three"] == 4_000, seen
+    return {link.owner: link.told_room["i-1"].free_cpu_milli for link in context.links}
+
+
+@then('at the next interval entry "{owner}" sees room, and the others none')
+def one_sees_room(context, owner):
+    seen = room_seen(context)
+    assert seen == {link.owner: 4_000 * (link.owner == owner) for link in context.links}, seen
+
+
+@then("at the next interval all entries see the room")
+def all_see_room(context):
+    seen = room_seen(context)
+    assert set(seen.values()) == {4_000}, seen
 
 
 @given("a run of a former owner has {ended}")
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -44,8 +44,7 @@
         self.owner = ""
         self.stream: Stream | None = None
         self.orders = 0
-        self.urgency = 0  # of the jobs that wait for room there
-        self.waiting_jobs = 0
+        self.demand: dict[str, orders.UpstreamDemand] = {}  # where its jobs wait for room
         self.told_room: dict[str, orders.RoomReport] = {}  # the last one of each runner
         self.heard_ms = 0
         self.listed = True
@@ -195,7 +194,7 @@
             self._timers.call_after(AWAY_ALLOWANCE_MS, partial(self._check_away, link.owner))
         link.stream = None
         link.owner = ""
-        link.urgency = 0
+        link.demand = {}
         link.told_room.clear()
 
     def _check_away(self, owner: str) -> None:
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -49,10 +49,9 @@
         self._grants.note(link.owner, echo.clock_ms, echo.lease_held)
 
     def _take_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
-        link.urgency = demand.urgency
-        link.waiting_jobs = demand.jobs
-        if not demand.urgency:
-            for keeper in self._keepers.values():
+        link.demand = {row.upstream: row for row in demand.upstreams}
+        for keeper in self._keepers.values():
+            if keeper.ledger.upstream not in link.demand:
                 keeper.offers.decline(link.owner)
 
     def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -49,19 +49,22 @@
             self._tell_room(keeper, link)
 
     def _offer(self, keeper: RunnerKeeper, room: Resources) -> EntryLink | None:
-        """Keep room for an entry where work waits for it; None if none waits.
+        """Choose an entry where work waits for room, and keep it for that one; None if none waits.
 
         It is one of those with the most urgent work, by chance and by how much waits there. If
         all heard of the same room, most of their orders would be refused, and small entries,
-        which answer later, would get none.
+        which answer later, would get none. Nothing is kept if work waits at one entry only.
         """
-        urgency = max((link.urgency for link in self._links), default=0)
-        if not urgency:
+        upstream = keeper.ledger.upstream
+        waiting = [link for link in self._links if upstream in link.demand]
+        if not waiting:
             return None
-        most_urgent = [link for link in self._links if link.urgency == urgency]
-        weights = [link.waiting_jobs or 1 for link in most_urgent]
+        urgency = max(link.demand[upstream].urgency for link in waiting)
+        most_urgent = [link for link in waiting if link.demand[upstream].urgency == urgency]
+        weights = [link.demand[upstream].jobs or 1 for link in most_urgent]
         chosen = random.choices(most_urgent, weights)[0]
-        keeper.offers.make(chosen.owner, room, self._timers.now_ms())
+        if len(waiting) > 1:
+            keeper.offers.make(chosen.owner, room, self._timers.now_ms())
         return chosen
 
     def _offer_rest(self, keeper: RunnerKeeper) -> None:
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -279,13 +279,21 @@
     outrun: tuple[int, ...] = attrs.field(converter=tuple)
 
 
+@attrs.frozen
+class UpstreamDemand:
+    """How urgent the first job is that waits for room at an upstream, and how many wait."""
+
+    upstream: str
+    urgency: int
+    jobs: int
+
+
 @message(57)
 @attrs.frozen
 class RoomDemand:
-    """How urgently the entry waits for room, 0 if nothing of its waits, and how many jobs wait."""
+    """What the entry waits for; an upstream that is not named has room enough for it."""
 
-    urgency: int = count_field()
-    jobs: int = count_field()
+    upstreams: tuple[UpstreamDemand, ...] = rows_field(UpstreamDemand, MAX_ROWS)
 
 
 @attrs.frozen
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -1,6 +1,7 @@
 """Which waiting task goes where, and how long a new one would wait."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -22,8 +23,8 @@
 )
 from gapdrum.core.runner_views import RunnerView
 
-# How many jobs that find no room are looked at before the rest is left to the next change:
-# smaller ones may still fit, but under overload all of them would be looked at in vain. Jobs
+# How many jobs of an upstream that find no room are looked at before its others are left to the
+# next change: smaller ones may still fit, but under overload all would be looked at in vain. Jobs
 # that no runner could ever hold do not count, or a few of them would hold up all others.
 HELD_JOBS_TRIED = 8
 # While no runner has room, all waiting jobs are judged anew this often.
@@ -53,7 +54,7 @@
     backlog: Backlog = attrs.Factory(Backlog)
     _untried: bool = False
     _tried_ms: int = 0
-    urgency: int = 0  # of the most urgent job that found no room when it was last tried
+    demand: tuple[orders.UpstreamDemand, ...] = ()  # of the jobs that found no room, lately
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     def expected_wait_ms(
@@ -89,7 +90,7 @@
     def place_waiting(self, now_ms: int) -> None:
         """Place the waiting tasks that find room, the most urgent first."""
         if not self.waiting:
-            self.urgency = 0
+            self.demand = ()
             return
         jobs = [self.jobs[job_id] for job_id in self.waiting]
         fields = self._build_fields(jobs)
@@ -115,20 +116,23 @@
 
     def _try_all(self, jobs: list[Job], fields: dict[str, Field], now_ms: int) -> None:
         may_act = self.may_act()
-        self.urgency = 0
-        held = 0
+        urgencies: dict[str, int] = {}
+        held: Counter[str] = Counter()
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
-            if job.kept and not may_act:
+            if job.kept and not may_act or held[job.upstream] >= HELD_JOBS_TRIED:
                 continue
             field = fields[job.upstream]
             if job.ending is not None or not self._place_job(job, field, now_ms):
                 self.waiting.discard(job.job_id)
                 continue
             if any(may_ever_fit(task, field) for task in job.ready_tasks()):
-                held += 1
-                self.urgency = max(self.urgency, urgency_of(job, now_ms))
-            if held >= HELD_JOBS_TRIED:
-                return
+                held[job.upstream] += 1
+                urgencies.setdefault(job.upstream, urgency_of(job, now_ms))
+        waiting = Counter(job.upstream for job in jobs)
+        self.demand = tuple(
+            orders.UpstreamDemand(name, urgency, waiting[name])
+            for name, urgency in urgencies.items()
+        )
 
     def _place_job(self, job: Job, field: Field, now_ms: int) -> bool:
         """Place what can be placed of a job; return whether some of it still waits."""
--- a/src/gapdrum/entry/demand.py
+++ b/src/gapdrum/entry/demand.py
@@ -14,18 +14,18 @@
     def __init__(self, links: AgentLinks, timers: Timers) -> None:
         self._links = links
         self._timers = timers
-        self._told = (0, 0)
+        self._told: dict[str, tuple[int, int]] = {}
         self._told_ms = 0
 
-    def tell(self, urgency: int, jobs: int) -> None:
+    def tell(self, demand: tuple[orders.UpstreamDemand, ...]) -> None:
         """Tell all agents, if it has changed and they were not told just now.
 
         How many jobs wait is told again only when it has doubled or halved.
         """
         now_ms = self._timers.now_ms()
-        demand = (urgency, jobs.bit_length() if urgency else 0)
-        if demand == self._told or now_ms - self._told_ms < TELL_INTERVAL_MS:
+        rough = {row.upstream: (row.urgency, row.jobs.bit_length()) for row in demand}
+        if rough == self._told or now_ms - self._told_ms < TELL_INTERVAL_MS:
             return
-        self._told = demand
+        self._told = rough
         self._told_ms = now_ms
-        self._links.broadcast(orders.RoomDemand(urgency, jobs))
+        self._links.broadcast(orders.RoomDemand(demand))
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -175,7 +175,7 @@
     def _place_waiting(self) -> None:
         placer = self.dispatch.placer
         placer.place_waiting(self.timers.now_ms())
-        self.demand.tell(placer.urgency, len(placer.waiting))
+        self.demand.tell(placer.demand)
 
     def note(self, event: str, **fields: object) -> None:
         """Record a decision."""
