--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -181,6 +181,14 @@
     When a job of 1 tasks is added behind them
     Then 1 tasks are ordered
 
+  Scenario: jobs that wait for a full upstream do not hold up those of another
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And 20 jobs that wait for a runner of "deskbook" without room
+    When a job of 1 tasks is added behind them
+    Then 1 tasks are ordered
+    And the agents are to hear that 20 jobs wait for "deskbook"
+
   Scenario: what has begun is ended before more is begun, and what is late waits
     Given these jobs wait at 1000 ms, accepted at 900 ms
       | job | priority | tasks | placed | estimate |
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -28,6 +28,7 @@
 from gapdrum.core.jobs import Place, TaskPhase, build_job
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.placement_rules import build_field, choose_runner, waiting_order
+from gapdrum.core.placer import TRY_INTERVAL_MS
 from gapdrum.core.records import EntryAddress, OpenJob, step_row
 from gapdrum.core.room_offers import OFFER_MS
 from gapdrum.core.rows import (
@@ -284,10 +285,18 @@
 
 
 def add_job(
-    context, tasks, failures=3, epoch=1, unknown_until_ms=0, kept=True, job_id=JOB, step=None
+    context,
+    tasks,
+    failures=3,
+    epoch=1,
+    unknown_until_ms=0,
+    kept=True,
+    job_id=JOB,
+    step=None,
+    upstream="inspect-desk",
 ):
     step = step or Step(tasks, Resources(500, 10, 0), 100)
-    record = OpenJob("flags", "inspect-desk", "{}", OWNER, epoch, 0, (step_row(step),))
+    record = OpenJob("flags", upstream, "{}", OWNER, epoch, 0, (step_row(step),))
     job = build_job(
         job_id,
         record,
@@ -313,6 +322,27 @@
     add_job(context, tasks)
 
 
+@given('{count:d} jobs that wait for a runner of "{upstream}" without room')
+def new_jobs_elsewhere(context, count, upstream):
+    report = orders.RunnerReport("i-2", upstream, orders.READY, (), 4_000, 4_000, 0)
+    context.dispatch.take_report(context.view, report, context.now_ms)
+    context.dispatch.take_room(context.view, orders.RoomReport("i-2", 0, 4_000, 0, 0, 0))
+    holdings = orders.Holdings("i-2", (), ())
+    context.dispatch.take_holdings(context.view, holdings, context.now_ms)
+    for number in range(count):
+        # They wait for longer than the job behind them, and so are tried before it.
+        add_job(context, 1, job_id=f"{number:016x}", upstream=upstream)
+    context.now_ms += 20
+
+
+@then('the agents are to hear that {count:d} jobs wait for "{upstream}"')
+def demand_told(context, count, upstream):
+    context.now_ms += TRY_INTERVAL_MS
+    context.dispatch.placer.place_waiting(context.now_ms)
+    demand = [(row.upstream, row.jobs) for row in context.dispatch.placer.demand]
+    assert demand == [(upstream, count)], demand
+
+
 @given("{count:d} jobs that need more than any runner has")
 def new_impossible_jobs(context, count):
     step = Step(1, Resources(99_000, 10, 0), 100)
