Test that runs end at an agent that is cut off before they begin elsewhere

Change: a scenario with a proxy before an entry's streams that silences one of two agents. With `grants` planted by hand it fails (a second run beside the first), without it passes.

--- a/features/platform_failures.feature
+++ b/features/platform_failures.feature
@@ -83,6 +83,16 @@
     Then the waiting caller is told "succeeded"
     And no task ran twice at the same time
 
+  Scenario: tasks of an agent that is cut off from its entry end there before they run elsewhere
+    Given a platform with 1 entries and 2 agents, and a proxy before its streams
+    When the stored job "00000000000000dd" of 10 tasks of 5000 ms is submitted at entry 0
+    And 10 tasks have started
+    And every second stream is silent
+    Then tasks of "00000000000000dd" soon start again
+    When no stream is silent any more
+    Then the job "00000000000000dd" becomes "succeeded" at entry 0
+    And no task ran twice at the same time
+
   Scenario: tasks of a runner that crashed are placed anew
     Given a platform with 1 entries and 2 agents
     When the waiting job "00000000000000c9" of 12 tasks of 800 ms is on its way at entry 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,8 +8,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
-from local_system import HOST, wait_for
+from local_system import HOST, find_port, wait_for
 from platform_system import CALLER_HOST, QUEUES, RUNNER_CPU_MILLI, PlatformSystem
+from proxy import PASS, SILENT, Proxy
 
 TASK_CPU_MILLI = 500
 RUNS_CHANGED = {"started": 1, "done": -1, "failed": -1, "stopped": -1, "lapsed": -1}
@@ -18,8 +19,8 @@
 
 
 @given("a platform with {entries:d} entries and {agents:d} agents")
-def start_platform(context, entries, agents):
-    context.system = PlatformSystem(entries, agents)
+def start_platform(context, entries, agents, **options):
+    context.system = PlatformSystem(entries, agents, **options)
     context.system.__enter__()
     context.threads = ThreadPoolExecutor(CALLERS)
     context.add_cleanup(context.threads.shutdown, wait=False)
@@ -35,6 +36,16 @@
         assert answer == (200, {"state": "succeeded"}), answer
 
 
+@given("a platform with {entries:d} entries and {agents:d} agents, and a proxy before its streams")
+def start_platform_with_proxy(context, entries, agents):
+    def add_proxy(port):
+        context.proxy = Proxy(find_port(), port)
+        context.add_cleanup(context.proxy.close)
+        return context.proxy.port
+
+    start_platform(context, entries, agents, stream_ports=add_proxy)
+
+
 def steps_of(tasks):
     return [{"count": tasks, "cpu": TASK_CPU_MILLI}]
 
@@ -257,6 +268,26 @@
     context.system.set_runner_fault(number, mode="hang", count=count)
 
 
+@when("every second stream is silent")
+def silence_streams(context):
+    context.proxy.parity = 0
+    context.proxy.mode = SILENT
+
+
+@when("no stream is silent any more")
+def end_silence(context):
+    context.proxy.mode = PASS
+
+
+@then('tasks of "{job}" soon start again')
+def start_again(context, job):
+    def restarted():
+        starts = [row for row in context.system.history() if row["how"] == "started"]
+        return any(row["task"].startswith(job) and row["attempt"] > 1 for row in starts)
+
+    wait_for(restarted, "a second start")
+
+
 @when("runner {number:d} sends no heartbeats")
 def stop_heartbeats(context, number):
     context.system.set_runner_fault(number, mode="no_heartbeats", count=1_000_000)
