One piece for room on the wire, and one for the event of a noted end

Cause, by reading the whole change: decoding room stood three times in platform/ (the list of machines had added the third), the event of an end twice, the path of a request was decoded twice, and the urgency of each held job was worked out where only the first one's is used. Change: decode_resources, NotedEnd.to_event; the rest is done once.

--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -165,14 +165,7 @@
         limit_ms = self._timers.now_ms() - ORPHAN_AFTER_MS
         for keeper in self._keepers.values():
             rows = tuple(
-                orders.RunEvent(
-                    end.key.task.text,
-                    end.key.attempt,
-                    end.epoch,
-                    orders.ENDED,
-                    end.end.value,
-                    number,
-                )
+                end.to_event(number)
                 for number, end in keeper.ledger.ends.items()
                 if end.noted_ms < limit_ms and not end.stored and not end.outrun
             )
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -127,7 +127,8 @@
                 continue
             if any(may_ever_fit(task, field) for task in job.ready_tasks()):
                 held[job.upstream] += 1
-                urgencies.setdefault(job.upstream, urgency_of(job, now_ms))
+                if job.upstream not in urgencies:  # the first to be held is the most urgent
+                    urgencies[job.upstream] = urgency_of(job, now_ms)
         waiting = Counter(job.upstream for job in jobs)
         self.demand = tuple(
             orders.UpstreamDemand(name, urgency, waiting[name])
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -69,6 +69,11 @@
     stored: bool = False
     outrun: bool = False
 
+    def to_event(self, number: int) -> orders.RunEvent:
+        """Return the event that tells of it, under its number at the runner."""
+        task, kind = self.key.task.text, orders.ENDED
+        return orders.RunEvent(task, self.key.attempt, self.epoch, kind, self.end.value, number)
+
 
 @attrs.define
 class RunnerLedger:
@@ -296,8 +301,7 @@
             return None
         for number, end in self.ends.items():
             if end.key == key and not end.stored:
-                task, kind = key.task.text, orders.ENDED
-                return orders.RunEvent(task, key.attempt, end.epoch, kind, end.end.value, number)
+                return end.to_event(number)
         return orders.RunEvent(key.task.text, key.attempt, 0, orders.LOST, orders.ENDED_BEFORE)
 
     def set_gone(self) -> list[tuple[Run, orders.RunEvent]]:
--- a/src/gapdrum/http.py
+++ b/src/gapdrum/http.py
@@ -12,7 +12,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
-from urllib.parse import SplitResult, parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import attrs
 from loguru import logger
@@ -167,8 +167,9 @@
     def _respond(self, request: HttpRequest) -> HttpResponse:
         try:
             target = urlsplit(request.path)
-            handler, parts = self._router.find(request.method, unquote(target.path))
-            response = handler(_read_request(request, target, parts))
+            path = unquote(target.path)
+            handler, parts = self._router.find(request.method, path)
+            response = handler(_read_request(request, path, target.query, parts))
         except GapdrumError as error:
             response = error_response(error)
         except Exception as error:  # a defect: report it as such, and go on serving
@@ -213,8 +214,10 @@
         raise
 
 
-def _read_request(request: HttpRequest, target: SplitResult, parts: dict[str, str]) -> Request:
-    query = {name: values[-1] for name, values in parse_qs(target.query).items()}
+def _read_request(
+    request: HttpRequest, path: str, query_text: str, parts: dict[str, str]
+) -> Request:
+    query = {name: values[-1] for name, values in parse_qs(query_text).items()}
     scheme, _, token = request.headers.get("authorization", "").partition(" ")
     token = token if scheme.lower() == "bearer" else ""
-    return Request(request.method, unquote(target.path), parts, query, request.body, token.strip())
+    return Request(request.method, path, parts, query, request.body, token.strip())
--- a/src/gapdrum/platform/machine_list.py
+++ b/src/gapdrum/platform/machine_list.py
@@ -4,8 +4,8 @@
 from urllib.parse import quote
 
 from gapdrum.core.endpoints import Endpoint
-from gapdrum.core.models import Resources
 from gapdrum.core.runner_models import ListedRunner
+from gapdrum.platform.resources import decode_resources
 from gapdrum.transport.http_client import HttpClient, NoReplyError
 
 # A page holds some hundred machines; more pages than this are taken for a fault.
@@ -45,12 +45,9 @@
 
 
 def _decode_machine(row: dict[str, Any]) -> ListedRunner:
-    capacity = row["capacity"]
     return ListedRunner(
         # A ``pool`` of machines is what serves an upstream.
         upstream=row["pool"],
-        capacity=Resources(
-            capacity.get("cpu", 0), capacity.get("mem_mb", 0), capacity.get("gpu", 0)
-        ),
+        capacity=decode_resources(row["capacity"]),
         labels=tuple(row.get("labels", ())),
     )
--- a/src/gapdrum/platform/runner_calls.py
+++ b/src/gapdrum/platform/runner_calls.py
@@ -4,9 +4,10 @@
 from typing import Any
 
 from gapdrum.core.endpoints import Endpoint, parse_endpoint
-from gapdrum.core.models import Resources, RunEnd, RunKey, TaskName
+from gapdrum.core.models import RunEnd, RunKey, TaskName
 from gapdrum.core.runner_models import EndedRun, Heartbeat, RunnerLook, RunningTask
 from gapdrum.exceptions import GapdrumError
+from gapdrum.platform.resources import decode_resources
 from gapdrum.transport.http_client import HttpClient, NoReplyError
 from gapdrum.transport.http_messages import HttpReply
 
@@ -44,16 +45,13 @@
     """Return the heartbeat in a body; raises ValueError."""
     try:
         document = json.loads(body)
-        capacity = document.get("capacity", {})
         return Heartbeat(
             runner_id=runner_id,
             upstream=document["service"],
             address=parse_endpoint(document["address"]),
             zone=document.get("zone", ""),
             draining=document["state"] == "draining",
-            capacity=Resources(
-                capacity.get("cpu", 0), capacity.get("mem_mb", 0), capacity.get("gpu", 0)
-            ),
+            capacity=decode_resources(document.get("capacity", {})),
             # The runner's kind and its rack.
             labels=tuple(document.get("labels", ())),
             sequence=int(document.get("sequence", 0)),
--- a/src/gapdrum/platform/submissions.py
+++ b/src/gapdrum/platform/submissions.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from gapdrum.core.models import JobState, Resources, Step
+from gapdrum.core.models import JobState, Step
 from gapdrum.exceptions import Finding, InvalidInputError, UnsupportedJobError
+from gapdrum.platform.resources import decode_resources
 from gapdrum.transport.http_messages import HttpResponse, json_response
 
 JOB_ID_LENGTH = 16
@@ -134,8 +135,7 @@
 def _decode_step(step: dict[str, Any]) -> Step:
     return Step(
         tasks=step["count"],
-        # ``cpu`` is in thousandths of a core.
-        resources=Resources(step.get("cpu", 0), step.get("mem_mb", 0), step.get("gpu", 0)),
+        resources=decode_resources(step),
         estimate_ms=step.get("estimate_ms", 0),
         after=tuple(step.get("after", ())),
         required_label=step.get("requires", ""),
