--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -81,7 +81,11 @@
         )
         self.ledger.begin(run)
         self._context.offers.use(owner, row.room)
-        self._background.spawn(self._start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS))
+        self._call_start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS)
+
+    def _call_start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
+        """Begin to call the runner; a replay in virtual time puts its own runner here."""
+        self._background.spawn(self._start(run, spec, lease_ends_ms))
 
     async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
         """Call until the start is answered; the same start again is the same run."""
