Survive connections that go silent, and heartbeats that come late

By reading: each idle connection of a client cost one time-out; an agent kept a silent stream for 2 s, while its grants end after 1.3 s, so all its runs were stopped; a heartbeat of an unknown runner made the one that was known count as replaced, and its runs were started elsewhere while they went on; an older heartbeat undid a newer one's draining. An entry that ended printed asyncio's tracebacks of its streams. The runners' registry is a module. Ruled out: keep-alive probes of the system, which cost a message on each connection all the time.

--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -28,8 +28,11 @@
 # An owner whose stream has ended and does not return within this time has probably died; the
 # callers that waited there send their jobs again 1.3 s after their connections broke.
 AWAY_ALLOWANCE_MS = 600
-# An entry that does not echo for this long is connected anew.
-SILENT_ENTRY_MS = 2_000
+# An entry that does not echo for this long is connected anew: three beats. A stream that went
+# silent for good is replaced before the grants end, so what runs for the entry goes on.
+SILENT_ENTRY_MS = 3 * orders.BEAT_INTERVAL_MS
+# A beat that comes so long after the last one shows that this process stood still.
+PAUSED_MS = 2 * orders.BEAT_INTERVAL_MS
 # An entry without a row is tried for so long after it was last heard: it may be cut off from
 # the store only, and then still serves callers that wait.
 UNLISTED_KEPT_MS = 10_000
@@ -75,6 +78,7 @@
         self._received = received
         self._background = Background(log)
         self._links: dict[str, EntryLink] = {}
+        self._beat_ms = 0
         self.on_joined: Callable[[EntryLink], None] = lambda _link: None
         self.on_renamed: Callable[[str, str], None] = lambda _former, _owner: None
         self.on_away: Callable[[str], None] = lambda _owner: None
@@ -91,11 +95,18 @@
         return None
 
     def beat(self) -> None:
-        """Tell all entries our clock, and cut streams that are silent."""
+        """Tell all entries our clock, and cut streams that are silent.
+
+        After a pause of this process what was sent meanwhile has not been read yet, so nothing
+        is cut before the next beat.
+        """
         now_ms = self._timers.now_ms()
+        was_paused = now_ms - self._beat_ms > PAUSED_MS
+        self._beat_ms = now_ms
         for link in self._links.values():
             link.send(orders.AgentBeat(now_ms))
-            if link.stream is not None and now_ms - link.heard_ms > SILENT_ENTRY_MS:
+            is_silent = now_ms - link.heard_ms > SILENT_ENTRY_MS
+            if link.stream is not None and is_silent and not was_paused:
                 link.stream.close()
 
     # Finding entries.
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -10,30 +10,16 @@
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.reports import Reports
 from gapdrum.agent.runner_keeper import RunnerKeeper
+from gapdrum.agent.runner_registry import RunnerRegistry
 from gapdrum.background import Background
 from gapdrum.core import orders
-from gapdrum.core.endpoints import Endpoint
-from gapdrum.event_log import EventLog, run_program
+from gapdrum.event_log import EventLog, run_program, write_loop_errors
 from gapdrum.platform.boot import Boot, load_boot
-from gapdrum.platform.machine_list import find_listed_runner
 from gapdrum.platform.rows import RowStore
-from gapdrum.platform.runner_calls import (
-    DEREGISTER_PREFIX,
-    HEARTBEAT_PREFIX,
-    decode_heartbeat,
-    fetch_identity,
-)
-from gapdrum.timers import MS_PER_S, Timers
-from gapdrum.transport.http_client import NoReplyError, NotSentError
-from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+from gapdrum.timers import Timers
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 from gapdrum.transport.metrics_listener import open_metrics
 
-IDENTITY_TIMEOUT_MS = 300
-IDENTITY_RETRY_MS = 250
-LIST_TIMEOUT_MS = 500
-# All agents may start at once, and share what the list answers a second.
-LIST_RETRY_MS = 500
 REPORT_INTERVAL_MS = 25  # room is told to all entries this often at most
 # How often ends that nobody has stored are told to all entries again.
 ORPHAN_INTERVAL_MS = 1_000
@@ -60,7 +46,8 @@
         self.links.on_renamed = self.orders.rename_owner
         self.links.on_away = self.orders.stop_unwaited
         self.links.on_message = self.orders.take
-        self.control = HttpListener(self._take_report, HttpLimits(), timers)
+        self.runners = RunnerRegistry(boot, self.keepers, self.grants, self.reports, timers, log)
+        self.control = HttpListener(self.runners.handle, HttpLimits(), timers)
         self._background = Background(log)
         self._add_gauges()
 
@@ -83,91 +70,6 @@
         self.orders.end_former_lives(link)
         self.reports.tell_everything(link)
 
-    # The runner's reports.
-
-    def _take_report(self, request: HttpRequest) -> HttpResponse:
-        if request.path.startswith(HEARTBEAT_PREFIX):
-            return self._take_heartbeat(request)
-        if request.path.startswith(DEREGISTER_PREFIX):
-            keeper = self.keepers.get(request.path[len(DEREGISTER_PREFIX) :])
-            if keeper is not None:
-                keeper.set_gone("deregistered")
-            return json_response(200, {})
-        return json_response(404, {"code": "no_such_path"})
-
-    def _take_heartbeat(self, request: HttpRequest) -> HttpResponse:
-        runner_id = request.path[len(HEARTBEAT_PREFIX) :]
-        try:
-            heartbeat = decode_heartbeat(runner_id, request.body)
-        except ValueError as error:
-            self.log.write("heartbeat_rejected", runner=runner_id, reason=str(error))
-            return json_response(400, {"code": "malformed_heartbeat"})
-        keeper = self._keeper(runner_id, heartbeat.address)
-        keeper.take_heartbeat(heartbeat)
-        return json_response(200, {})
-
-    def _keeper(self, runner_id: str, address: Endpoint) -> RunnerKeeper:
-        keeper = self.keepers.get(runner_id)
-        if keeper is not None:
-            return keeper
-        for other in list(self.keepers.values()):
-            if other.address == address:
-                other.set_gone("replaced")
-        keeper = RunnerKeeper(
-            runner_id,
-            address,
-            self.grants,
-            self.boot.run_lease_ms,
-            self.timers,
-            self.log,
-            self.reports.report,
-            self.reports.tell_holdings,
-        )
-        self.keepers[runner_id] = keeper
-        self.log.write("runner_found", runner=runner_id, address=str(address))
-        self._background.keep(lambda: self._keep_runner(keeper))
-        return keeper
-
-    async def _keep_runner(self, keeper: RunnerKeeper) -> None:
-        await keeper.keep()
-        self.reports.send_room()
-        if self.keepers.get(keeper.runner_id) is keeper:
-            del self.keepers[keeper.runner_id]
-
-    async def _find_runner(self) -> None:
-        """Ask the runner who it is, without waiting for its next heartbeat."""
-        address = self.boot.runner
-        while address is not None and not self.keepers:
-            try:
-                runner_id = await fetch_identity(address, IDENTITY_TIMEOUT_MS)
-            except (NotSentError, NoReplyError) as error:
-                # Its heartbeat will tell; until then it is asked again.
-                self.log.write("runner_not_found", address=str(address), code=error.code)
-                runner_id = ""
-            if runner_id and not self.keepers:
-                await self._learn_room(self._keeper(runner_id, address))
-                return
-            await asyncio.sleep(IDENTITY_RETRY_MS / MS_PER_S)
-
-    async def _learn_room(self, keeper: RunnerKeeper) -> None:
-        """Look the runner's room up, as its next heartbeat may be a second or more away."""
-        machines = self.boot.machine_list
-        while machines is not None and keeper.ledger.capacity is None and not keeper.ledger.gone:
-            try:
-                listed = await find_listed_runner(machines, keeper.runner_id, LIST_TIMEOUT_MS)
-            except (NotSentError, NoReplyError) as error:
-                self.log.write(
-                    "runner_not_listed",
-                    runner=keeper.runner_id,
-                    code=error.code,
-                    reason=error.message,
-                )
-                listed = None
-            if listed is not None:
-                keeper.take_listed(listed)
-                return
-            await asyncio.sleep(LIST_RETRY_MS / MS_PER_S)
-
     # Start and end.
 
     async def run(self) -> int:
@@ -177,7 +79,7 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self.log.write("started", role="agent", zone=self.boot.zone, life=self.incarnation)
-        self._background.keep(self._find_runner)
+        self.runners.start()
         self._background.keep(self.links.follow)
         address = self.boot.runner_reports
         await self.control.open(address.host, address.port)
@@ -202,6 +104,7 @@
     timers = Timers()
     log = EventLog(boot.instance, timers)
     log.open()
+    write_loop_errors(log)
     return await Agent(boot, timers, log).run()
 
 
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -67,6 +67,7 @@
         self._timers = timers
         self._log = log
         self._on_looked = on_looked
+        self._sequence = 0
 
     @property
     def offers(self) -> RoomOffers:
@@ -216,7 +217,13 @@
         self._context.set_gone(reason)
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Take the runner's report about itself."""
+        """Take the runner's report about itself, unless a newer one came before."""
+        if heartbeat.sequence < self._sequence:
+            self._log.write(
+                "heartbeat_outdated", runner=self.runner_id, sequence=heartbeat.sequence
+            )
+            return
+        self._sequence = heartbeat.sequence
         ledger = self.ledger
         changed = ledger.capacity != heartbeat.capacity or ledger.draining != heartbeat.draining
         ledger.upstream = heartbeat.upstream
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -61,6 +61,10 @@
             await self._serve(stream)
         except FrameError as error:
             self._log.write("stream_rejected", code=error.code, reason=error.message)
+        except asyncio.CancelledError:
+            # The program ends. asyncio prints a traceback for a stream's task that ends as
+            # cancelled, and nothing unstructured may be written.
+            return
         finally:
             stream.close()
 
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -24,7 +24,7 @@
 from gapdrum.entry.takeover import Takeover
 from gapdrum.entry.waiting_callers import WaitingCallers
 from gapdrum.entry.writer import Writer
-from gapdrum.event_log import EventLog, run_program
+from gapdrum.event_log import EventLog, run_program, write_loop_errors
 from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import MS_PER_S, Timers
@@ -290,6 +290,7 @@
     timers = Timers()
     log = EventLog(boot.instance, timers)
     log.open()
+    write_loop_errors(log)
     return await Entry(boot, timers, log).run()
 
 
--- a/src/gapdrum/event_log.py
+++ b/src/gapdrum/event_log.py
@@ -103,6 +103,16 @@
         return b"".join(parts)
 
 
+def write_loop_errors(log: EventLog) -> None:
+    """Send what asyncio has to tell of errors to the log, in place of standard error."""
+
+    def write(_loop: asyncio.AbstractEventLoop, details: dict[str, Any]) -> None:
+        error = details.get("exception")
+        log.write("unexpected", text=f"{details.get('message', '')}: {error!r}"[:2_000])
+
+    asyncio.get_running_loop().set_exception_handler(write)
+
+
 def run_program(main: Any) -> None:
     """Run a program's coroutine function until it ends, and pass on its exit code."""
     sys.exit(asyncio.run(main()) or 0)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -147,6 +147,10 @@
 _add("runner_suspect", "The runner fails what it starts; it rests.", "runner", "rest_ms")
 _add("runner_on_trial", "The runner gets one run at a time.", "runner")
 _add("runner_gone", "This life of the runner is over.", "runner", "reason")
+_add(
+    "heartbeat_outdated", "A heartbeat came after a newer one, or its sender's successor.",
+    "runner", "sequence",
+)  # fmt: skip
 _add("heartbeat_rejected", "A heartbeat can't be read.", "runner", "reason")
 _add("look_rejected", "The runner does not show what it holds.", "runner", "status", "reason")
 _add("lease_let_lapse", "The runner's lease has lapsed on purpose.", "runner", "clock_ms")
--- a/src/gapdrum/transport/http_client.py
+++ b/src/gapdrum/transport/http_client.py
@@ -32,6 +32,10 @@
     http_status = 504
 
 
+class TimedOutError(NoReplyError):
+    """Nothing came back in time, while the connection seemed open."""
+
+
 class HttpClient:
     """Calls one address over a few kept connections.
 
@@ -57,10 +61,15 @@
     ) -> HttpReply:
         """Make one call; raises NotSentError or NoReplyError."""
         connection = self._take_idle() or await self._connect(min(timeout_ms, CONNECT_TIMEOUT_MS))
+        sent_s = asyncio.get_running_loop().time()
         try:
             reply = await connection.exchange(
                 self._encode(method, path, body, headers), timeout_ms / MS_PER_S
             )
+        except TimedOutError:
+            connection.close()
+            self._close_unheard(sent_s)
+            raise
         except BaseException:
             connection.close()
             raise
@@ -74,6 +83,17 @@
             connection.close()
         self._idle.clear()
 
+    def _close_unheard(self, since_s: float) -> None:
+        """Close the idle connections on which nothing came since a request that timed out.
+
+        Connections may go silent all at once while new ones work. Without this each idle one
+        costs another time-out: 3 calls of 3 failed where 3 had been open, 1 with it.
+        """
+        for connection in self._idle:
+            if connection.heard_s < since_s:
+                connection.close()
+        self._idle = [one for one in self._idle if one.reusable]
+
     def _take_idle(self) -> "_ClientConnection | None":
         while self._idle:
             connection = self._idle.pop()
@@ -115,6 +135,7 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._lost = False
+        self.heard_s = 0.0
 
     @property
     def reusable(self) -> bool:
@@ -126,7 +147,7 @@
 
     def connection_lost(self, _error: Exception | None) -> None:
         self._lost = True
-        self._fail("the connection ended")
+        self._fail(NoReplyError("the connection ended"))
 
     def close(self) -> None:
         """Drop the connection and what is under way on it."""
@@ -136,7 +157,7 @@
         """Send one request and wait for its reply; raises NoReplyError."""
         loop = asyncio.get_running_loop()
         self._reply = loop.create_future()
-        timer = loop.call_later(timeout_s, self._fail, "no reply in time")
+        timer = loop.call_later(timeout_s, self._fail, TimedOutError("no reply in time"))
         self._transport.write(request)
         try:
             return await self._reply
@@ -144,15 +165,16 @@
             timer.cancel()
             self._reply = None
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, error: NoReplyError) -> None:
         if self._reply is not None and not self._reply.done():
-            self._reply.set_exception(NoReplyError(reason))
+            self._reply.set_exception(error)
 
     def data_received(self, data: bytes) -> None:
+        self.heard_s = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail("the reply is malformed")
+            self._fail(NoReplyError("the reply is malformed"))
             self._transport.abort()
 
     # What the parser calls back, named as it asks for.
