End what has begun before more is begun, and begin nothing that would end late

Hypothesis: what is begun is ended if it goes first; few are begun if a job that has waited for half of the time that its stated work leaves is told that it has not run. Change: jobs wait by standing (begun, begun and late, new, new and late), then by the time left, which counts the more the lower the queue's priority. A new job is given up when it should have begun, not 50 ms after its latest start; it is refused at once if it would still wait by then. Demand is told by the same standing, so that room goes to what must begin or end first. Ruled out by replays: by time left without standing, first come, last come, smallest first, probability of an end in time, marginal cost of waiting (all lower or within noise); shares of 0.3, 0.4, 0.6 and 0.75 in place of 0.5 (within noise or lower); room for wide jobs by time left less 3 or 6 ms a task (no gain). The scenario of the order asks for the same six jobs in a new order, as the rule is another.

--- /dev/null
+++ b/features/load_replay.feature
@@ -0,0 +1,26 @@
+Feature: What overload does to callers, replayed in virtual time
+  The load is that of the worst day measured: a burst, runners that are lost and one that stands
+  still, then a little more work than the others can do. It goes through the real decisions.
+
+  Scenario: a load is played the same again
+    When the first 5 s of the load "overload" of seed 3 are played twice
+    Then both times each caller gets the same
+
+  Scenario: under overload few jobs are begun, and nearly all of those end in time
+    When the load "overload" of the seeds 1 and 2 is played
+    Then at least 82% of the worth is earned, and 70% of any kind and size of job
+    And at most 4% of the jobs end late, and 0.5% are left without an answer
+
+  Scenario: a load that nearly fits is served nearly whole
+    When the load "steady" of the seeds 1 and 2 is played
+    Then at least 95% of the worth is earned, and 88% of any kind and size of job
+    And at most 2% of the jobs end late, and 0.1% are left without an answer
+
+  Scenario Outline: each mechanism is worth something to callers under overload
+    When the load "overload" of the seeds 1 and 2 is played with and without "<mechanism>"
+    Then <what> without it by <least> or more
+
+    Examples:
+      | mechanism   | what                       | least |
+      | begun_first | the mark is lower          | 0.03  |
+      | begin_by    | more of the jobs end late  | 0.01  |
--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -198,7 +198,7 @@
       | mid | 1        | 2     | 1      | 200      |
       | old | 0        | 8     | 0      | 10       |
       | end | 0        | 8     | 7      | 10       |
-    Then they are placed in the order "1st end mid new tag old"
+    Then they are placed in the order "1st mid end new tag old"
 
   Scenario: the wait is judged by the time since work was placed again
     Given an entry that places work of 20 a millisecond, from 5000 ms on
--- /dev/null
+++ b/features/steps/load_steps.py
@@ -0,0 +1,79 @@
+"""Steps on replays of loads in virtual time."""
+
+import functools
+
+import attrs
+from behave import then, when
+from load_policies import changed
+from load_replay import replay
+from loads import overload, steady
+
+LOADS = {"overload": overload, "steady": steady}
+SEEDS = (1, 2)
+
+
+@when('the first {seconds:d} s of the load "{name}" of seed {seed:d} are played twice')
+def play_twice(context, seconds, name, seed):
+    load = attrs.evolve(LOADS[name](seed), duration_ms=1_000 * seconds)
+    context.reports = [replay(load), replay(load)]
+
+
+@then("both times each caller gets the same")
+def same(context):
+    first, second = context.reports
+    assert first == second, (first, second)
+
+
+@functools.cache
+def play(name, change=""):
+    """Return what became of a load, once for all scenarios that ask."""
+    with changed(change):
+        return [replay(LOADS[name](seed)) for seed in SEEDS]
+
+
+@when('the load "{name}" of the seeds 1 and 2 is played')
+def play_seeds(context, name):
+    context.reports = play(name)
+
+
+def mean(reports, figure):
+    return sum(figure(report) for report in reports) / len(reports)
+
+
+def share(report, kind):
+    return report.outcomes[kind] / sum(report.outcomes.values())
+
+
+@then("at least {worth:d}% of the worth is earned, and {least:d}% of any kind and size of job")
+def earned(context, worth, least):
+    found = mean(context.reports, lambda report: report.worth)
+    worst = mean(context.reports, lambda report: report.worst_kind)
+    assert found >= worth / 100 and worst >= least / 100, (found, worst)
+
+
+@then("at most {late:g}% of the jobs end late, and {left:g}% are left without an answer")
+def answered(context, late, left):
+    found_late = mean(context.reports, lambda report: share(report, "late"))
+    found_left = mean(context.reports, lambda report: share(report, "left"))
+    assert found_late <= late / 100 and found_left <= left / 100, (found_late, found_left)
+
+
+@when('the load "{name}" of the seeds 1 and 2 is played with and without "{mechanism}"')
+def play_without(context, name, mechanism):
+    context.reports = play(name)
+    context.without = play(name, mechanism)
+
+
+FIGURES = {
+    "the mark is lower": lambda report: -report.mark,
+    "more of the jobs end late": lambda report: share(report, "late"),
+    "more orders are refused": lambda report: report.events["order_refused"],
+    "more is refused with room": lambda report: report.refused_with_room,
+}
+
+
+@then("{what} without it by {least:g} or more")
+def worth_something(context, what, least):
+    figure = FIGURES[what]
+    difference = mean(context.without, figure) - mean(context.reports, figure)
+    assert difference >= least, difference
--- a/src/gapdrum/core/backlog.py
+++ b/src/gapdrum/core/backlog.py
@@ -64,11 +64,11 @@
         return int(work_ahead / rate) if rate else 0
 
 
-def waiting_work(jobs: Iterable[Job], priority: int, before_ms: int) -> int:
-    """Return the work of waiting tasks that go before a job that must start by a time."""
+def waiting_work(jobs: Iterable[Job], priority: int, begin_by_ms: int) -> int:
+    """Return the work of waiting tasks that go before a new job that should begin by a time."""
     total = 0
     for job in jobs:
-        if (job.priority, job.latest_start_ms) > (priority, before_ms):
+        if job.untouched and (job.priority, job.begin_by_ms) > (priority, begin_by_ms):
             continue
         for task in job.tasks:
             if task.phase is TaskPhase.WAITING:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -16,6 +16,10 @@
 # What a job needs beside waiting and working: its way here and back, the order to the agent,
 # the look that shows its end.
 OVERHEAD_MS = 30
+# Of the time that a job may wait by its stated work, so much is counted on. Stated work is 40%
+# off, and the last of its tasks starts after the first: of the jobs begun later most end late,
+# and take room from others.
+BEGIN_SHARE = 0.5
 
 
 class TaskPhase(enum.Enum):
@@ -88,6 +92,7 @@
     priority: int
     chain_ms: int
     objective_ms: int
+    begin_within_ms: int
     steps: tuple[Step, ...]
     tasks: list[Task]
     by_name: dict[TaskName, Task]
@@ -104,6 +109,11 @@
         """Return until when its tasks must have started for the job to meet its objective."""
         return self.accepted_ms + self.objective_ms - self.chain_ms - OVERHEAD_MS
 
+    @property
+    def begin_by_ms(self) -> int:
+        """Return until when the job should begin to be likely to meet its objective."""
+        return self.accepted_ms + self.begin_within_ms
+
     @property
     def has_waiting_tasks(self) -> bool:
         """Tell whether a task is to be placed, now or once other steps are done."""
@@ -229,6 +239,7 @@
         priority=priority,
         chain_ms=chain_ms,
         objective_ms=int(chain_ms * latency_factor) + latency_slack_ms,
+        begin_within_ms=begin_within_ms(chain_ms, latency_factor, latency_slack_ms),
         steps=steps,
         tasks=tasks,
         by_name={task.name: task for task in tasks},
@@ -236,6 +247,15 @@
     )
 
 
+def begin_within_ms(chain_ms: int, latency_factor: float, latency_slack_ms: int) -> int:
+    """Return how long a job may wait to begin and still be likely to meet its objective.
+
+    Only a share of the time that depends on its stated work is counted on.
+    """
+    spare_ms = BEGIN_SHARE * (latency_factor - 1) * chain_ms
+    return max(0, int(spare_ms) + latency_slack_ms - OVERHEAD_MS)
+
+
 def longest_chain_ms(steps: tuple[Step, ...]) -> int:
     """Return the estimate of the longest chain of steps that must follow each other."""
     ends: list[int] = []
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -1,6 +1,6 @@
 """Which runner a task goes to, and in which order tasks wait."""
 
-import math
+import enum
 import random
 import statistics
 from collections.abc import Iterable
@@ -8,7 +8,7 @@
 import attrs
 
 from gapdrum.core import orders
-from gapdrum.core.jobs import Job, Task, TaskPhase
+from gapdrum.core.jobs import Job, Task
 from gapdrum.core.runner_views import RunnerView
 
 # The freest of so many runners, taken at random, gets a task. All entries hear of the same room:
@@ -21,12 +21,10 @@
 # A runner counts as slow from this many times the usual slowness on; sound ones differ by 1.6.
 SLOW_FACTOR = 2.5
 PERMILLE = 1_000
-# What a late end is worth: users count a fifth.
-LATE_VALUE = 0.2
-# What a queue counts for against the one whose priority is a step higher.
-PRIORITY_WEIGHT = 0.7
-# A job that may still wait for so long counts for a factor e less than one that must start now.
-SLACK_SCALE_MS = 200
+# A job's time left counts this much more for each step that its queue's priority is lower.
+PRIORITY_WEIGHT = 0.3
+# Times left are told apart by their doublings, up to about a minute.
+MOST_HALVINGS = 16
 # The first fields of a score tell whether anything speaks against a runner.
 SOUND_FIELDS = 3
 
@@ -64,33 +62,42 @@
     return Field(views, with_room, suspects > len(views) * MAX_SUSPECT_SHARE, usual)
 
 
-def waiting_order(job: Job, now_ms: int) -> tuple[float, int, str]:
-    """Return the key by which jobs wait; among equals the one that must start first goes first."""
-    return (-_value_for_room(job, now_ms), job.latest_start_ms, job.job_id)
+class Standing(enum.IntEnum):
+    """Which jobs go before which when room is scarce, the first ones first."""
 
-
-def urgency_of(job: Job, now_ms: int) -> int:
-    """Return the value of a job for the room that it needs, in steps that double."""
-    return int(_value_for_room(job, now_ms) * PERMILLE).bit_length()
+    BEGUN = 0  # and may still end in time
+    BEGUN_LATE = 1
+    NEW = 2
+    NEW_LATE = 3
 
 
-def _value_for_room(job: Job, now_ms: int) -> float:
-    """Return what the job's end is worth for the room it still needs, 1 for one that is new.
+def standing_of(job: Job, now_ms: int) -> Standing:
+    """Return where a job stands among those that wait.
 
-    This is the apparent tardiness cost of scheduling: the value for the work that is left, less
-    while there still is time. A job that has begun goes before one that has not, the more the
-    less of it is left; so jobs of many tasks do not all begin and none end.
+    Work that has begun is lost unless all tasks of its job end, so few jobs are begun and all
+    of them ended.
     """
-    left = sum(task.phase is TaskPhase.WAITING for task in job.tasks) or 1
-    value = _value_of_end(job, now_ms) * PRIORITY_WEIGHT**job.priority
-    slack_ms = max(0, job.latest_start_ms - now_ms)
-    return value * len(job.tasks) / left * math.exp(-slack_ms / SLACK_SCALE_MS)
+    if job.untouched:
+        return Standing.NEW if now_ms <= job.begin_by_ms else Standing.NEW_LATE
+    return Standing.BEGUN if now_ms <= job.latest_start_ms else Standing.BEGUN_LATE
+
+
+def waiting_order(job: Job, now_ms: int) -> tuple[Standing, float, str]:
+    """Return the key by which jobs wait: by their standing, then by the time left."""
+    return (standing_of(job, now_ms), _time_left(job, now_ms), job.job_id)
+
+
+def urgency_of(job: Job, now_ms: int) -> int:
+    """Return how urgently a job waits for room: by its standing, then in halvings of time left."""
+    standing = standing_of(job, now_ms)
+    halvings = MOST_HALVINGS - int(_time_left(job, now_ms)).bit_length()
+    return (Standing.NEW_LATE - standing) * MOST_HALVINGS + max(0, halvings)
 
 
-def _value_of_end(job: Job, now_ms: int) -> float:
-    if now_ms <= job.latest_start_ms:
-        return 1.0
-    return LATE_VALUE if now_ms < job.useless_from_ms else 0.0
+def _time_left(job: Job, now_ms: int) -> float:
+    """Return how long a job may still wait, the longer the less its queue's priority."""
+    until_ms = job.begin_by_ms if job.untouched else job.latest_start_ms
+    return max(0, until_ms - now_ms) / PRIORITY_WEIGHT**job.priority
 
 
 def choose_runner(
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -33,8 +33,6 @@
 # moves may take, so that a slow day does not become a flood of restarts.
 MAX_MOVES = 3
 MOVE_BUDGET_PERCENT = 15
-# How long a job that can't meet its objective any more still waits for room that others leave.
-HOPE_MS = 50
 # Agents that start together with an entry are there after 0.7 s, their runners' room 1.5 s later.
 WARM_UP_MS = 2_500
 
@@ -58,13 +56,13 @@
     move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     def expected_wait_ms(
-        self, steps: tuple[Step, ...], priority: int, latest_start_ms: int, now_ms: int
+        self, steps: tuple[Step, ...], priority: int, begin_by_ms: int, now_ms: int
     ) -> int:
         """Return how long a new job would wait for room behind those that go before it."""
         if not self.waiting:
             return 0
         jobs = (self.jobs[job_id] for job_id in self.waiting)
-        ahead = waiting_work(jobs, priority, latest_start_ms) + OWN_SHARE * work_of(steps)
+        ahead = waiting_work(jobs, priority, begin_by_ms) + OWN_SHARE * work_of(steps)
         return self.backlog.wait_ms(ahead, now_ms)
 
     def list_hopeless(self, now_ms: int) -> list[Job]:
@@ -79,7 +77,7 @@
             for job in (self.jobs[job_id] for job_id in self.waiting)
             if not job.kept
             and job.untouched
-            and now_ms > (job.useless_from_ms if warming_up else job.latest_start_ms + HOPE_MS)
+            and now_ms > (job.useless_from_ms if warming_up else job.begin_by_ms)
         ]
 
     def enqueue(self, job: Job) -> None:
--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,64 @@
+"""Prints what each mechanism of the decisions is worth in replays of loads.
+
+    python tools/ablation.py --seeds 6
+
+A row is a mechanism that is off, or one that takes another's place; the first row has all on.
+"""
+
+import argparse
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from statistics import mean, stdev
+
+from load_policies import ALTERNATIVES, SWITCHES, changed
+from load_replay import Report, replay
+from loads import overload, steady
+
+LOADS = {"overload": overload, "steady": steady}
+
+
+def play(case: tuple[str, str, int]) -> Report:
+    """Replay one load with one change."""
+    name, load, seed = case
+    with changed(name):
+        return replay(LOADS[load](seed))
+
+
+def print_row(name: str, load: str, reports: list[Report]) -> None:
+    """Print the means of a change over all seeds."""
+    marks = [report.mark for report in reports]
+    outcomes = sum((report.outcomes for report in reports), Counter())
+    total = sum(outcomes.values())
+    shares = " ".join(f"{kind} {count / total:.3f}" for kind, count in sorted(outcomes.items()))
+    print(
+        f"| {name or 'all on'} | {load} | {mean(marks):.3f} ± {stdev(marks):.3f} "
+        f"| {mean(report.worth for report in reports):.3f} "
+        f"| {mean(report.worst_kind for report in reports):.3f} "
+        f"| {mean(report.worst_entry for report in reports):.3f} "
+        f"| {mean(report.refused_with_room for report in reports):.3f} | {shares} |",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Replay all cases, and print a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=6, help="replays of each case, at least 2")
+    parser.add_argument("--jobs", type=int, default=4, help="replays at a time")
+    parser.add_argument("names", nargs="*", help="changes; all if none is named")
+    arguments = parser.parse_args()
+    names = arguments.names or ["", *SWITCHES, *ALTERNATIVES]
+    seeds = range(1, arguments.seeds + 1)
+    cases = [(name, load, seed) for name in names for load in LOADS for seed in seeds]
+    print("| off | load | mark | worth | worst kind | worst entry | refused with room | shares |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    with ProcessPoolExecutor(arguments.jobs, mp_context=get_context("spawn")) as pool:
+        reports = dict(zip(cases, pool.map(play, cases), strict=True))
+    for name in names:
+        for load in LOADS:
+            print_row(name, load, [reports[name, load, seed] for seed in seeds])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/load_policies.py
@@ -0,0 +1,184 @@
+"""Mechanisms that replays of loads can switch off, and others that can take their place.
+
+Each function returns the patches that make the change, for as long as they are entered::
+
+    with changed("begun_first"):
+        report = replay(overload(seed=1))
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest import mock
+
+import attrs
+import load_replay
+
+from gapdrum.agent.reports import Reports
+from gapdrum.core import jobs, placement_rules, placer, runner_health
+from gapdrum.core.placement_rules import Standing
+from gapdrum.core.placer import Placer
+from gapdrum.core.room_offers import RoomOffers
+from gapdrum.entry import admission
+
+Patches = list[Any]
+
+SWITCHES: dict[str, Callable[[], Patches]] = {}
+ALTERNATIVES: dict[str, Callable[[], Patches]] = {}
+NEVER = 10**9
+
+
+def switch(function: Callable[[], Patches]) -> Callable[[], Patches]:
+    """Register a function that switches a mechanism off."""
+    SWITCHES[function.__name__] = function
+    return function
+
+
+def alternative(function: Callable[[], Patches]) -> Callable[[], Patches]:
+    """Register a function that puts something else in a mechanism's place."""
+    ALTERNATIVES[function.__name__] = function
+    return function
+
+
+@contextmanager
+def changed(name: str) -> Iterator[None]:
+    """Change a mechanism for a while; an empty name changes nothing."""
+    with ExitStack() as stack:
+        for patch in {**SWITCHES, **ALTERNATIVES, "": list}[name]():
+            stack.enter_context(patch)
+        yield
+
+
+@switch
+def begun_first() -> Patches:
+    """Let jobs that have begun wait like new ones."""
+    return [mock.patch.object(placement_rules, "standing_of", lambda *_: Standing.NEW)]
+
+
+@switch
+def begin_by() -> Patches:
+    """Begin jobs until their stated work could not end in time any more."""
+    return [mock.patch.object(jobs, "BEGIN_SHARE", 1.0)]
+
+
+@switch
+def time_left() -> Patches:
+    """Let new jobs wait in the order in which they came."""
+
+    def order(job: jobs.Job, now_ms: int) -> tuple:
+        return (placement_rules.standing_of(job, now_ms), job.accepted_ms, job.job_id)
+
+    return [mock.patch.object(placer, "waiting_order", order)]
+
+
+@switch
+def priority() -> Patches:
+    """Pass over the priorities of queues."""
+    return [mock.patch.object(placement_rules, "PRIORITY_WEIGHT", 1.0)]
+
+
+@switch
+def urgency() -> Patches:
+    """Offer room to any entry where work waits."""
+    return [mock.patch.object(placer, "urgency_of", lambda *_: 1)]
+
+
+@switch
+def offers() -> Patches:
+    """Keep freed room for nobody."""
+    return [mock.patch.object(RoomOffers, "make", lambda *_: None)]
+
+
+@switch
+def demand_size() -> Patches:
+    """Offer room without asking whether a task that waits would fit."""
+    return [mock.patch.object(Placer, "_least_waiting", lambda *_: _Zeros())]
+
+
+class _Zeros(dict):
+    def __missing__(self, _key: str) -> int:
+        return 0
+
+
+@switch
+def offering_on() -> Patches:
+    """Let an entry keep the rest of what was offered to it."""
+    return [mock.patch.object(Reports, "offer_on", lambda *_: None)]
+
+
+@switch
+def refusing_at_once() -> Patches:
+    """Refuse nothing on its arrival."""
+    return [mock.patch.object(admission, "DOUBT_FACTOR", NEVER)]
+
+
+@switch
+def candidates() -> Patches:
+    """Take the first runner that has room."""
+    return [mock.patch.object(placement_rules, "CANDIDATES", 1)]
+
+
+@switch
+def ejection() -> Patches:
+    """Let runners that fail or stand still get work like others."""
+    return [mock.patch.object(runner_health, "STRIKES_UNTIL_SUSPECT", NEVER)]
+
+
+@switch
+def short_rests() -> Patches:
+    """Let suspect runners rest for 5 s."""
+    return [mock.patch.object(runner_health, "REST_MS", 5_000)]
+
+
+@switch
+def moves() -> Patches:
+    """Leave runs where they straggle."""
+    return [mock.patch.object(placer, "MAX_MOVES", 0)]
+
+
+@alternative
+def best_fit() -> Patches:
+    """Place each task where the least room is left."""
+
+    def choose(job, task, field, _zone, now_ms, _rng):
+        views = [
+            view
+            for view in field.with_room
+            if placement_rules._may_take(view, job, task, field, now_ms)
+        ]
+        return min(views, key=lambda view: view.free.cpu_milli, default=None)
+
+    return [mock.patch.object(placer, "choose_runner", choose)]
+
+
+@alternative
+def whole_jobs() -> Patches:
+    """Begin a job only where all its tasks find room at once."""
+    place_job = Placer._place_job
+
+    def place_whole(self, job, field, now_ms):
+        ready = job.ready_tasks()
+        if job.untouched and ready:
+            need = ready[0].step.resources.cpu_milli
+            room = sum(max(0, view.free.cpu_milli) // need for view in field.with_room)
+            if room < len(ready):
+                return True
+        return place_job(self, job, field, now_ms)
+
+    return [mock.patch.object(Placer, "_place_job", place_whole)]
+
+
+@alternative
+def one_place_without_delays() -> Patches:
+    """Decide in one place that hears everything at once: a bound of what can be served."""
+    build = load_replay.VirtualFleet
+
+    def build_one(load):
+        return build(attrs.evolve(load, shares=(1.0,)))
+
+    return [
+        mock.patch.object(load_replay, "VirtualFleet", build_one),
+        mock.patch.object(load_replay, "MESSAGE_MS", 0.05),
+        mock.patch.object(load_replay, "CALL_MS", 0.05),
+        mock.patch.object(load_replay, "START_MS", 0.1),
+    ]
