Offer room to an entry that has use for it, and its rest to the next one

Change: entries tell the size of their smallest task that waits; all free room is offered, for 10 ms, to one that it fits; after its order the rest is offered on at once.

--- a/features/load_replay.feature
+++ b/features/load_replay.feature
@@ -24,3 +24,5 @@
       | mechanism   | what                       | least |
       | begun_first | the mark is lower          | 0.03  |
       | begin_by    | more of the jobs end late  | 0.01  |
+      | offers      | more orders are refused    | 1000  |
+      | demand_size | more is refused with room  | 0.005 |
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -620,6 +620,7 @@
         context.links.append(link)
     new_keeper(context, lambda _look: False)
     context.keeper.ledger.upstream = "inspect-desk"
+    context.keeper.ledger.looked = True
     context.reports = Reports(context.links, {"i-1": context.keeper}, ManualTimers())
 
 
@@ -657,7 +658,6 @@
 
 def room_seen(context):
     """Return the room that each entry sees after the next interval, in thousandths of a core."""
-    context.keeper.ledger.looked = True
     context.reports.send_room()
     return {link.owner: link.told_room["i-1"].free_cpu_milli for link in context.links}
 
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -65,6 +65,7 @@
         else:
             refused = keeper.starts.order(link.owner, order, self._timers.now_ms())
             self._reports.room_changed(order.runner_id)
+            self._reports.offer_on(keeper, link)
         if refused:
             link.send(orders.RunEvents(order.runner_id, tuple(refused)))
             self._log_refusals(refused)
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -6,7 +6,7 @@
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
-from gapdrum.core.models import NOTHING, Resources
+from gapdrum.core.models import Resources
 from gapdrum.core.runner_ledger import Run
 from gapdrum.timers import Timers
 
@@ -37,41 +37,47 @@
         owners = [link for link in map(self._links.of_owner, by_owner) if link is not None]
         for link in owners:
             link.send(orders.RunEvents(keeper.runner_id, tuple(by_owner[link.owner])))
-        freed = [run.room or NOTHING for run, event in events if event.kind in FREES_ROOM]
-        if freed:
-            self._tell_freed(keeper, sum(freed, NOTHING), owners)
+        if any(event.kind in FREES_ROOM for _, event in events):
+            self._tell_freed(keeper, owners)
         self._unreported.add(keeper.runner_id)
 
-    def _tell_freed(self, keeper: RunnerKeeper, freed: Resources, owners: list[EntryLink]) -> None:
+    def _tell_freed(self, keeper: RunnerKeeper, owners: list[EntryLink]) -> None:
         """Tell of freed room at once: who it is kept for, or else whose runs have ended."""
-        chosen = self._offer(keeper, freed)
+        chosen = self._offer(keeper)
         for link in owners if chosen is None else [chosen]:
             self._tell_room(keeper, link)
 
-    def _offer(self, keeper: RunnerKeeper, room: Resources) -> EntryLink | None:
-        """Choose an entry where work waits for room, and keep it for that one; None if none waits.
+    def _offer(self, keeper: RunnerKeeper) -> EntryLink | None:
+        """Choose an entry that has use for the free room, and keep it for that one; or None.
 
         It is one of those with the most urgent work, by chance and by how much waits there. If
         all heard of the same room, most of their orders would be refused, and small entries,
         which answer later, would get none. Nothing is kept if work waits at one entry only.
         """
         upstream = keeper.ledger.upstream
+        room = keeper.free_for(NOBODY)
+        if room.cpu_milli <= 0 or room.memory_mb < 0:
+            return None
         waiting = [link for link in self._links if upstream in link.demand]
-        if not waiting:
+        fitting = [
+            link for link in waiting if link.demand[upstream].least_cpu_milli <= room.cpu_milli
+        ]
+        if not fitting:
             return None
-        urgency = max(link.demand[upstream].urgency for link in waiting)
-        most_urgent = [link for link in waiting if link.demand[upstream].urgency == urgency]
+        urgency = max(link.demand[upstream].urgency for link in fitting)
+        most_urgent = [link for link in fitting if link.demand[upstream].urgency == urgency]
         weights = [link.demand[upstream].jobs or 1 for link in most_urgent]
         chosen = random.choices(most_urgent, weights)[0]
         if len(waiting) > 1:
             keeper.offers.make(chosen.owner, room, self._timers.now_ms())
         return chosen
 
-    def _offer_rest(self, keeper: RunnerKeeper) -> None:
-        """Offer room that was kept for an entry which had no use for it to another one."""
-        rest = keeper.free_for(NOBODY)
-        if rest.cpu_milli > 0 and rest.memory_mb >= 0:
-            self._offer(keeper, rest)
+    def offer_on(self, keeper: RunnerKeeper, link: EntryLink) -> None:
+        """Offer what an entry has left of the room that was kept for it to the next one."""
+        if keeper.offers.decline(link.owner):
+            chosen = self._offer(keeper)
+            if chosen is not None:
+                self._tell_room(keeper, chosen)
 
     @staticmethod
     def _describe(keeper: RunnerKeeper) -> orders.RunnerReport:
@@ -123,7 +129,7 @@
                 self._send_changes(keeper)
 
     def _send_changes(self, keeper: RunnerKeeper) -> None:
-        self._offer_rest(keeper)
+        self._offer(keeper)
         description = self._describe(keeper)
         has_changed = self._told.get(keeper.runner_id) != description
         for link in self._links:
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -281,11 +281,15 @@
 
 @attrs.frozen
 class UpstreamDemand:
-    """How urgent the first job is that waits for room at an upstream, and how many wait."""
+    """How urgent the first job is that waits for room at an upstream, and how many wait.
+
+    Less free room than ``least_cpu_milli`` is of no use to any of them.
+    """
 
     upstream: str
     urgency: int
     jobs: int
+    least_cpu_milli: int = 0
 
 
 @message(57)
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -128,11 +128,21 @@
                 if job.upstream not in urgencies:  # the first to be held is the most urgent
                     urgencies[job.upstream] = urgency_of(job, now_ms)
         waiting = Counter(job.upstream for job in jobs)
+        least = self._least_waiting(jobs)
         self.demand = tuple(
-            orders.UpstreamDemand(name, urgency, waiting[name])
+            orders.UpstreamDemand(name, urgency, waiting[name], least[name])
             for name, urgency in urgencies.items()
         )
 
+    def _least_waiting(self, jobs: list[Job]) -> dict[str, int]:
+        """Return the processor room of the smallest task that waits, by upstream."""
+        least: dict[str, int] = {}
+        for job in jobs:
+            if job.job_id in self.waiting:
+                known = least.get(job.upstream, job.least_cpu_milli)
+                least[job.upstream] = min(known, job.least_cpu_milli)
+        return least
+
     def _place_job(self, job: Job, field: Field, now_ms: int) -> bool:
         """Place what can be placed of a job; return whether some of it still waits."""
         chosen: dict[Place, list[Task]] = {}
--- a/src/gapdrum/core/room_offers.py
+++ b/src/gapdrum/core/room_offers.py
@@ -6,7 +6,7 @@
 
 # How long room is kept for the entry that was told of it: an order comes back after 2 ms, from a
 # small entry under full load after 10 to 20 ms.
-OFFER_MS = 20
+OFFER_MS = 10
 
 
 @attrs.define
@@ -55,9 +55,12 @@
                 room -= used
         self._drop_empty()
 
-    def decline(self, owner: str) -> None:
-        """End the offers of an owner that has no use for room."""
-        self._offers = [offer for offer in self._offers if offer.owner != owner]
+    def decline(self, owner: str) -> bool:
+        """End the offers of an owner that has no use for more room; tell whether it had any."""
+        others = [offer for offer in self._offers if offer.owner != owner]
+        had_any = len(others) < len(self._offers)
+        self._offers = others
+        return had_any
 
     def _expire(self, now_ms: int) -> None:
         if self._offers:
