Tell from logs what jobs were lost or late, and on what a refusal was judged

Cause: an on-call engineer could explain one request by its trace, but not see which of thousands were lost for which reason; and the logs did not say what a wait was estimated from. Change: 'gapdrum logs losses FILES' counts jobs by the reason for which they were refused, late or lost, with queues, entries and worst seconds. A refusal for overload logs the estimate, what it was compared with, the jobs that wait and the room seen as free; so does a job that is given up. Retry-After of both is spread over three seconds, so that callers do not come back as one wave.

--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -31,3 +31,15 @@
     Then writing took no wait, and dropped lines are counted by event
     When the reader reads
     Then only whole lines were written
+
+  Scenario: what was lost in a run is told by reason
+    Given logs of jobs that were served, refused, given up, late and left without an end
+    Then "gapdrum logs losses" tells of these jobs
+      | jobs | reason                                 |
+      | 2    | refused at once: overloaded            |
+      | 1    | refused after a wait                   |
+      | 1    | late: its first task started late      |
+      | 1    | late: its last task started late       |
+      | 1    | late: it ran longer than stated        |
+      | 1    | late: a start came to nothing (no_room) |
+      | 1    | no end is logged, it had begun         |
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -3,6 +3,8 @@
 import json
 import os
 import subprocess
+import tempfile
+from pathlib import Path
 
 from behave import given, then, when
 from local_system import BIN, wait_for
@@ -11,6 +13,8 @@
 
 from gapdrum import event_log
 from gapdrum.event_log import MAX_LINES_PER_S, MAX_WAITING_LINES, EventLog
+from gapdrum.losses import sum_up_losses
+from gapdrum.timelines import read_lines
 
 
 def trace(context, request):
@@ -83,3 +87,65 @@
     lines = context.read.decode().splitlines()
     assert len(lines) == min(MAX_LINES_PER_S, MAX_WAITING_LINES), len(lines)
     assert all(json.loads(line)["event"] == "note" for line in lines)
+
+
+# Times since the job was handed in: of each event of a job, in milliseconds.
+SERVED = {"begun": 0, "started": [5, 6], "ended": 110}
+LATE_FIRST = {"begun": 0, "started": [90, 91], "ended": 240}
+LATE_LAST = {"begun": 0, "started": [5, 95], "ended": 240}
+LONG_RUN = {"begun": 0, "started": [5, 6], "ended": 260}
+RELEASED = {"begun": 0, "started": [5, 95], "released": 50, "ended": 240}
+UNFINISHED = {"begun": 0, "started": [5]}
+OBJECTIVE_MS = 200
+
+
+def lines_of(number, history):
+    """Return the log lines of one job whose objective is ``OBJECTIVE_MS``."""
+    request = f"{number:016x}"
+
+    def line(at_ms, event, **fields):
+        own = {"t_ms": 1_000 + at_ms, "at": "entry-1", "event": event, "request": request}
+        return json.dumps({**own, **fields})
+
+    lines = [line(0, "job_submitted", queue="checks")]
+    if "begun" in history:
+        lines.append(line(0, "job_begun", queue="checks", objective_ms=OBJECTIVE_MS))
+    lines += [line(at_ms, "task_started") for at_ms in history.get("started", ())]
+    if "released" in history:
+        lines.append(line(history["released"], "task_released", reason="no_room"))
+    if "refused" in history:
+        lines.append(line(1, "job_refused", queue="checks", reason=history["refused"]))
+    if "given_up" in history:
+        lines.append(line(history["given_up"], "job_given_up", waited_ms=history["given_up"]))
+        lines.append(line(history["given_up"], "job_dropped", reason="no_room_in_time"))
+    if "ended" in history:
+        total_ms = history["ended"]
+        lines.append(line(total_ms, "job_ended", total_ms=total_ms, objective_ms=OBJECTIVE_MS))
+        lines.append(line(total_ms, "job_dropped", reason="ended"))
+    return lines
+
+
+@given("logs of jobs that were served, refused, given up, late and left without an end")
+def logs_of_losses(context):
+    refused = {"refused": "overloaded"}
+    given_up = {"begun": 0, "given_up": 60}
+    histories = [
+        SERVED, SERVED, refused, refused, given_up, LATE_FIRST, LATE_LAST, LONG_RUN, RELEASED,
+        UNFINISHED,
+    ]  # fmt: skip
+    lines = [line for number, one in enumerate(histories) for line in lines_of(number, one)]
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.log_file = Path(folder.name) / "entry-1.log"
+    context.log_file.write_text("\n".join(lines))
+
+
+@then('"gapdrum logs losses" tells of these jobs')
+def losses_told(context):
+    found = {loss.reason: loss.jobs for loss in sum_up_losses(read_lines([context.log_file]))}
+    expected = {row["reason"]: int(row["jobs"]) for row in context.table}
+    assert found == expected, found
+    command = [str(BIN / "gapdrum"), "logs", "losses", str(context.log_file)]
+    environment = {**os.environ, "COLUMNS": "200"}
+    told = subprocess.run(command, capture_output=True, text=True, check=True, env=environment)
+    assert all(reason in told.stdout for reason in expected), told.stdout
--- a/src/gapdrum/cli.py
+++ b/src/gapdrum/cli.py
@@ -14,6 +14,7 @@
 from rich.table import Table
 
 from gapdrum.exceptions import GapdrumError
+from gapdrum.losses import sum_up_losses
 from gapdrum.sessions import Session
 from gapdrum.timelines import build_timeline, read_lines
 
@@ -296,6 +297,23 @@
         raise typer.Exit(EXIT_FAILED)
 
 
+@logs_app.command()
+def losses(
+    files: Annotated[list[Path], typer.Argument(help="Logs of entries and agents.")],
+) -> None:
+    """Show what jobs were lost or late, when, and for what reason, most frequent first."""
+    table = Table("jobs", "reason", "queues", "entries", "worst seconds of the day")
+    for loss in sum_up_losses(read_lines(files)):
+        table.add_row(
+            str(loss.jobs),
+            loss.reason,
+            _cell(dict(loss.queues.most_common())),
+            _cell(dict(loss.entries.most_common())),
+            loss.worst_seconds(),
+        )
+    Console().print(table)
+
+
 def main() -> None:
     """Run the command ``gapdrum``."""
     app()
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -63,6 +63,9 @@
                 request=job.job_id,
                 waited_ms=now_ms - job.accepted_ms,
                 objective_ms=job.objective_ms,
+                begin_within_ms=job.begin_within_ms,
+                waiting_jobs=len(self.placer.waiting),
+                free_cpu_milli=self.fleet.free_cpu_milli(),
             )
             self.outside.job_refused(job)
             self.drop_job(job.job_id, "no_room_in_time")
--- a/src/gapdrum/entry/acceptance.py
+++ b/src/gapdrum/entry/acceptance.py
@@ -100,7 +100,6 @@
                         request=job_id,
                         queue=queue.name,
                         reason=error.message,
-                        wait_ms=0,
                     )
                     return Acceptance.REFUSED
             else:
--- a/src/gapdrum/entry/admission.py
+++ b/src/gapdrum/entry/admission.py
@@ -1,5 +1,7 @@
 """Refuses jobs that would only wait: overload is told at once, with a time to come back."""
 
+import attrs
+
 from gapdrum.core.configuration import Queue
 from gapdrum.core.jobs import begin_within_ms, longest_chain_ms
 from gapdrum.core.models import Step
@@ -11,6 +13,16 @@
 DOUBT_FACTOR = 1.5
 
 
+@attrs.frozen
+class Overload:
+    """Why a job is refused: how long it would wait, and what that was estimated from."""
+
+    wait_ms: int
+    begin_within_ms: int
+    waiting_jobs: int
+    free_cpu_milli: int
+
+
 class Admission:
     """Judges a new job by the work that waits and the rate at which it is placed."""
 
@@ -18,14 +30,14 @@
         self._placer = placer
         self._timers = timers
 
-    def must_wait_ms(self, queue: Queue, steps: tuple[Step, ...]) -> int:
-        """Return 0 to admit a job, else after how long it may be handed in again.
-
-        A job is refused if it would still wait when it is given up anyway.
-        """
+    def judge(self, queue: Queue, steps: tuple[Step, ...]) -> Overload | None:
+        """Return None to admit a job; it is refused if it would only wait until it is given up."""
         now_ms = self._timers.now_ms()
         chain_ms = longest_chain_ms(steps)
         within_ms = begin_within_ms(chain_ms, queue.latency_factor, queue.latency_slack_ms)
         begin_by_ms = now_ms + within_ms
         wait_ms = self._placer.expected_wait_ms(steps, queue.priority, begin_by_ms, now_ms)
-        return wait_ms if wait_ms > DOUBT_FACTOR * within_ms else 0
+        if wait_ms <= DOUBT_FACTOR * within_ms:
+            return None
+        placer = self._placer
+        return Overload(wait_ms, within_ms, len(placer.waiting), placer.fleet.free_cpu_milli())
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import Dispatch
@@ -29,6 +30,8 @@
 
 # When a refused caller should come back: outages of the store last seconds.
 RETRY_AFTER_S = 1
+# Bursts last about four seconds; callers that one has turned away come back over so many.
+RETRY_SPREAD_S = 3
 # How callers name one call, as opposed to the job; they complain with either.
 CALL_HEADER = "request-id"
 CANCEL_TRIES = 8
@@ -159,7 +162,7 @@
         if end.state is not None:
             return state_response(end.state)
         if end.not_run:
-            return _refusal(503, "no_room_in_time", RETRY_AFTER_S)
+            return _refusal(503, "no_room_in_time", _spread_retry_s(0))
         return json_response(504, {"code": "unsettled"}, retry_after_s=RETRY_AFTER_S)
 
     def _refuse(
@@ -175,10 +178,18 @@
             return self._note_refusal(job_id, queue, 503, "store_unavailable", RETRY_AFTER_S)
         if not job.answered_at_end and not self._lease.valid:
             return self._note_refusal(job_id, queue, 503, "lease_not_held", RETRY_AFTER_S)
-        wait_ms = self._admission.must_wait_ms(queue, job.steps)
-        if wait_ms:
-            retry_after_s = max(1, math.ceil(wait_ms / MS_PER_S))
-            return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s, wait_ms)
+        overload = self._admission.judge(queue, job.steps)
+        if overload is not None:
+            self._log.write(
+                "wait_estimated",
+                request=job_id,
+                wait_ms=overload.wait_ms,
+                begin_within_ms=overload.begin_within_ms,
+                waiting_jobs=overload.waiting_jobs,
+                free_cpu_milli=overload.free_cpu_milli,
+            )
+            retry_after_s = _spread_retry_s(overload.wait_ms)
+            return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s)
         return None
 
     def _note_refusal(
@@ -188,11 +199,8 @@
         status: int,
         reason: str,
         retry_after_s: int,
-        wait_ms: int = 0,
     ) -> HttpResponse:
-        self._log.write(
-            "job_refused", request=job_id, queue=queue.name, reason=reason, wait_ms=wait_ms
-        )
+        self._log.write("job_refused", request=job_id, queue=queue.name, reason=reason)
         return _refusal(status, reason, retry_after_s)
 
     # Asking.
@@ -258,6 +266,14 @@
     return request.headers.get("host", "").partition(":")[0].lower()
 
 
+def _spread_retry_s(wait_ms: int) -> int:
+    """Return when a caller should come back that overload turned away.
+
+    Those who are refused in one second come back over several.
+    """
+    return max(RETRY_AFTER_S, math.ceil(wait_ms / MS_PER_S)) + random.randrange(RETRY_SPREAD_S)
+
+
 def _refusal(status: int, code: str, retry_after_s: int) -> HttpResponse:
     document = {"code": code, "not_run": True, "retry_after_s": retry_after_s}
     return json_response(status, document, retry_after_s=retry_after_s)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -68,14 +68,15 @@
 _add("job_accepted", "The job's row is stored.", "request", "queue", "tasks", "version", "store_ms")
 _add("job_begun", "A caller waits for the job.", "request", "queue", "tasks", "objective_ms")
 _add("job_known", "The job was handed in before.", "request", "queue", "store_ms")
+_add("job_refused", "The job has not run and will not.", "request", "queue", "reason")
 _add(
-    "job_refused", "The job has not run and will not.",
-    "request", "queue", "reason", "wait_ms",
+    "wait_estimated", "The job would wait for longer than it may; it is refused.",
+    "request", "wait_ms", "begin_within_ms", "waiting_jobs", "free_cpu_milli",
 )  # fmt: skip
 _add("job_unsettled", "The store has not said whether the job is stored.", "request", "queue")
 _add(
     "job_given_up", "The job found no room in time and has not run.",
-    "request", "waited_ms", "objective_ms",
+    "request", "waited_ms", "objective_ms", "begin_within_ms", "waiting_jobs", "free_cpu_milli",
 )  # fmt: skip
 _add("job_cancelled", "A caller has cancelled the job.", "request", "owner", "epoch")
 _add(
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -431,7 +431,7 @@
             0,
         )
         step = Step(len(given.work_ms), Resources(given.cpu_milli, 10, 0), given.estimate_ms)
-        if self.admission.must_wait_ms(queue, (step,)):
+        if self.admission.judge(queue, (step,)) is not None:
             self.fleet.callers.refuse(given.job_id, "refused")
             return
         record = first_record(queue, "{}", (step,), self.name, 0)
