--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test lint format bench capacity soak clean
+.PHONY: setup demo test lint format bench capacity soak ablation clean
 
 setup: $(READY)
 
@@ -38,5 +38,8 @@
 capacity: setup
 	$(BIN)/python tools/capacity.py
 
+ablation: setup
+	PYTHONHASHSEED=0 $(BIN)/python tools/ablation.py --seeds $(or $(SEEDS),6)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
