--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -13,6 +13,7 @@
 
 import attrs
 import load_replay
+import virtual_runner
 
 from gapdrum.agent.reports import Reports
 from gapdrum.core import jobs, placement_rules, placer, runner_health
@@ -179,6 +180,6 @@
     return [
         mock.patch.object(load_replay, "VirtualFleet", build_one),
         mock.patch.object(load_replay, "MESSAGE_MS", 0.05),
-        mock.patch.object(load_replay, "CALL_MS", 0.05),
-        mock.patch.object(load_replay, "START_MS", 0.1),
+        mock.patch.object(virtual_runner, "CALL_MS", 0.05),
+        mock.patch.object(virtual_runner, "START_MS", 0.1),
     ]
--- /dev/null
+++ b/tools/load_report.py
@@ -0,0 +1,97 @@
+"""What a load that was replayed came to, for all callers and for those who were served worst."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+from loads import LoadJob, worth_of
+
+if TYPE_CHECKING:
+    from load_replay import VirtualFleet
+
+WINDOW_MS = 2_000
+# The largest tenth of a queue's jobs, and the fifth below it, are told by themselves.
+LARGEST, LARGE = 0.1, 0.3
+
+
+@attrs.define(eq=False)
+class Outcome:
+    """What a caller got: ``value`` is the share of the job's worth that was earned."""
+
+    job: LoadJob
+    kind: str = "open"
+    value: float = 0.0
+    wait_ms: int = 0
+    free_cores: float = 0.0
+
+
+@attrs.frozen
+class Report:
+    """What a load came to; all shares are of the worth that was owed."""
+
+    worth: float
+    worst_kind: float
+    worst_entry: float
+    worst_windows: float
+    outcomes: Counter
+    refused_with_room: float
+    busy: float
+    events: Counter
+
+    @property
+    def mark(self) -> float:
+        """Return one figure: day 0.4, kind 0.3, entry 0.2, windows 0.1, less untrue refusals."""
+        parts = 0.4 * self.worth + 0.3 * self.worst_kind + 0.2 * self.worst_entry
+        return parts + 0.1 * self.worst_windows - 0.5 * self.refused_with_room
+
+
+def summarize(fleet: "VirtualFleet") -> Report:
+    """Return the figures of a load that was played."""
+    outcomes = list(fleet.callers.outcomes.values())
+    with_room = sum(
+        worth_of(one.job)
+        for one in outcomes
+        if one.kind in ("refused", "given_up")
+        and one.free_cores > len(one.job.work_ms) * one.job.cpu_milli / 1_000
+    )
+    windows = sorted(_shares(outcomes, lambda one: one.job.at_ms // WINDOW_MS).values())
+    end_ms = fleet.load.duration_ms
+    loaded = [share for at_ms, share in fleet.busy_cores.items() if 0 < at_ms < end_ms]
+    return Report(
+        _share(outcomes),
+        min(_shares(outcomes, _size_classes(outcomes).__getitem__).values()),
+        min(_shares(outcomes, lambda one: one.job.entry).values()),
+        sum(windows[:2]) / 2,
+        Counter(one.kind for one in outcomes),
+        with_room / sum(worth_of(one.job) for one in outcomes),
+        sum(loaded) / len(loaded),
+        fleet.log.events,
+    )
+
+
+def _size_classes(outcomes: list[Outcome]) -> dict[Outcome, tuple[str, str]]:
+    """Return each outcome's class: the largest tenth of a queue, the fifth below, and the rest."""
+    classes = {}
+    by_queue = defaultdict(list)
+    for one in outcomes:
+        by_queue[one.job.kind.queue].append(one)
+    for queue, group in by_queue.items():
+        group.sort(key=lambda one: -one.job.core_s)
+        for place, one in enumerate(group):
+            rank = place / len(group)
+            size = "largest" if rank < LARGEST else "large" if rank < LARGE else "usual"
+            classes[one] = (queue, size)
+    return classes
+
+
+def _share(outcomes: list[Outcome]) -> float:
+    owed = sum(worth_of(one.job) for one in outcomes)
+    return sum(one.value * worth_of(one.job) for one in outcomes) / owed
+
+
+def _shares(outcomes: list[Outcome], key: Callable[[Outcome], object]) -> dict[object, float]:
+    groups = defaultdict(list)
+    for one in outcomes:
+        groups[key(one)].append(one)
+    return {name: _share(group) for name, group in groups.items()}
