Say once when a replayed load begins, and take the core's bound of lateness

Cause: the last reading: the begin of a load stood three times as two numbers, the factor from which an end is of no use stood beside that of the core, and an outcome kept a wait that nobody read. Change: VirtualFleet.begin_ms; LATE_FACTOR comes from core.jobs; Outcome.wait_ms is gone. Only the replay's modules change. Left: RoomOffers.use counts what offer_on drops right after; VirtualKeeper.look repeats the check of a rest in RunnerKeeper, which can't be called without asyncio.

--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -20,7 +20,7 @@
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import build_dispatch
-from gapdrum.core.jobs import Job
+from gapdrum.core.jobs import LATE_FACTOR, Job
 from gapdrum.core.models import Resources, RunKey, Step
 from gapdrum.entry.acceptance import first_record, job_of_queue
 from gapdrum.entry.admission import Admission
@@ -28,7 +28,6 @@
 
 LATENCY_FACTOR = 1.6
 LATENCY_SLACK_MS = 60
-LATE_FACTOR = 3
 LATE_VALUE = 0.2
 # The delay of a message, as measured between processes.
 MESSAGE_MS = 1.3
@@ -262,11 +261,10 @@
     def take_end(self, job_id: str, now_ms: int) -> None:
         """Note an answer."""
         outcome = self.outcomes[job_id]
-        took_ms = now_ms - WARM_UP_MS - 1_000 - outcome.job.at_ms
+        took_ms = now_ms - self._fleet.begin_ms - outcome.job.at_ms
         in_time = took_ms <= self.objective_ms(outcome.job)
         outcome.kind = "served" if in_time else "late"
         outcome.value = 1.0 if in_time else LATE_VALUE
-        outcome.wait_ms = took_ms
 
     def refuse(self, job_id: str, kind: str) -> None:
         """Note a refusal, and the room that was free then."""
@@ -281,6 +279,7 @@
     def __init__(self, load: Load) -> None:
         self.load = load
         self.timers = VirtualTimers()
+        self.begin_ms = self.timers.now_ms() + WARM_UP_MS
         self.log = SilentLog()
         self.jobs = make_jobs(load)
         self._by_id = {job.job_id: job for job in self.jobs}
@@ -308,18 +307,17 @@
         """Play the load to its end."""
         for agent in self.agents.values():
             agent.open(self.entries)
-        begin_ms = WARM_UP_MS
         for job in self.jobs:
-            self.timers.call_after(begin_ms + job.at_ms, lambda job=job: self.callers.submit(job))
+            self.timers.call_after(WARM_UP_MS + job.at_ms, lambda job=job: self.callers.submit(job))
         for fault in self.load.faults:
-            self._plan_fault(fault, begin_ms)
+            self._plan_fault(fault)
         self.timers.subscribe(100, self._sample)
-        self.timers.run_until(1_000 + begin_ms + self.load.duration_ms + FINISH_MS)
+        self.timers.run_until(self.begin_ms + self.load.duration_ms + FINISH_MS)
 
-    def _plan_fault(self, fault: Fault, begin_ms: int) -> None:
+    def _plan_fault(self, fault: Fault) -> None:
         for number in fault.runners:
             keeper = self.agents[f"agent-{number}"].keeper
-            at_ms = begin_ms + fault.at_ms
+            at_ms = WARM_UP_MS + fault.at_ms
             if fault.gone:
                 self.timers.call_after(at_ms, keeper.lose)
                 continue
@@ -327,7 +325,7 @@
             self.timers.call_after(at_ms + fault.for_ms, lambda k=keeper: k.runner.set_pace(1.0))
 
     def _sample(self) -> None:
-        at_ms = self.timers.now_ms() - 1_000 - WARM_UP_MS
+        at_ms = self.timers.now_ms() - self.begin_ms
         ledgers = [agent.keeper.ledger for agent in self.agents.values()]
         total = sum(one.capacity.cpu_milli for one in ledgers if not one.gone)
         self.busy_cores[at_ms] = 1 - 1_000 * self.free_cores() / total
--- a/tools/load_report.py
+++ b/tools/load_report.py
@@ -22,7 +22,6 @@
     job: LoadJob
     kind: str = "open"
     value: float = 0.0
-    wait_ms: int = 0
     free_cores: float = 0.0
 
 
