Let each agent serve a bounded subset of the entries

Cause: 35 entries x 160 agents keep 5,600 streams, and each agent tells its room to all 35: 45.9 messages a task at 87% of the room, and 4,354 of 8,141 orders refused at load 1.6, as 35 entries race for the same room. Ruled out: own zone only (a cut zone or a shift of callers leaves its runners without entries). Change: an agent keeps streams to six entries by rendezvous hashing, own zone and others by turns; one that is down for 1 s is replaced; an owner of whom it holds something is served in any case; while it holds stored work of an owner that it can't reach it serves all. An agent that leaves an entry says so first. The directory of entries is a module of its own.

--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from core_model import ManualTimers
 
+from gapdrum.agent.entry_directory import EntryDirectory
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.runner_registry import RunnerRegistry
@@ -131,7 +132,7 @@
 def agent_with_stream(context):
     context.timers = ManualTimers()
     log = EventLog("agent-1", context.timers)
-    context.links = EntryLinks(None, None, context.timers, log, None, None)
+    context.links = EntryLinks(None, context.timers, log, None, None)
     link = EntryLink("entry-1", None)
     link.owner, link.stream, link.heard_ms = OWNER, FakeStream(), context.timers.now_ms()
     context.links._links["entry-1"] = context.link = link
@@ -351,11 +352,12 @@
         gone = EntryAddress("", "", "127.0.0.2", port)
         seeds = (EntryAddress("", "", HOST, port), gone)
         store = AwayStore()
+        log = EventLog("agent-1", timers)
         links = EntryLinks(
-            store, lambda: orders.AgentGreeting("agent-1", "life", "zone", 1), timers,
-            EventLog("agent-1", timers), counts, counts, seeds,
-        )  # fmt: skip
-        following = asyncio.create_task(links.follow())
+            lambda: orders.AgentGreeting("agent-1", "life", "zone", 1), timers, log, counts, counts
+        )
+        directory = EntryDirectory(store, links, log, seeds)
+        following = asyncio.create_task(directory.follow())
         await wait_until(lambda: links.of_owner(OWNER))
         context.joined = entry.connected
         address = dump_record(EntryAddress("life", "zone", HOST, port))
--- /dev/null
+++ b/src/gapdrum/agent/entry_directory.py
@@ -0,0 +1,70 @@
+"""Which entries there are: the table of addresses in the store, or else the settings."""
+
+import asyncio
+
+from gapdrum.agent.entry_links import EntryLinks
+from gapdrum.core.records import ADDRESS_TABLE, WHOLE_PART, EntryAddress, load_record
+from gapdrum.core.rows import Row
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import StoreError, StoreHistoryGoneError
+from gapdrum.platform.rows import RowStore
+from gapdrum.timers import MS_PER_S
+
+# Entries come and go seldom; a feed that is cut silently is noticed after this and a bit.
+FEED_WAIT_MS = 3_000
+READ_TIMEOUT_MS = 1_000
+RETRY_INTERVAL_MS = 200
+
+
+class EntryDirectory:
+    """Follows the table of addresses, and tells ``links`` what it says."""
+
+    def __init__(
+        self,
+        rows: RowStore,
+        links: EntryLinks,
+        log: EventLog,
+        seeds: tuple[EntryAddress, ...] = (),
+    ) -> None:
+        self._rows = rows
+        self._links = links
+        self._log = log
+        self._seeds = seeds
+        self._after: int | None = None
+
+    async def follow(self) -> None:
+        """Follow the table for ever."""
+        failing = False
+        while True:
+            try:
+                await self._step()
+                failing = False
+            except StoreHistoryGoneError:
+                self._after = None
+            except StoreError as error:
+                if not failing:
+                    self._log.write("entry_feed_lost", code=error.code, reason=error.message)
+                failing = True
+                # Agents that start while the store is away would find no entry until it returns:
+                # after a restart of all processes 182 of 3,071 jobs of a day were refused so.
+                self._links.join_seeds(self._seeds)
+                await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+
+    async def _step(self) -> None:
+        if self._after is None:
+            page = await self._rows.read(ADDRESS_TABLE, WHOLE_PART, READ_TIMEOUT_MS)
+            self._links.list_only({row.at.key for row in page.rows})
+            self._take(page.rows)
+            self._after = page.version
+            return
+        changes = await self._rows.watch(ADDRESS_TABLE, self._after, FEED_WAIT_MS)
+        self._take(changes.rows)
+        self._after = max(self._after, changes.version)
+
+    def _take(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.value is None:
+                self._links.unlist(row.at.key)
+            else:
+                self._links.list_entry(row.at.key, load_record(row.value))
+        self._links.arrange()
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -1,34 +1,20 @@
-"""The agent's streams to the entries, which it finds in the store."""
+"""The agent's streams to the entries that it serves."""
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from gapdrum.background import Background
 from gapdrum.core import orders
-from gapdrum.core.records import (
-    ADDRESS_TABLE,
-    WHOLE_PART,
-    EntryAddress,
-    entry_of_owner,
-    load_record,
-)
-from gapdrum.core.rows import Row
+from gapdrum.core.records import EntryAddress, entry_of_owner
+from gapdrum.core.runner_ledger import UNKNOWN_OWNER, HeldOwner
+from gapdrum.core.subsets import Candidate, choose_entries
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import (
-    FrameError,
-    StoreError,
-    StoreHistoryGoneError,
-    StreamClosedError,
-)
-from gapdrum.platform.rows import RowStore
+from gapdrum.exceptions import FrameError, StreamClosedError
 from gapdrum.streams import Stream, open_stream
 from gapdrum.timers import MS_PER_S, Timers
 
-# Entries come and go seldom; a feed that is cut silently is noticed after this and a bit.
-FEED_WAIT_MS = 3_000
-READ_TIMEOUT_MS = 1_000
 RETRY_INTERVAL_MS = 200
 CONNECT_TIMEOUT_S = 0.6
 # An owner whose stream has ended and does not return within this time has probably died; the
@@ -44,6 +30,13 @@
 # An entry without a row is tried for so long after it was last heard: it may be cut off from
 # the store only, and then still serves callers that wait.
 UNLISTED_KEPT_MS = 10_000
+# Another entry takes the place of one without a stream after this: a restart takes 0.7 s.
+DOWN_AFTER_MS = 1_000
+# A link that is not needed any more stays for this long, so that none comes and goes with each
+# short trouble of another entry.
+UNNEEDED_KEPT_MS = 4_000
+# What an entry had sent before it hears that the agent leaves is read, and dropped, until then.
+LEAVING_MS = 500
 
 
 class EntryLink:
@@ -58,36 +51,49 @@
         self.demand: dict[str, orders.UpstreamDemand] = {}  # where its jobs wait for room
         self.told_room: dict[str, orders.RoomReport] = {}  # the last one of each runner
         self.heard_ms = 0
+        self.lost_ms = 0  # since when there has been no stream
+        self.chosen_ms = 0  # when it was last one that the agent should serve
         self.listed = True
+        self.leaving = False
         self.task: asyncio.Task | None = None
 
     def send(self, message: object) -> None:
         """Send a message if the entry is connected and has told who it is."""
-        if self.stream is None or not self.owner:
+        if self.stream is None or not self.owner or self.leaving:
             return
         try:
             self.stream.send(message)
         except StreamClosedError:
             self.stream.close()
 
+    def away_ms(self, now_ms: int) -> int:
+        """Return for how long there has been no stream to the entry, 0 while there is one."""
+        return 0 if self.owner else now_ms - self.lost_ms
+
 
 class EntryLinks:
-    """Keeps a stream to each entry that has an address in the store."""
+    """Keeps a stream to each entry that this agent should serve.
+
+    An agent that holds work of an entry serves it in any case. While it holds work of an owner
+    that it can't reach, it serves all entries, as any of them may become its new owner.
+    """
 
     def __init__(
-        self, rows: RowStore, greeting: Callable[[], orders.AgentGreeting], timers: Timers,
-        log: EventLog, sent: Counter, received: Counter, seeds: tuple[EntryAddress, ...] = (),
+        self, greeting: Callable[[], orders.AgentGreeting], timers: Timers, log: EventLog,
+        sent: Counter, received: Counter, agent: str = "", zone: str = "",
     ) -> None:  # fmt: skip
-        self._rows = rows
-        self._seeds = seeds
         self._greeting = greeting
         self._timers = timers
         self._log = log
         self._sent = sent
         self._received = received
+        self._agent = agent
+        self._zone = zone
         self._background = Background(log)
         self._links: dict[str, EntryLink] = {}
+        self._listed: dict[str, EntryAddress] = {}
         self._beat_ms = 0
+        self.held_owners: Callable[[], Iterable[HeldOwner]] = tuple
         self.on_joined: Callable[[EntryLink], None] = lambda _link: None
         self.on_renamed: Callable[[str, str], None] = lambda _former, _owner: None
         self.on_away: Callable[[str], None] = lambda _owner: None
@@ -98,10 +104,10 @@
 
     def of_owner(self, owner: str) -> EntryLink | None:
         """Return the link to an owner of jobs, None if it isn't connected."""
-        for link in self._links.values():
-            if link.owner == owner and link.stream is not None:
-                return link
-        return None
+        link = self._links.get(entry_of_owner(owner))
+        if link is not None and link.owner == owner and link.stream is not None:
+            return link
+        return next((one for one in self._links.values() if one.owner == owner), None)
 
     def beat(self) -> None:
         """Tell all entries our clock, and cut streams that are silent.
@@ -118,61 +124,40 @@
             if link.stream is not None and is_silent and not was_paused:
                 link.stream.close()
 
-    # Finding entries.
+    # Which entries there are.
 
-    async def follow(self) -> None:
-        """Follow the table of addresses for ever."""
-        after = None
-        failing = False
-        while True:
-            try:
-                after = await self._step(after)
-                failing = False
-            except StoreHistoryGoneError:
-                after = None
-            except StoreError as error:
-                if not failing:
-                    self._log.write("entry_feed_lost", code=error.code, reason=error.message)
-                failing = True
-                self._try_seeds()
-                await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
-
-    def _try_seeds(self) -> None:
-        """Connect to the entries that the settings name while the store tells of none.
-
-        Without this, agents that start while the store is away find no entry until it returns:
-        after a restart of all processes 182 of 3,071 jobs of a day were refused so.
-        """
+    def list_entry(self, entry: str, address: EntryAddress) -> None:
+        """Take the address of an entry."""
+        self._name_seed(entry, address)
+        known = self._listed.get(entry)
+        self._listed[entry] = address
+        link = self._links.get(entry)
+        if link is not None and not _same_place(link.address, address):
+            self._forget(link)
+        elif link is not None:
+            link.listed = True
+        if known is None:
+            self._log.write("entry_found", entry=entry, host=address.host)
+
+    def list_only(self, entries: Iterable[str]) -> None:
+        """Note that no other entries have an address."""
+        for entry in set(self._links) | set(self._listed):
+            if entry not in entries:
+                self.unlist(entry)
+
+    def unlist(self, entry: str) -> None:
+        """Note that an entry's row is gone: it ended, or can't reach the store but still serves."""
+        self._listed.pop(entry, None)
+        link = self._links.get(entry)
+        if link is not None:
+            link.listed = False
+
+    def join_seeds(self, seeds: Iterable[EntryAddress]) -> None:
+        """Connect to the entries that the settings name, unless others are known."""
         if not self._links:
-            for address in self._seeds:
+            for address in seeds:
                 self._connect(EntryLink(f"{SEED_PREFIX}{address.host}", address), listed=False)
 
-    async def _step(self, after: int | None) -> int:
-        if after is None:
-            page = await self._rows.read(ADDRESS_TABLE, WHOLE_PART, READ_TIMEOUT_MS)
-            self._take(page.rows)
-            for entry in set(self._links) - {row.at.key for row in page.rows}:
-                self._unlist(entry)
-            return page.version
-        changes = await self._rows.watch(ADDRESS_TABLE, after, FEED_WAIT_MS)
-        self._take(changes.rows)
-        return max(after, changes.version)
-
-    def _take(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            if row.value is None:
-                self._unlist(row.at.key)
-                continue
-            address = load_record(row.value)
-            self._name_seed(row.at.key, address)
-            link = self._links.get(row.at.key)
-            if link is not None and _same_place(link.address, address):
-                link.listed = True
-                continue
-            if link is not None:
-                self._forget(row.at.key)
-            self._connect(EntryLink(row.at.key, address))
-
     def _name_seed(self, entry: str, address: EntryAddress) -> None:
         """Give the link to a seed the name of the entry there, unless that has a link already."""
         seed = self._links.get(f"{SEED_PREFIX}{address.host}")
@@ -186,26 +171,69 @@
         seed.entry = entry
         self._links[entry] = seed
 
+    # Which of them this agent serves.
+
+    def arrange(self) -> None:
+        """Connect to the entries that should be served, and leave others after a while."""
+        now_ms = self._timers.now_ms()
+        held = tuple(self.held_owners())
+        needed = {entry_of_owner(one.owner) for one in held}
+        candidates = [self._candidate(name, needed, now_ms) for name in self._listed]
+        chosen = choose_entries(self._agent, candidates, self._has_stray(held, now_ms))
+        for entry in chosen:
+            if entry not in self._links:
+                self._connect(EntryLink(entry, self._listed[entry]))
+            self._links[entry].chosen_ms = now_ms
+        for link in list(self._links.values()):
+            is_over = now_ms - link.chosen_ms > UNNEEDED_KEPT_MS
+            if link.listed and is_over and link.entry not in needed and not link.leaving:
+                self._leave(link)
+
+    def _candidate(self, entry: str, needed: set[str], now_ms: int) -> Candidate:
+        address = self._listed[entry]
+        link = self._links.get(entry)
+        return Candidate(
+            entry,
+            address.zone == self._zone,
+            link is not None and link.away_ms(now_ms) > DOWN_AFTER_MS,
+            entry in needed,
+            address.wanted_permille,
+        )
+
+    def _has_stray(self, held: Iterable[HeldOwner], now_ms: int) -> bool:
+        """Tell whether work is held that any entry may have to take over or to explain."""
+        return any(self._is_stray(one, now_ms) for one in held)
+
+    def _is_stray(self, held: HeldOwner, now_ms: int) -> bool:
+        if held.owner == UNKNOWN_OWNER:
+            return True
+        if not held.kept or self.of_owner(held.owner) is not None:
+            return False
+        link = self._links.get(entry_of_owner(held.owner))
+        return link is None or bool(link.owner) or link.away_ms(now_ms) > AWAY_ALLOWANCE_MS
+
     def _connect(self, link: EntryLink, listed: bool = True) -> None:
+        now_ms = self._timers.now_ms()
         link.listed = listed
-        link.heard_ms = self._timers.now_ms()
+        link.heard_ms = link.lost_ms = link.chosen_ms = now_ms
         self._links[link.entry] = link
-        self._log.write("entry_found", entry=link.entry, host=link.address.host)
         link.task = self._background.keep(lambda: self._keep(link))
 
-    def _unlist(self, entry: str) -> None:
-        """Note that an entry's row is gone: it ended, or can't reach the store but still serves."""
-        link = self._links.get(entry)
-        if link is not None:
-            link.listed = False
+    def _leave(self, link: EntryLink) -> None:
+        """Leave an entry of which nothing is held here: it is told, and then the stream ends."""
+        self._log.write("entry_left", entry=link.entry)
+        link.send(orders.AgentLeaving())
+        link.leaving = True
+        self._timers.call_after(LEAVING_MS, partial(self._forget, link))
 
-    def _forget(self, entry: str) -> None:
-        link = self._links.pop(entry, None)
-        if link is not None:
-            self._log.write("entry_forgotten", entry=entry)
-            link.task.cancel()
-            if link.stream is not None:
-                link.stream.close()
+    def _forget(self, link: EntryLink) -> None:
+        if self._links.get(link.entry) is not link:
+            return
+        del self._links[link.entry]
+        self._log.write("entry_forgotten", entry=link.entry)
+        link.task.cancel()
+        if link.stream is not None:
+            link.stream.close()
 
     # Streams.
 
@@ -241,6 +269,7 @@
         if link.stream is not None:
             link.stream.close()
         if link.owner:
+            link.lost_ms = self._timers.now_ms()
             self._timers.call_after(AWAY_ALLOWANCE_MS, partial(self._check_away, link.owner))
         link.stream = None
         link.owner = ""
@@ -262,6 +291,8 @@
         stream.send(self._greeting())
         async for message in stream:
             link.heard_ms = self._timers.now_ms()
+            if link.leaving:
+                continue  # the entry has taken back by now whatever it had ordered here
             if isinstance(message, orders.EntryGreeting):
                 self._greeted(link, message.owner)
             else:
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -4,7 +4,9 @@
 import signal
 import uuid
 from collections import Counter
+from collections.abc import Iterator
 
+from gapdrum.agent.entry_directory import EntryDirectory
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
@@ -14,6 +16,7 @@
 from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.records import EntryAddress
+from gapdrum.core.runner_ledger import HeldOwner
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
 from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
@@ -24,6 +27,8 @@
 REPORT_INTERVAL_MS = 25  # room is told to all entries this often at most
 # How often ends that nobody has stored are told to all entries again.
 ORPHAN_INTERVAL_MS = 1_000
+# How often it is judged which entries to serve: a lost one is replaced after 1 s and this.
+ARRANGE_INTERVAL_MS = 250
 
 
 class Agent:
@@ -39,10 +44,12 @@
         self.grants = Grants(timers.now_ms())
         self.keepers: dict[str, RunnerKeeper] = {}
         self.links = EntryLinks(
-            RowStore(boot.store), self._greet, timers, log, self.sent, self.received, _seeds(boot)
+            self._greet, timers, log, self.sent, self.received, boot.instance, boot.zone
         )
+        self.directory = EntryDirectory(RowStore(boot.store), self.links, log, _seeds(boot))
         self.reports = Reports(self.links, self.keepers, timers)
         self.orders = EntryOrders(self.links, self.keepers, self.grants, self.reports, timers, log)
+        self.links.held_owners = self._held_owners
         self.links.on_joined = self._welcome
         self.links.on_renamed = self.orders.rename_owner
         self.links.on_away = self.orders.stop_unwaited
@@ -66,6 +73,10 @@
         now_ms = self.timers.now_ms()
         return orders.AgentGreeting(self.boot.instance, self.incarnation, self.boot.zone, now_ms)
 
+    def _held_owners(self) -> Iterator[HeldOwner]:
+        for keeper in self.keepers.values():
+            yield from keeper.ledger.held_owners()
+
     def _welcome(self, link: EntryLink) -> None:
         """Tell an entry that has just joined what is held here; its earlier lives are over."""
         self.orders.end_former_lives(link)
@@ -81,11 +92,12 @@
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self.log.write("started", role="agent", zone=self.boot.zone, life=self.incarnation)
         self.runners.start()
-        self._background.keep(self.links.follow)
+        self._background.keep(self.directory.follow)
         address = self.boot.runner_reports
         await self.control.open(address.host, address.port)
         await open_metrics(self.boot.host, self.log.measures, self.timers)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
+        self.timers.subscribe(ARRANGE_INTERVAL_MS, self.links.arrange)
         self.timers.subscribe(REPORT_INTERVAL_MS, self.reports.send_room)
         self.timers.subscribe(ORPHAN_INTERVAL_MS, self.reports.tell_orphans)
         await stopping.wait()
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -89,6 +89,12 @@
         for lost in self.fleet.check_silence(now_ms):
             self._release_lost(lost, now_ms)
 
+    def agent_departed(self, view: AgentView, now_ms: int) -> None:
+        """Place anew what was sent to an agent that had decided to leave before it came."""
+        for lost in self.fleet.agent_departed(view):
+            self._release_lost(lost, now_ms)
+        self.outside.place_soon()
+
     def _release_lost(self, lost: LostRunner, now_ms: int) -> None:
         for task in lost.tasks:
             self._release_unproven(task, lost.reason, now_ms)
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -51,6 +51,12 @@
         view.connected = False
         self.outside.note("agent_disconnected", agent=view.agent)
 
+    def agent_departed(self, view: AgentView) -> list[LostRunner]:
+        """Note that an agent serves other entries from now on, and holds nothing for this one."""
+        self.agents.pop(view.agent, None)
+        self.outside.note("agent_departed", agent=view.agent)
+        return [self._lose(one, "agent_departed") for one in self._runners_of(view.agent)]
+
     def take_report(
         self, view: AgentView, report: orders.RunnerReport, now_ms: int
     ) -> LostRunner | None:
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -179,6 +179,12 @@
     runs: tuple[HeldRun, ...] = rows_field(HeldRun, MAX_ROWS)
 
 
+@message(47)
+@attrs.frozen
+class AgentLeaving:
+    """The agent holds nothing for the entry, and starts nothing more that came on this stream."""
+
+
 @message(45)
 @attrs.frozen
 class JobLost:
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -180,12 +180,16 @@
 @message(64)
 @attrs.frozen
 class EntryAddress:
-    """Where an entry listens for agents; written once at its start."""
+    """Where an entry listens for agents, and which share of all agents it asks for.
+
+    It is written at the entry's start, and when the share changes.
+    """
 
     incarnation: str = text_field()
     zone: str = text_field()
     host: str = text_field()
     port: int = count_field()
+    wanted_permille: int = count_field(default=0)
 
 
 def dump_record(record: object) -> bytes:
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -75,6 +75,14 @@
         return orders.RunEvent(task, self.key.attempt, self.epoch, kind, self.end.value, number)
 
 
+@attrs.frozen
+class HeldOwner:
+    """An owner of whom something is held, and whether that is of stored jobs."""
+
+    owner: str
+    kept: bool
+
+
 @attrs.define
 class RunnerLedger:
     """The runs, ends and room of one incarnation of a runner."""
@@ -295,6 +303,12 @@
                 )
         return tuple(rows)
 
+    def held_owners(self) -> frozenset[HeldOwner]:
+        """Return the owners of all runs, and of all ends that are not stored yet."""
+        owners = {HeldOwner(run.owner, run.kept) for run in self.runs.values()}
+        owners.update(HeldOwner(end.owner, True) for end in self.ends.values() if not end.stored)
+        return frozenset(owners)
+
     def tell_adopted(self, key: RunKey) -> orders.RunEvent | None:
         """Return what its new owner has to hear of a run that ended before it was adopted."""
         if key in self.runs:
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -109,6 +109,9 @@
             dispatch.take_holdings(view, message, now_ms)
         elif isinstance(message, orders.JobLost):
             dispatch.lose_job(message)
+        elif isinstance(message, orders.AgentLeaving):
+            del self._streams[view.agent]
+            dispatch.agent_departed(view, now_ms)
         else:
             raise FrameError(f"unexpected message {type(message).__name__}")
 
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -42,7 +42,8 @@
 _add("entry_found", "The store names an entry.", "entry", "host")
 _add("entry_joined", "The stream to an entry is open.", "entry", "owner")
 _add("entry_lost", "The stream to an entry has ended.", "entry", "code")
-_add("entry_forgotten", "An entry without a row was not heard for long.", "entry")
+_add("entry_left", "The agent serves other entries, and holds nothing of this one.", "entry")
+_add("entry_forgotten", "There is no link to an entry any more.", "entry")
 _add("message_unknown", "A message that this program does not take.", "kind")
 _add("stream_rejected", "A stream was ended for what it carried.", "code", "reason")
 
@@ -129,6 +130,7 @@
 # Agents and runners.
 _add("agent_joined", "An agent's stream is open.", "agent", "incarnation")
 _add("agent_disconnected", "An agent's stream has ended.", "agent")
+_add("agent_departed", "An agent serves other entries from now on.", "agent")
 _add("agent_lost", "Nothing runs at the agent any more.", "agent", "silent_ms")
 _add("runner_state", "A runner's state has changed.", "runner", "state")
 _add("runner_found", "A runner is known here.", "runner", "address")
