Prove that starts whose answers are lost run once, where they are

Cause looked for: a runner carries orders out and loses the answers; the fear was a second run, room counted twice or not, a suspected runner. None was found: the agent repeats the same start, and a look shows the run.

--- a/features/platform_failures.feature
+++ b/features/platform_failures.feature
@@ -113,6 +113,15 @@
       | unanswered                             |
       | unanswered and carries them out late   |
 
+  Scenario: tasks whose starts are carried out and the answers lost run once, where they are
+    Given a platform with 1 entries and 2 agents
+    When runner 0 carries 5 calls out and loses the answers
+    And the waiting job "00000000000000d9" of 8 tasks of 300 ms is submitted at entry 0
+    Then the answer tells the state "succeeded"
+    And each of the 8 tasks of "00000000000000d9" was started once
+    And the room of no runner was exceeded
+    And no runner was suspected
+
   Scenario: a task that stands still is placed anew
     Given a platform with 1 entries and 2 agents
     When runner 0 lets 2 tasks stand still
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -263,6 +263,24 @@
     context.system.set_runner_fault(number, mode="late", count=count, delay_ms=2_000)
 
 
+@when("runner {number:d} carries {count:d} calls out and loses the answers")
+def lose_answers(context, number, count):
+    context.system.set_runner_fault(number, mode="late", count=count, delay_ms=0)
+
+
+@then('each of the {count:d} tasks of "{job}" was started once')
+def started_once(context, count, job):
+    rows = [row for row in context.system.history() if row["task"].startswith(job)]
+    starts = [row["task"] for row in rows if row["how"] == "started"]
+    assert len(starts) == len(set(starts)) == count, starts
+
+
+@then("no runner was suspected")
+def none_suspected(context):
+    for number in range(len(context.system.agents)):
+        assert not context.system.events(f"agent-{number}", "runner_suspect")
+
+
 @when("runner {number:d} lets {count:d} tasks stand still")
 def let_hang(context, number, count):
     context.system.set_runner_fault(number, mode="hang", count=count)
