Give the replay's report and runner what they need, without a circle of imports

Cause: load_replay, load_report and virtual_runner imported each other for their types. Change: the report takes what was noted of a load, the runner's keeper what it calls; load_replay alone knows both.

--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter
 
-from load_report import Outcome, Report, summarize
+from load_report import Outcome, Played, Report, summarize
 from loads import Fault, Load, LoadJob, make_jobs
 from virtual_runner import UPSTREAM, SilentLog, VirtualKeeper, VirtualRunner, VirtualTimers
 
@@ -24,6 +24,7 @@
 from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import LATE_FACTOR, Job
 from gapdrum.core.models import Resources, RunKey, Step
+from gapdrum.core.runner_ledger import RunnerLedger
 from gapdrum.core.subsets import Candidate, choose_entries
 from gapdrum.entry.acceptance import first_record, job_of_queue
 from gapdrum.entry.admission import Admission
@@ -85,7 +86,14 @@
         self.orders = EntryOrders(
             self.links, self.keepers, self.grants, self.reports, self.timers, self.log
         )
-        self.keeper = VirtualKeeper(self, VirtualRunner(self.timers, speed), capacity)
+        self.keeper = VirtualKeeper(
+            VirtualRunner(self.timers, speed),
+            RunnerLedger(f"runner-{self.name}", UPSTREAM, ("kind",), capacity),
+            self.grants,
+            self.log,
+            self.reports.report,
+            fleet.work_of,
+        )
         self.keepers[self.keeper.runner_id] = self.keeper
 
     def open(self, entries: list["VirtualEntry"]) -> None:
@@ -351,4 +359,11 @@
     random.seed(load.seed)  # agents choose by chance which entry they offer room to
     fleet = VirtualFleet(load)
     fleet.run()
-    return summarize(fleet)
+    played = Played(
+        list(fleet.callers.outcomes.values()),
+        load.duration_ms,
+        fleet.busy_cores,
+        fleet.log.events,
+        fleet.messages,
+    )
+    return summarize(played)
--- a/tools/load_report.py
+++ b/tools/load_report.py
@@ -2,14 +2,10 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import attrs
 from loads import LoadJob, worth_of
 
-if TYPE_CHECKING:
-    from load_replay import VirtualFleet
-
 WINDOW_MS = 2_000
 # The largest tenth of a queue's jobs, and the fifth below it, are told by themselves.
 LARGEST, LARGE = 0.1, 0.3
@@ -25,6 +21,17 @@
     free_cores: float = 0.0
 
 
+@attrs.frozen
+class Played:
+    """What was noted while a load was played; ``busy`` is the share of the room by time."""
+
+    outcomes: list[Outcome]
+    duration_ms: int
+    busy: dict[int, float]
+    events: Counter
+    messages: Counter
+
+
 @attrs.frozen
 class Report:
     """What a load came to; all shares are of the worth that was owed."""
@@ -52,9 +59,9 @@
         return parts + 0.1 * self.worst_windows - 0.5 * self.refused_with_room
 
 
-def summarize(fleet: "VirtualFleet") -> Report:
+def summarize(played: Played) -> Report:
     """Return the figures of a load that was played."""
-    outcomes = list(fleet.callers.outcomes.values())
+    outcomes = played.outcomes
     with_room = sum(
         worth_of(one.job)
         for one in outcomes
@@ -62,8 +69,8 @@
         and one.free_cores > len(one.job.work_ms) * one.job.cpu_milli / 1_000
     )
     windows = sorted(_shares(outcomes, lambda one: one.job.at_ms // WINDOW_MS).values())
-    end_ms = fleet.load.duration_ms
-    loaded = [share for at_ms, share in fleet.busy_cores.items() if 0 < at_ms < end_ms]
+    end_ms = played.duration_ms
+    loaded = [share for at_ms, share in played.busy.items() if 0 < at_ms < end_ms]
     return Report(
         _share(outcomes),
         min(_shares(outcomes, _size_classes(outcomes).__getitem__).values()),
@@ -72,8 +79,8 @@
         Counter(one.kind for one in outcomes),
         with_room / sum(worth_of(one.job) for one in outcomes),
         sum(loaded) / len(loaded),
-        fleet.log.events,
-        fleet.messages,
+        played.events,
+        played.messages,
         sum(len(one.job.work_ms) for one in outcomes),
     )
 
--- a/tools/virtual_runner.py
+++ b/tools/virtual_runner.py
@@ -3,10 +3,10 @@
 import heapq
 from collections import Counter
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import attrs
 
+from gapdrum.agent.grants import Grants
 from gapdrum.agent.runner_context import RunnerContext
 from gapdrum.agent.runner_starts import RunnerStarts
 from gapdrum.core import orders
@@ -14,9 +14,6 @@
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
 
-if TYPE_CHECKING:
-    from load_replay import VirtualAgent
-
 UPSTREAM = "workers"
 RUN_LEASE_MS = 1_000
 # A call of the runner beside the agent, until it begins a run and until it has answered, as
@@ -26,6 +23,9 @@
 STOP_MS = 30
 
 
+Report = Callable[["VirtualKeeper", list], None]
+
+
 class VirtualTimers:
     """A timer service whose time passes only from one event to the next."""
 
@@ -180,18 +180,30 @@
 
 
 class VirtualKeeper:
-    """The agent's side of one virtual runner."""
-
-    def __init__(self, agent: "VirtualAgent", runner: VirtualRunner, capacity: Resources) -> None:
-        self._agent = agent
+    """The agent's side of one virtual runner.
+
+    ``report`` is called with the keeper and what happened to runs; ``work_of`` tells how long a
+    task really works.
+    """
+
+    def __init__(
+        self,
+        runner: VirtualRunner,
+        ledger: RunnerLedger,
+        grants: Grants,
+        log: SilentLog,
+        report: Report,
+        work_of: Callable[[RunKey], int],
+    ) -> None:
         self.runner = runner
-        self.ledger = RunnerLedger(f"runner-{agent.name}", UPSTREAM, ("kind",), capacity)
-        context = RunnerContext(
-            self.ledger, None, agent.grants, RUN_LEASE_MS, agent.timers, agent.log, self._report
+        self.ledger = ledger
+        self._timers = runner.timers
+        self._report = lambda events: report(self, events)
+        self._context = RunnerContext(
+            ledger, None, grants, RUN_LEASE_MS, self._timers, log, self._report
         )
-        self._context = context
-        self.starts = VirtualStarts(context, runner, agent.fleet.work_of)
-        runner.on_change = lambda: agent.timers.call_after(CALL_MS, self.look)
+        self.starts = VirtualStarts(self._context, runner, work_of)
+        runner.on_change = lambda: self._timers.call_after(CALL_MS, self.look)
 
     @property
     def runner_id(self) -> str:
@@ -205,16 +217,13 @@
 
     def free_for(self, owner: str) -> Resources:
         """Return the room that an owner may use now."""
-        return self._context.free_for(owner, self._agent.timers.now_ms())
-
-    def _report(self, events: list) -> None:
-        self._agent.reports.report(self, events)
+        return self._context.free_for(owner, self._timers.now_ms())
 
     def look(self) -> None:
         """Look at the runner, and tell what has changed."""
         if self.ledger.gone:
             return
-        now_ms = self._agent.timers.now_ms()
+        now_ms = self._timers.now_ms()
         self.starts.stop_what_must(now_ms)
         was_resting = bool(self.ledger.health.resting_until_ms)
         if was_resting and not self.ledger.health.is_resting(now_ms):
