--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -113,7 +113,7 @@
 # Streams.
 
 
-class Keeper:
+class ListeningEntry:
     """The parts of an entry that take streams, and the address that they are at."""
 
     def __init__(self, name, timers):
@@ -187,7 +187,7 @@
 async def start_all(context, count):
     timers = Timers()
     context.entries = {
-        f"edge-{number}": Keeper(f"edge-{number}", timers) for number in range(count)
+        f"edge-{number}": ListeningEntry(f"edge-{number}", timers) for number in range(count)
     }
     counts = Counter()
     links = context.links = EntryLinks(
@@ -202,9 +202,9 @@
     links.held_owners = lambda: context.held
     links.on_joined = describe_runner
     links.on_message = lambda _link, message: context.taken.append(message)
-    for name, keeper in context.entries.items():
-        await keeper.listen()
-        links.list_entry(name, EntryAddress("life", "zone", HOST, keeper.port))
+    for name, entry in context.entries.items():
+        await entry.listen()
+        links.list_entry(name, EntryAddress("life", "zone", HOST, entry.port))
     links.arrange()
     await wait_until(lambda: len(joined(context)) == min(count, SERVED_ENTRIES))
 
@@ -263,9 +263,9 @@
 @then("the entries that it left have dropped its runners at once")
 def dropped_runners(context):
     left = set(context.entries) - joined(context)
-    keepers = [context.entries[name] for name in left]
+    entries = [context.entries[name] for name in left]
     within_s = orders.SILENCE_LIMIT_MS / 4_000
-    no_runners = lambda: not any(one.dispatch.fleet.runners for one in keepers)  # noqa: E731
+    no_runners = lambda: not any(one.dispatch.fleet.runners for one in entries)  # noqa: E731
     run(context, wait_until(no_runners, within_s))
 
 
@@ -282,13 +282,13 @@
         context.links.arrange()
     left = next(link.entry for link in context.links if link.leaving)
     assert left in served
-    keeper = context.keeper = context.entries[left]
+    entry = context.entry = context.entries[left]
     # The agent's word has not been read here yet.
-    assert keeper.dispatch.fleet.runners
-    context.dispatch = keeper.dispatch
+    assert entry.dispatch.fleet.runners
+    context.dispatch = entry.dispatch
     context.now_ms = Timers.now_ms()
     new_job(context, 1)
-    assert any(isinstance(one, orders.StartOrder) for one in keeper.outside.sent)
+    assert any(isinstance(one, orders.StartOrder) for one in entry.outside.sent)
     assert context.job.tasks[0].phase is TaskPhase.ORDERED
     await asyncio.sleep(0.2)
 
@@ -393,11 +393,11 @@
 
 
 async def start_owner(context):
-    context.keeper = keeper = Keeper("edge-1", Timers())
-    await keeper.listen()
-    keeper.outside.links = OpenStreams
-    context.dispatch = keeper.dispatch
-    fleet = keeper.dispatch.fleet
+    context.entry = entry = ListeningEntry("edge-1", Timers())
+    await entry.listen()
+    entry.outside.links = OpenStreams
+    context.dispatch = entry.dispatch
+    fleet = entry.dispatch.fleet
     view = fleet.agent_joined(orders.AgentGreeting("side-1", "life", "z", 1), 1_000)
     fleet.take_report(
         view,
@@ -405,12 +405,12 @@
         1_000,
     )
     fleet.take_room(view, orders.RoomReport("runner-1", 9_000, 900, 0, 0, 0))
-    keeper.dispatch.take_holdings(view, orders.Holdings("runner-1", (), ()), 1_000)
+    entry.dispatch.take_holdings(view, orders.Holdings("runner-1", (), ()), 1_000)
     context.now_ms = 1_000
     new_job(context, 1)
     task = context.job.tasks[0]
     started = orders.RunEvent(task.name.text, task.attempt, 1, orders.STARTED)
-    keeper.dispatch.take_events(view, orders.RunEvents("runner-1", (started,)), 1_010)
+    entry.dispatch.take_events(view, orders.RunEvents("runner-1", (started,)), 1_010)
     assert task.phase is TaskPhase.RUNNING
 
 
@@ -418,7 +418,7 @@
 def tells_cancelled(context):
     async def tell():
         counts = Counter()
-        stream = await open_stream(HOST, context.keeper.port, counts, counts)
+        stream = await open_stream(HOST, context.entry.port, counts, counts)
         stream.send(orders.JobCancelled(context.job.job_id, context.job.epoch + 1))
         context.read = await asyncio.wait_for(anext(aiter(stream), "ended"), 2)
 
@@ -427,7 +427,7 @@
 
 @then("it stops the run and drops the job")
 def stopped_and_dropped(context):
-    kinds = [type(one) for one in context.keeper.outside.sent]
+    kinds = [type(one) for one in context.entry.outside.sent]
     assert orders.StopOrder in kinds, kinds
     assert context.job.job_id not in context.dispatch.jobs
 
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -108,6 +108,7 @@
         link = self._links.get(entry_of_owner(owner))
         if link is not None and link.owner == owner and link.stream is not None:
             return link
+        # A link to a seed may not have the entry's name yet.
         return next((one for one in self._links.values() if one.owner == owner), None)
 
     def beat(self) -> None:
@@ -195,10 +196,10 @@
         link = self._links.get(entry)
         return Candidate(
             entry,
-            address.zone == self._zone,
-            link is not None and link.away_ms(now_ms) > DOWN_AFTER_MS,
-            entry in needed,
-            address.wanted_permille,
+            is_near=address.zone == self._zone,
+            is_down=link is not None and link.away_ms(now_ms) > DOWN_AFTER_MS,
+            is_needed=entry in needed,
+            wanted_permille=address.wanted_permille,
         )
 
     def _has_stray(self, held: Iterable[HeldOwner], now_ms: int) -> bool:
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -34,11 +34,11 @@
         self._links = links
         self._keepers = keepers
         self._timers = timers
-        # Runners whose room has changed, for entries that wait for room and for all others.
-        self._untold_waiting: set[str] = set()
+        # Runners whose room has changed, for entries that are short of room and for all others.
+        self._untold_scarce: set[str] = set()
         self._untold: set[str] = set()
-        self._tell_waiting = Delayed(timers, SCARCE_INTERVAL_MS, self.send_room_to_waiting)
-        self._tell_all = Delayed(timers, RELAXED_INTERVAL_MS, self.send_room)
+        self._scarce_timer = Delayed(timers, SCARCE_INTERVAL_MS, self.send_room_to_short)
+        self._relaxed_timer = Delayed(timers, RELAXED_INTERVAL_MS, self.send_room)
         # What all entries were told last of each runner, so that only changes are told again.
         self._told: dict[str, orders.RunnerReport] = {}
 
@@ -136,10 +136,10 @@
         link.told_room.pop(keeper.runner_id, None)
         self._tell_room(keeper, link)
 
-    def send_room_to_waiting(self) -> None:
-        """Tell entries that wait for room what has changed, and all entries of new states."""
-        changed = self._untold_waiting
-        self._untold_waiting = set()
+    def send_room_to_short(self) -> None:
+        """Tell entries that are short of room what has changed, and all of new states."""
+        changed = self._untold_scarce
+        self._untold_scarce = set()
         for keeper in self._present(changed):
             self._send_changes(keeper)
 
@@ -185,10 +185,10 @@
 
     def room_changed(self, runner_id: str) -> None:
         """Note that all entries are to hear of a runner's room."""
-        self._untold_waiting.add(runner_id)
+        self._untold_scarce.add(runner_id)
         self._untold.add(runner_id)
-        self._tell_waiting.ask()
-        self._tell_all.ask()
+        self._scarce_timer.ask()
+        self._relaxed_timer.ask()
 
     def tell_everything(self, link: EntryLink) -> None:
         """Tell an entry that has just joined what is held here."""
