--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -43,3 +43,8 @@
       | 1    | late: it ran longer than stated        |
       | 1    | late: a start came to nothing (no_room) |
       | 1    | no end is logged, it had begun         |
+
+  Scenario: figures tell the messages of streams by direction and kind
+    Given a process that has sent 3 "AgentBeat" and received 2 "BeatEcho"
+    Then its figures tell 3 "AgentBeat" that were sent
+    And its figures tell 2 "BeatEcho" that were received
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
@@ -14,6 +15,7 @@
 from gapdrum import event_log
 from gapdrum.event_log import MAX_LINES_PER_S, MAX_WAITING_LINES, EventLog
 from gapdrum.losses import sum_up_losses
+from gapdrum.measures import Measures
 from gapdrum.timelines import read_lines
 
 
@@ -149,3 +151,18 @@
     environment = {**os.environ, "COLUMNS": "200"}
     told = subprocess.run(command, capture_output=True, text=True, check=True, env=environment)
     assert all(reason in told.stdout for reason in expected), told.stdout
+
+
+@given('a process that has sent {sent:d} "{sent_kind}" and received {received:d} "{kind}"')
+def counted_messages(context, sent, sent_kind, received, kind):
+    context.measures = Measures()
+    context.measures.messages = {
+        "sent": Counter({sent_kind: sent}),
+        "received": Counter({kind: received}),
+    }
+
+
+@then('its figures tell {count:d} "{kind}" that were {direction}')
+def tells_messages(context, count, kind, direction):
+    line = f'gapdrum_messages_total{{direction="{direction}",kind="{kind}"}} {count}.0'
+    assert line in context.measures.expose().decode().splitlines()
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -158,7 +158,9 @@
         """Connect to the entries that the settings name, unless others are known."""
         if not self._links:
             for address in seeds:
-                self._connect(EntryLink(f"{SEED_PREFIX}{address.host}", address), listed=False)
+                link = EntryLink(f"{SEED_PREFIX}{address.host}", address)
+                self._log.write("entry_found", entry=link.entry, host=address.host)
+                self._connect(link, listed=False)
 
     def _name_seed(self, entry: str, address: EntryAddress) -> None:
         """Give the link to a seed the name of the entry there, unless that has a link already."""
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -65,8 +65,7 @@
             one.ledger.free.cpu_milli for one in self.keepers.values()
         )
         gauges["entries_connected"] = lambda: sum(bool(link.owner) for link in self.links)
-        self.log.measures.counters["messages_sent"] = self.sent.total
-        self.log.measures.counters["messages_received"] = self.received.total
+        self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
     def _greet(self) -> orders.AgentGreeting:
         now_ms = self.timers.now_ms()
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -128,8 +128,7 @@
         gauges["store_up"] = lambda: self.store.up
         gauges["configuration_version"] = self._configuration_version
         self.log.measures.counters["store_calls"] = lambda: self.store.calls
-        self.log.measures.counters["messages_sent"] = self.sent.total
-        self.log.measures.counters["messages_received"] = self.received.total
+        self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
     def _configuration_version(self) -> int:
         current = self.configuration.current
--- a/src/gapdrum/measures.py
+++ b/src/gapdrum/measures.py
@@ -53,6 +53,7 @@
         self.latencies: dict[str, Latency] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
         self.counters: dict[str, Callable[[], float]] = {}
+        self.messages: dict[str, Counter[str]] = {}  # of streams, by direction and kind
 
     def note_latency(self, name: str, duration_ms: int) -> None:
         """Count one duration under a name such as ``job_ended_total``."""
@@ -83,6 +84,13 @@
         for (event, reason), count in self.events.items():
             events.add_metric([event, reason], count)
         yield events
+        messages = CounterMetricFamily(
+            "gapdrum_messages", "Messages of streams", labels=["direction", "kind"]
+        )
+        for direction, kinds in self.messages.items():
+            for kind, count in kinds.items():
+                messages.add_metric([direction, kind], count)
+        yield messages
         for name, read in self.counters.items():
             yield CounterMetricFamily(f"gapdrum_{name}", name, value=read())
         for name, read in self.gauges.items():
