--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test lint format bench capacity soak ablation clean
+.PHONY: setup demo test lint format bench capacity soak ablation messages clean
 
 setup: $(READY)
 
@@ -41,5 +41,8 @@
 ablation: setup
 	PYTHONHASHSEED=0 $(BIN)/python tools/ablation.py --seeds $(or $(SEEDS),6)
 
+messages: setup
+	PYTHONHASHSEED=0 $(BIN)/python tools/message_table.py
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
