--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -352,3 +352,22 @@
     Given a stream whose writes are counted
     When 2 messages are sent and the stream is closed at once
     Then 1 writes carry the 2 messages in order
+
+  Scenario: an end that nobody has stored is told to two entries at a time
+    Given an agent whose entries wait for room
+      | entry  | upstream | urgency | jobs |
+      | edge-1 |          | 0       | 0    |
+      | edge-2 |          | 0       | 0    |
+      | edge-3 |          | 0       | 0    |
+      | edge-4 |          | 0       | 0    |
+      | edge-5 |          | 0       | 0    |
+    When an end of an unknown owner is 2000 ms old
+    Then 2 entries are told of it
+    And the agent holds nothing that all entries would have to hear of
+    When an end of an unknown owner is 4000 ms old
+    Then the agent holds what all entries would have to hear of
+
+  Scenario: an entry that hears of an end of another's job on a new stream asks the store nothing
+    Given an owner that sees one runner
+    When the agent tells on a new stream of an end of a job that is not the entry's
+    Then the entry does not look the job up
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -43,7 +43,7 @@
     Transaction,
 )
 from gapdrum.core.runner_health import RunnerHealth
-from gapdrum.core.runner_ledger import Run, RunnerLedger
+from gapdrum.core.runner_ledger import UNKNOWN_OWNER, NotedEnd, Run, RunnerLedger
 from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
 from gapdrum.core.runner_views import AgentView, RunnerView
 from gapdrum.entry.acceptance import Acceptance, Acceptor
@@ -1309,3 +1309,41 @@
     assert len(context.writer.writes) == writes, context.writer.writes
     messages = list(Decoder().feed(b"".join(context.writer.writes)))
     assert messages == [orders.AgentBeat(clock_ms) for clock_ms in range(count)], messages
+
+
+@when("an end of an unknown owner is {age_ms:d} ms old")
+def stray_end(context, age_ms):
+    ledger = context.keeper.ledger
+    now_ms = context.reports._timers.now_ms()
+    ledger.ends = {1: NotedEnd(RUN, UNKNOWN_OWNER, 0, RunEnd.DONE, now_ms - age_ms)}
+    context.reports.tell_orphans()
+
+
+@then("{count:d} entries are told of it")
+def entries_told(context, count):
+    told = [owner for owner, kinds in kinds_told(context).items() if kinds == ["RunEvents"]]
+    assert len(told) == count, told
+
+
+@then("the agent holds nothing that all entries would have to hear of")
+def holds_no_stray(context):
+    assert not context.keeper.ledger.held_owners(context.reports._timers.now_ms())
+
+
+@then("the agent holds what all entries would have to hear of")
+def holds_stray(context):
+    held = context.keeper.ledger.held_owners(context.reports._timers.now_ms())
+    assert [one.owner for one in held] == [UNKNOWN_OWNER], held
+
+
+@when("the agent tells on a new stream of an end of a job that is not the entry's")
+def foreign_end_held(context):
+    ended = orders.HeldRun(TASK.text, 1, 1, orders.HELD_ENDED, "done", 1)
+    holdings = orders.Holdings("i-1", (), (ended,))
+    context.dispatch.take_holdings(context.view, holdings, context.now_ms)
+
+
+@then("the entry does not look the job up")
+def no_look_up(context):
+    looked_up = [one for one in context.outside.sent if isinstance(one, tuple)]
+    assert not looked_up, looked_up
