--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -23,6 +23,7 @@
 from gapdrum.timers import Timers
 from gapdrum.transport.http_client import HttpClient, NoReplyError
 from gapdrum.transport.http_messages import HttpRequest
+from gapdrum.zone_watch import ZoneWatch
 
 HOST = "127.0.0.1"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -182,7 +183,14 @@
 
 
 def heartbeat(runner_id, sequence=1, state="ready"):
-    body = {"service": "workers", "address": ADDRESS, "state": state, "sequence": sequence}
+    body = {
+        "service": "workers",
+        "address": ADDRESS,
+        "zone": "zone-1",
+        "state": state,
+        "sequence": sequence,
+        "capacity": {"cpu": 4_000, "mem_mb": 1_000},
+    }
     path = f"/Instances.Heartbeat/{runner_id}"
     return HttpRequest("POST", path, {}, json.dumps(body).encode(), 0, None)
 
@@ -194,7 +202,7 @@
         return listening[0]
 
     timers = Timers()
-    boot = SimpleNamespace(run_lease_ms=1_000, runner=None, machine_list=None)
+    boot = SimpleNamespace(run_lease_ms=1_000, runner=None, machine_list=None, zone="zone-1")
     context.keepers = {}
     return RunnerRegistry(
         boot,
@@ -203,6 +211,7 @@
         FakeReports(),
         timers,
         EventLog("agent-1", timers),
+        ZoneWatch(EventLog("agent-1", timers)),
         identify,
     )
 
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -51,6 +51,7 @@
         self.demand: dict[str, orders.UpstreamDemand] = {}  # where its jobs wait for room
         self.short_ms = 0  # when it last was short of room
         self.told_room: dict[str, orders.RoomReport] = {}  # the last one of each runner
+        self.follows_table = False  # whether it told so last
         self.heard_ms = 0
         self.lost_ms = 0  # since when there has been no stream
         self.chosen_ms = 0  # when it was last one that the agent should serve
@@ -277,6 +278,7 @@
             self._timers.call_after(AWAY_ALLOWANCE_MS, partial(self._check_away, link.owner))
         link.stream = None
         link.owner = ""
+        link.follows_table = False
         link.demand = {}
         link.told_room.clear()
 
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -12,6 +12,7 @@
 from gapdrum.core.runner_ledger import not_started
 from gapdrum.event_log import EventLog
 from gapdrum.timers import Timers
+from gapdrum.zone_watch import ZoneWatch
 
 # Epochs of jobs that are remembered: a job is over long before so many others were claimed.
 KEPT_EPOCHS = 50_000
@@ -35,6 +36,7 @@
         self._reports = reports
         self._timers = timers
         self._log = log
+        self.zones = ZoneWatch(log)
         self._epochs: OrderedDict[str, int] = OrderedDict()
 
     def take(self, link: EntryLink, message: object) -> None:
@@ -47,6 +49,7 @@
 
     def _take_echo(self, link: EntryLink, echo: orders.BeatEcho) -> None:
         self._grants.note(link.owner, echo.clock_ms, echo.lease_held)
+        link.follows_table = echo.table_followed
 
     def _take_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
         if link.demand:
@@ -56,6 +59,9 @@
             if keeper.ledger.upstream not in link.demand:
                 keeper.offers.decline(link.owner)
 
+    def _take_zones(self, link: EntryLink, told: orders.ZoneDrainsTold) -> None:
+        self.zones.take_told(told, source=link.entry)
+
     def _take_order(self, link: EntryLink, order: orders.StartOrder) -> None:
         link.orders += len(order.runs)
         self._grants.note(link.owner, order.clock_ms, order.kept)
@@ -177,6 +183,7 @@
     _HANDLERS: dict[type, Callable] = {
         orders.BeatEcho: _take_echo,
         orders.RoomDemand: _take_demand,
+        orders.ZoneDrainsTold: _take_zones,
         orders.StartOrder: _take_order,
         orders.StopOrder: _take_stop,
         orders.EndsStored: _take_stored,
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -13,16 +13,19 @@
 from gapdrum.agent.reports import Reports
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.agent.runner_registry import RunnerRegistry
+from gapdrum.agent.table_standby import TableStandby
 from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.records import EntryAddress
 from gapdrum.core.runner_ledger import HeldOwner
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
+from gapdrum.operator_feed import OperatorFeed
 from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import Timers
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 from gapdrum.transport.metrics_listener import open_metrics
+from gapdrum.zone_watch import ZoneWatch
 
 # How often ends that nobody has stored are told again.
 ORPHAN_INTERVAL_MS = 1_000
@@ -53,7 +56,15 @@
         self.links.on_renamed = self.orders.rename_owner
         self.links.on_away = self.orders.stop_unwaited
         self.links.on_message = self.orders.take
-        self.runners = RunnerRegistry(boot, self.keepers, self.grants, self.reports, timers, log)
+        self.operators = OperatorFeed(RowStore(boot.store), timers, log)
+        self.zones = ZoneWatch(log)
+        self.operators.subscribe(self.zones.take_table)
+        self.standby = TableStandby(self.operators, self.links, timers, log)
+        self.zones.on_change = self._take_zones
+        self.orders.zones = self.zones
+        self.runners = RunnerRegistry(
+            boot, self.keepers, self.grants, self.reports, timers, log, self.zones
+        )
         self.control = HttpListener(self.runners.handle, HttpLimits(), timers)
         self._background = Background(log)
         self._add_gauges()
@@ -78,9 +89,18 @@
 
     def _welcome(self, link: EntryLink) -> None:
         """Tell an entry that has just joined what is held here; its earlier lives are over."""
+        if self.zones.drains.known:
+            link.send(self.zones.drains_told())
         self.orders.end_former_lives(link)
         self.reports.tell_everything(link)
 
+    def _take_zones(self) -> None:
+        """Start nothing in a drained zone, and tell the entries, which may not hear the store."""
+        self.runners.take_zones()
+        told = self.zones.drains_told()
+        for link in self.links:
+            link.send(told)
+
     # Start and end.
 
     async def run(self) -> int:
@@ -96,6 +116,7 @@
         await self.control.open(address.host, address.port)
         await open_metrics(self.boot.host, self.log.measures, self.timers)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
+        self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.standby.check)
         self.timers.subscribe(ARRANGE_INTERVAL_MS, self.links.arrange)
         self.timers.subscribe(ORPHAN_INTERVAL_MS, self.reports.tell_orphans)
         await stopping.wait()
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -252,6 +252,12 @@
         self._log.write("runner_listed", runner=self.runner_id, cpu_milli=listed.capacity.cpu_milli)
         self._context.report([])
 
+    def set_zone_closed(self, closed: bool) -> None:
+        """Note whether anything may be started in the runner's zone; what runs there goes on."""
+        if self.ledger.zone_closed != closed:
+            self.ledger.zone_closed = closed
+            self._context.report([])
+
     async def renew_fully(self) -> None:
         """Renew once more before the agent ends, so that its successor finds the runs alive."""
         if self.ledger.gone or not self._context.fence or not self.ledger.looked:
--- a/src/gapdrum/agent/runner_registry.py
+++ b/src/gapdrum/agent/runner_registry.py
@@ -21,6 +21,7 @@
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_client import NoReplyError, NotSentError
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+from gapdrum.zone_watch import ZoneWatch
 
 IDENTITY_TIMEOUT_MS = 300
 IDENTITY_RETRY_MS = 250
@@ -47,6 +48,7 @@
         reports: Reports,
         timers: Timers,
         log: EventLog,
+        zones: ZoneWatch,
         identify: Identify = fetch_identity,
     ) -> None:
         self._boot = boot
@@ -55,6 +57,7 @@
         self._reports = reports
         self._timers = timers
         self._log = log
+        self._zones = zones
         self._identify = identify
         self._background = Background(log)
 
@@ -126,10 +129,17 @@
             self._reports.tell_holdings,
         )
         self._keepers[runner_id] = keeper
+        self.take_zones()
         self._log.write("runner_found", runner=runner_id, address=str(address))
         self._background.keep(lambda: self._keep_runner(keeper))
         return keeper
 
+    def take_zones(self) -> None:
+        """Close the runners, or open them, as operators drain this zone or restore it."""
+        closed = self._zones.drains.is_closed(self._boot.zone)
+        for keeper in self._keepers.values():
+            keeper.set_zone_closed(closed)
+
     async def _keep_runner(self, keeper: RunnerKeeper) -> None:
         await keeper.keep()
         self._reports.send_room()
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -53,6 +53,8 @@
             return orders.RUNNER_GONE
         if self.ledger.draining:
             return orders.RUNNER_DRAINING
+        if self.ledger.zone_closed:
+            return orders.ZONE_CLOSED
         if now_ms - order.clock_ms > orders.ORDER_VALID_MS:
             return orders.ORDER_EXPIRED
         if now_ms >= self._context.grants.until_ms(owner, order.kept):
@@ -88,7 +90,11 @@
         self._background.spawn(self._start(run, spec, lease_ends_ms))
 
     async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
-        """Call until the start is answered; the same start again is the same run."""
+        """Call until the start is answered; the same start again is the same run.
+
+        In a zone that has been drained meanwhile it is not sent again: the call that was left
+        unanswered may never have come.
+        """
         settled = None
         unanswered = False
         sent = False
@@ -122,7 +128,7 @@
         self._settle_start(run, settled)
 
     def _may_still_start(self, run: Run) -> bool:
-        if self.ledger.gone or run.key not in self.ledger.runs:
+        if self.ledger.gone or self.ledger.zone_closed or run.key not in self.ledger.runs:
             return False
         return self.ledger.clock_floor(self._context.timers.now_ms()) < run.start_expires_ms
 
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -1,5 +1,7 @@
 """The agents and runners that an entry sees, and what their silence means."""
 
+from collections.abc import Collection
+
 import attrs
 
 from gapdrum.core import orders
@@ -26,14 +28,27 @@
     outside: Outside
     agents: dict[str, AgentView] = attrs.Factory(dict)
     runners: dict[Place, RunnerView] = attrs.Factory(dict)
+    closed_zones: frozenset[str] = frozenset()  # where operators want nothing to be started
+
+    def open_runners(self) -> Collection[RunnerView]:
+        """Return the runners outside of drained zones."""
+        if not self.closed_zones:
+            return self.runners.values()
+        closed = self.closed_zones
+        return [one for one in self.runners.values() if one.agent.zone not in closed]
+
+    def count_open_agents(self) -> int:
+        """Return how many agents outside of drained zones are connected."""
+        closed = self.closed_zones
+        return sum(one.connected and one.zone not in closed for one in self.agents.values())
 
     def free_cpu_milli(self) -> int:
         """Return the processor room that is seen as free, in thousandths of a core."""
-        return sum(max(0, runner.free.cpu_milli) for runner in self.runners.values())
+        return sum(max(0, runner.free.cpu_milli) for runner in self.open_runners())
 
     def free_permille(self) -> int:
         """Return the share of the processor room that is seen as free."""
-        total = sum(runner.capacity.cpu_milli for runner in self.runners.values())
+        total = sum(runner.capacity.cpu_milli for runner in self.open_runners())
         return PERMILLE * self.free_cpu_milli() // total if total else 0
 
     def agent_joined(self, greeting: orders.AgentGreeting, now_ms: int) -> AgentView:
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -52,6 +52,7 @@
 RUNNER_GONE = "runner_gone"
 RUNNER_DRAINING = "runner_draining"
 RUNNER_REJECTED = "runner_rejected"
+ZONE_CLOSED = "zone_closed"
 START_UNANSWERED = "start_unanswered"
 
 # Why a run was lost, beside that its runner is gone.
@@ -61,6 +62,7 @@
 # States of a runner.
 READY = "ready"
 DRAINING = "draining"
+ZONE_DRAINED = "zone_drained"
 SUSPECT = "suspect"
 GONE = "gone"
 
@@ -185,6 +187,18 @@
     """The agent holds nothing for the entry, and starts nothing more that came on this stream."""
 
 
+@message(49)
+@attrs.frozen
+class ZoneDrainsTold:
+    """The availability zones that operators have drained, as of a version of their table.
+
+    Entries and agents tell each other, so one that the store turns away hears of them, too.
+    """
+
+    version: int = count_field()
+    zones: tuple[str, ...] = attrs.field(converter=tuple)
+
+
 @message(45)
 @attrs.frozen
 class JobLost:
@@ -208,11 +222,13 @@
     """The last clock that the entry heard of the agent.
 
     What runs of stored jobs goes on only if the entry holds its lease in the store, as another
-    entry may have taken these jobs over otherwise.
+    entry may have taken these jobs over otherwise. ``table_followed`` tells whether the entry
+    follows the operators' table just now, so that the agent need not.
     """
 
     clock_ms: int = count_field()
     lease_held: bool = attrs.field(validator=attrs.validators.instance_of(bool))
+    table_followed: bool = attrs.field(validator=attrs.validators.instance_of(bool))
 
 
 @attrs.frozen
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -9,6 +9,7 @@
 
 from gapdrum.core import orders
 from gapdrum.core.jobs import Job, Task
+from gapdrum.core.models import Step
 from gapdrum.core.runner_views import RunnerView
 
 # The freest of so many runners, taken at random, gets a task. All entries hear of the same room:
@@ -142,11 +143,13 @@
 
 def may_ever_fit(task: Task, field: Field) -> bool:
     """Tell whether a runner would take the task if nothing ran there."""
-    label = task.step.required_label
-    return any(
-        view.capacity.holds(task.step.resources) and (not label or label in view.labels)
-        for view in field.runners
-    )
+    return any(could_hold(view, task.step) for view in field.runners)
+
+
+def could_hold(view: RunnerView, step: Step) -> bool:
+    """Tell whether a runner would take a task of a step if nothing ran there."""
+    label = step.required_label
+    return view.capacity.holds(step.resources) and (not label or label in view.labels)
 
 
 def _may_take(view: RunnerView, job: Job, task: Task, field: Field, now_ms: int) -> bool:
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -17,6 +17,7 @@
     Field,
     build_field,
     choose_runner,
+    could_hold,
     may_ever_fit,
     urgency_of,
     waiting_order,
@@ -65,6 +66,21 @@
         ahead = waiting_work(jobs, priority, begin_by_ms) + OWN_SHARE * work_of(steps)
         return self.backlog.wait_ms(ahead, now_ms)
 
+    def is_shut_out(self, upstream: str, steps: tuple[Step, ...]) -> bool:
+        """Tell whether a job could run in drained zones only, by the runners that are known.
+
+        Such a job would wait until it is given up, half of its slack later, and then be refused.
+        """
+        if not self.fleet.closed_zones:
+            return False
+        known = [one for one in self.fleet.runners.values() if one.upstream == upstream]
+        opened = [one for one in self.fleet.open_runners() if one.upstream == upstream]
+        return any(
+            any(could_hold(one, step) for one in known)
+            and not any(could_hold(one, step) for one in opened)
+            for step in steps
+        )
+
     def list_hopeless(self, now_ms: int) -> list[Job]:
         """Return waiting jobs that no longer can meet their objective and have not begun.
 
@@ -104,7 +120,7 @@
         for job in jobs:
             least = least_cpu_milli.get(job.upstream, job.least_cpu_milli)
             least_cpu_milli[job.upstream] = min(least, job.least_cpu_milli)
-        runners = self.fleet.runners.values()
+        runners = self.fleet.open_runners()
         return {name: build_field(runners, name, least) for name, least in least_cpu_milli.items()}
 
     def _may_skip(self, fields: dict[str, Field], now_ms: int) -> bool:
@@ -227,7 +243,7 @@
     def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
-        field = build_field(self.fleet.runners.values(), job.upstream)
+        field = build_field(self.fleet.open_runners(), job.upstream)
         target = choose_runner(job, task, field, self.zone, now_ms, self.rng)
         has_room = target is not None and target.place.runner_id not in task.avoided
         # A run that stands still may as well wait: it would not end where it is.
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -94,6 +94,7 @@
     labels: tuple[str, ...] = ()
     capacity: Resources | None = None
     draining: bool = False
+    zone_closed: bool = False
     gone: bool = False
     looked: bool = False
     reachable: bool = True
@@ -114,15 +115,18 @@
             return orders.GONE
         if self.draining:
             return orders.DRAINING
+        if self.zone_closed:
+            return orders.ZONE_DRAINED
         return orders.SUSPECT if self.health.resting_until_ms else orders.READY
 
     @property
     def free(self) -> Resources:
         """Return the room that nothing holds.
 
-        There is none while a run's room is unknown, and while the lease must lapse.
+        There is none while a run's room is unknown, while the lease must lapse, and while the zone
+        is drained.
         """
-        if self.must_lapse():
+        if self.must_lapse() or self.zone_closed:
             return NOTHING
         known = self.looked and self.reachable and self.capacity is not None
         if not known or self.unknown_runs or (self.health.on_trial and self.runs):
--- a/src/gapdrum/entry/admission.py
+++ b/src/gapdrum/entry/admission.py
@@ -1,11 +1,14 @@
 """Refuses jobs that would only wait: overload is told at once, with a time to come back."""
 
+from collections.abc import Callable, Sequence
+
 import attrs
 
 from gapdrum.core.configuration import Queue
 from gapdrum.core.jobs import begin_within_ms, longest_chain_ms
 from gapdrum.core.models import Step
 from gapdrum.core.placer import Placer
+from gapdrum.core.reach import View
 from gapdrum.timers import Timers
 
 # The wait is an estimate: only a job that would begin too late by this factor is refused at
@@ -26,9 +29,24 @@
 class Admission:
     """Judges a new job by the work that waits and the rate at which it is placed."""
 
-    def __init__(self, placer: Placer, timers: Timers) -> None:
+    def __init__(
+        self,
+        placer: Placer,
+        timers: Timers,
+        views_elsewhere: Callable[[], Sequence[View]] = tuple,
+    ) -> None:
         self._placer = placer
         self._timers = timers
+        self._views_elsewhere = views_elsewhere
+
+    def is_shut_out(self, queue: Queue, steps: tuple[Step, ...]) -> bool:
+        """Tell whether a job could run in drained zones only, so that it would wait in vain.
+
+        While other entries see agents in open zones, some of those are about to join this one.
+        """
+        if any(view.agents for view in self._views_elsewhere()):
+            return False
+        return self._placer.is_shut_out(queue.upstream, steps)
 
     def judge(self, queue: Queue, steps: tuple[Step, ...]) -> Overload | None:
         """Return None to admit a job; it is refused if it would only wait until it is given up."""
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -178,6 +178,8 @@
             return self._note_refusal(job_id, queue, 503, "store_unavailable", RETRY_AFTER_S)
         if not job.answered_at_end and not self._lease.valid:
             return self._note_refusal(job_id, queue, 503, "lease_not_held", RETRY_AFTER_S)
+        if job.answered_at_end and self._admission.is_shut_out(queue, job.steps):
+            return self._note_refusal(job_id, queue, 503, "zones_drained", RETRY_AFTER_S)
         overload = self._admission.judge(queue, job.steps)
         if overload is not None:
             self._log.write(
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -11,6 +11,7 @@
 from gapdrum.exceptions import FrameError, StreamClosedError
 from gapdrum.streams import Stream
 from gapdrum.timers import Timers
+from gapdrum.zone_watch import ZoneWatch
 
 # A stream without a beat for this long is cut; the agent connects again.
 SILENT_STREAM_MS = 2_000
@@ -29,6 +30,8 @@
         self.owner: Callable[[], str] = str
         self.holds_lease: Callable[[], bool] = lambda: False
         self.unsettled_claims: Callable[[], tuple[orders.JobEpoch, ...]] = tuple
+        self.zones = ZoneWatch(log)
+        self.follows_table: Callable[[], bool] = lambda: False
 
     @property
     def connected(self) -> int:
@@ -82,6 +85,8 @@
         view = self.dispatch.fleet.agent_joined(greeting, self._timers.now_ms())
         self._streams[greeting.agent] = stream
         stream.send(orders.EntryGreeting(self.owner()))
+        if self.zones.drains.known:
+            stream.send(self.zones.drains_told())  # before any order: the agent starts nothing else
         claims = self.unsettled_claims()
         if claims:
             stream.send(orders.JobsClaimed(claims))
@@ -101,7 +106,8 @@
         if isinstance(message, orders.AgentBeat):
             view.heard_ms = now_ms
             view.clock_ms = message.clock_ms
-            self.send(view.agent, orders.BeatEcho(message.clock_ms, self.holds_lease()))
+            echo = orders.BeatEcho(message.clock_ms, self.holds_lease(), self.follows_table())
+            self.send(view.agent, echo)
         elif isinstance(message, orders.RunEvents):
             dispatch.take_events(view, message, now_ms)
         elif isinstance(message, orders.RoomReport):
@@ -112,6 +118,8 @@
             dispatch.take_holdings(view, message, now_ms)
         elif isinstance(message, orders.JobLost):
             dispatch.lose_job(message)
+        elif isinstance(message, orders.ZoneDrainsTold):
+            self.zones.take_told(message, source=view.agent)
         elif isinstance(message, orders.AgentLeaving):
             del self._streams[view.agent]
             dispatch.agent_departed(view, now_ms)
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -27,12 +27,14 @@
 from gapdrum.entry.waiting_callers import WaitingCallers
 from gapdrum.entry.writer import Writer
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
+from gapdrum.operator_feed import OperatorFeed
 from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 from gapdrum.transport.metrics_listener import open_metrics
+from gapdrum.zone_watch import ZoneWatch
 
 # The port that agents are told, where it is not the one that is listened at: behind a port
 # mapping, or a proxy in a test.
@@ -68,7 +70,9 @@
         self.store = StoreAccess(rows, timers, log)
         self.background = Background(log)
         self.writer = Writer(self.store, self.background)
-        self.configuration = ConfigurationWatch(RowStore(boot.store), timers, log)
+        self.operators = OperatorFeed(RowStore(boot.store), timers, log)
+        self.configuration = ConfigurationWatch(log)
+        self.zones = ZoneWatch(log)
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
@@ -109,7 +113,7 @@
             self.configuration,
             self.dispatch,
             self.acceptor,
-            Admission(self.dispatch.placer, self.timers),
+            Admission(self.dispatch.placer, self.timers, self.lease.views_elsewhere),
             self.callers,
             self.endings,
             self.store,
@@ -135,7 +139,10 @@
         return current.version if current is not None else 0
 
     def _wire(self) -> None:
+        self.operators.subscribe(self.zones.take_table)
+        self.operators.subscribe(self.configuration.take_table)
         self.configuration.on_change = self._take_configuration
+        self.zones.on_change = self._take_zones
         self.lease.count_waiting = self.dispatch.count_waiting
         self.lease.view_agents = self._view_agents
         self.lease.on_orphans = self.takeover.ask
@@ -144,6 +151,8 @@
         self.links.owner = lambda: self.lease.owner
         self.links.holds_lease = lambda: self.lease.valid
         self.links.unsettled_claims = self.takeover.unsettled_claims
+        self.links.zones = self.zones
+        self.links.follows_table = lambda: self.operators.is_followed
 
     # What decisions lead to, see ``core.dispatch.Outside``.
 
@@ -204,6 +213,12 @@
             if queue is not None:
                 job.upstream = queue.upstream
 
+    def _take_zones(self) -> None:
+        """Place nothing more in drained zones, and tell the agents."""
+        self.dispatch.fleet.closed_zones = self.zones.drains.zones
+        self.links.broadcast(self.zones.drains_told())
+        self.place_soon()
+
     def _lose_lease(self) -> None:
         """Let go of everything: another entry has ended this life and owns the jobs."""
         for job in list(self.dispatch.jobs.values()):
@@ -232,7 +247,8 @@
         self.dispatch.refuse_hopeless(now_ms)
 
     def _view_agents(self) -> View:
-        return View(self.links.connected, self.dispatch.fleet.free_permille())
+        fleet = self.dispatch.fleet
+        return View(fleet.count_open_agents(), fleet.free_permille())
 
     def _judge_reach(self) -> None:
         own, others = self._view_agents(), self.lease.views_elsewhere()
@@ -265,7 +281,7 @@
         await self.readiness.open(boot.readiness.host, boot.readiness.port)
         if boot.runner_reports is not None:
             await self.control.open(boot.runner_reports.host, boot.runner_reports.port)
-        self.background.keep(self.configuration.follow)
+        self.background.keep(self.operators.follow)
         self.background.keep(self._keep_lease)
         await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -34,8 +34,19 @@
 _add("unexpected", "An exception that nothing handles.", "text")
 _add("store_lost", "The store does not answer.", "reason")
 _add("store_regained", "The store answers again.", "reason")
-_add("configuration_feed_lost", "The feed of the configuration broke.", "code")
-_add("configuration_feed_restarted", "The store has forgotten the feed's history.", "after")
+_add("table_followed", "No entry tells of drained zones, so the agent looks itself.", "silent_ms")
+_add("table_left", "An entry follows the operators' table again, so the agent need not.")
+_add("operator_feed_lost", "The feed of the operators' table broke.", "code")
+_add("operator_feed_regained", "The feed of the operators' table goes on.", "version")
+_add("operator_feed_restarted", "The store has forgotten the feed's history.", "after")
+_add(
+    "zones_drained",
+    "Which availability zones are drained, as of a version, and who told it.",
+    "zones",
+    "version",
+    "former_version",
+    "source",
+)
 _add("configuration_in_force", "A newer configuration is in force here.", "version", "queues")
 _add("configuration_rejected", "The configuration's row can't be read.", "version", "reason")
 _add("entry_feed_lost", "The feed of the entries' addresses broke.", "code", "reason")
--- a/src/gapdrum/platform/configuration.py
+++ b/src/gapdrum/platform/configuration.py
@@ -4,11 +4,7 @@
 from typing import Any
 
 from gapdrum.core.configuration import Configuration, Queue
-from gapdrum.core.rows import Row, RowKey
-
-# The row that holds the newest configuration in full.
-CONFIGURATION_TABLE = "op"
-CONFIGURATION_ROW = RowKey(CONFIGURATION_TABLE, "", "config")
+from gapdrum.core.rows import Row
 
 
 def decode_configuration(row: Row) -> Configuration:
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -150,7 +150,7 @@
         if isinstance(message, orders.AgentBeat):
             view.heard_ms = now_ms
             view.clock_ms = message.clock_ms
-            self.send(agent.name, orders.BeatEcho(message.clock_ms, True))
+            self.send(agent.name, orders.BeatEcho(message.clock_ms, True, True))
         elif isinstance(message, orders.RunEvents):
             self.dispatch.take_events(view, message, now_ms)
         elif isinstance(message, orders.RoomReport):
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -5,7 +5,7 @@
 import os
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 
 import urllib3
@@ -114,8 +114,24 @@
         }
         document = {"version": version, "routes": routes, "services": [], "limits": limits}
         value = base64.b64encode(json.dumps(document).encode()).decode()
-        put = {"table": "op", "part": "", "key": "config", "value": value}
-        self.call(self.store.port, "POST", "/rows-tx", {"expect": [], "puts": [put], "remove": []})
+        self._write_operator_rows([{"key": "config", "value": value}])
+
+    def drain_zones(self, zones: Collection[str]) -> None:
+        """Drain these availability zones and restore all others, as operators do."""
+        value = base64.b64encode(b"{}").decode()
+        keys = {zone: {"key": f"evacuate/{zone}"} for zone in ZONES}
+        puts = [{**keys[zone], "value": value} for zone in ZONES if zone in zones]
+        removals = [keys[zone] for zone in ZONES if zone not in zones]
+        self._write_operator_rows(puts, removals)
+
+    def _write_operator_rows(self, puts: list[dict], removals: Collection[dict] = ()) -> None:
+        table = {"table": "op", "part": ""}
+        document = {
+            "expect": [],
+            "puts": [{**table, **row} for row in puts],
+            "remove": [{**table, **row} for row in removals],
+        }
+        self.call(self.store.port, "POST", "/rows-tx", document)
 
     # Calls.
 
--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -41,8 +41,18 @@
         self._loop.run_forever()
 
     def close(self) -> None:
-        """Stop passing anything."""
+        """Stop passing anything, and end all connections."""
+        asyncio.run_coroutine_threadsafe(self._end_all(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    async def _end_all(self) -> None:
+        self._reset_all()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def reset(self) -> None:
         """Reset all connections."""
@@ -67,7 +77,10 @@
         self._accepted += 1
         forth = self._pump(reader, target[1], number, back=False)
         back = self._pump(target[0], writer, number, back=True)
-        await asyncio.gather(forth, back)
+        try:
+            await asyncio.gather(forth, back)
+        except asyncio.CancelledError:
+            return  # the proxy is closed; asyncio would print a traceback for its stream's task
         self._writers -= {writer, target[1]}
 
     def _mode_of(self, number: int) -> str:
