--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -15,6 +15,9 @@
       | config unset team/schools team_weight             | version 2 is accepted             | 0    |
       | config history --json                             | "reason": "go"                    | 0    |
       | drain agent-1 --reason repair                     | version 3 is accepted             | 0    |
+      | drain-zone moka-hall --reason repair              | version 4 is accepted             | 0    |
+      | config get zone/moka-hall                         | drained                           | 0    |
+      | drain-zone moka-hall --undo                       | version 5 is accepted             | 0    |
       | explain schools no-such-job                       | no record                         | 1    |
       | jobs                                              | none                              | 0    |
       | status --url http://127.0.0.1:1                   | entry_unreachable                 | 4    |
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -46,3 +46,21 @@
     Then the call fails with status 401 and code "unauthorized"
     When the settings are changed with the token "caller-token"
     Then the call fails with status 403 and code "forbidden"
+
+  Scenario: Nothing starts in a drained availability zone, and what waits there goes elsewhere
+    When an operator drains the zone of agent 1 by the command line
+    Then version 1 is in force everywhere within 8000 ms
+    When a job "zone-1" of 12 tasks is submitted
+    Then its answer is whole, and no task of it was started at agent 1
+    And explaining "zone-1" tells that a zone was drained
+    And the audit trail has 1 change
+    When the operator restores that zone
+    Then version 2 is in force everywhere within 8000 ms
+    When a job "zone-2" of 40 tasks is submitted
+    Then tasks of it were started at agent 1
+
+  Scenario: A task waits for a drained zone, and explain says so
+    When an operator drains the zone of agent 1 by the command line
+    Then version 1 is in force everywhere within 8000 ms
+    When a job "zone-3" is submitted whose tasks fill the other runner twice
+    Then explaining "zone-3" tells that tasks waited while a zone was drained
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -5,7 +5,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
+from command_steps import run
 from local_system import OPERATOR_TOKEN
+from whole_path_steps import TEAM, job_document, submit
 
 from gapdrum.store import ANY_VERSION, StoreClient, TableWrite
 
@@ -132,3 +134,66 @@
         "GET", f"/v1/config/effective/{path}", entry=entry, token=OPERATOR_TOKEN
     )
     return next(value for value in document["values"] if value["name"] == name)
+
+
+# Availability zones that are drained. Agent 1 is the only one in its zone.
+
+DRAINED_ZONE = "moka-hall"
+
+
+def run_drain(context, *options):
+    url = context.system.url(context.system.entries[0], "")
+    environment = {"GAPDRUM_URL": url, "GAPDRUM_TOKEN": OPERATOR_TOKEN}
+    done = run("gapdrum", ["drain-zone", DRAINED_ZONE, *options], **environment)
+    assert done.returncode == 0, done
+
+
+@when("an operator drains the zone of agent 1 by the command line")
+def drain_zone(context):
+    run_drain(context, "--reason", "repair")
+
+
+@when("the operator restores that zone")
+def restore_zone(context):
+    run_drain(context, "--undo")
+
+
+@when('a job "{key}" of {tasks:d} tasks is submitted')
+def submit_many(context, key, tasks):
+    submit(context, job_document(key, tasks, 30))
+
+
+@when('a job "{key}" is submitted whose tasks fill the other runner twice')
+def submit_twice_too_many(context, key):
+    submit(context, job_document(key, 16, 150))
+
+
+@then("its answer is whole, and no task of it was started at agent {number:d}")
+def answered_elsewhere(context, number):
+    assert context.status == 200 and context.document["outcome"] == "complete", context.document
+    agents = {step["subject"] for step in decisions_on(context, "zone-1", "placed")}
+    assert agents == {f"agent-{1 - number}"}, agents
+
+
+@then("tasks of it were started at agent {number:d}")
+def started_there(context, number):
+    agents = {step["subject"] for step in decisions_on(context, "zone-2", "placed")}
+    assert f"agent-{number}" in agents, agents
+
+
+def decisions_on(context, key, code):
+    path = f"/v1/jobs/{TEAM}/{key}/decisions"
+    _status, document = context.system.request("GET", path, token=OPERATOR_TOKEN)
+    return [step for step in document["decisions"] if step["code"] == code]
+
+
+@then('explaining "{key}" tells that a zone was drained')
+def explained_elsewhere(context, key):
+    for step in decisions_on(context, key, "placed"):
+        assert {"name": "drained_zones", "value": 1} in step["figures"], step
+
+
+@then('explaining "{key}" tells that tasks waited while a zone was drained')
+def explained_held(context, key):
+    held = decisions_on(context, key, "held_zone_drained")
+    assert held and all(step["subject"] == DRAINED_ZONE for step in held), held
--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -144,7 +144,9 @@
     def _call_runner(self, task: HeldTask) -> RunOutcome:
         """Check the limit directly before the call; a process may have been paused."""
         if not self.ledger.may_start(task, self.timers.now_ms()):
-            return RunOutcome("not_sent", ledgers.REASON_LAPSED, "")
+            drained = self.ledger.zone_drained
+            reason = ledgers.REASON_ZONE_DRAINED if drained else ledgers.REASON_LAPSED
+            return RunOutcome("not_sent", reason, "")
         address = self.runner.announcement.address
         return self._client.run(address, task.job_id, task.key.index, task.payload)
 
@@ -192,7 +194,11 @@
         self.ledger.leaving = True
         logger.info("runner leaving")
         self.links.push_loads()
-        for task in self.ledger.decline_queue():
+        self._hand_back(ledgers.REASON_LEAVING)
+
+    def _hand_back(self, reason: str) -> None:
+        """Hand back what waits here for a slot, so that entries place it elsewhere."""
+        for task in self.ledger.decline_queue(reason):
             self._report(task)
 
     async def drain(self) -> None:
@@ -220,6 +226,9 @@
             return
         self.settings.offer(tree)
         self.ledger.queue_limit = self.settings.root.agent_queue_limit_tasks
+        self.ledger.zone_drained = self.settings.is_zone_drained(self.config.zone)
+        if self.ledger.zone_drained:
+            self._hand_back(ledgers.REASON_ZONE_DRAINED)
         self.metrics.settings_version.set(tree.version)
         self.links.push_loads()
 
--- a/src/gapdrum/cli.py
+++ b/src/gapdrum/cli.py
@@ -16,6 +16,7 @@
 from gapdrum.exceptions import GapdrumError
 from gapdrum.losses import sum_up_losses
 from gapdrum.sessions import Session
+from gapdrum.settings import DRAINED
 from gapdrum.timelines import build_timeline, read_lines
 
 EXIT_FAILED = 1
@@ -135,10 +136,23 @@
     reason: Reason = "",
 ) -> None:
     """Give a runner no new work; it is a setting, so it is in force at every entry."""
-    value = None if undo else "drained"
+    value = None if undo else DRAINED
     _change(url, token, [(f"runner/{agent}", "runner_mode", value)], reason, False)
 
 
+@app.command("drain-zone")
+def drain_zone(
+    zone: Annotated[str, typer.Argument(help="The availability zone.")],
+    token: Token,
+    url: Url = DEFAULT_URL,
+    undo: Annotated[bool, typer.Option("--undo", help="Restore it: give it work again.")] = False,
+    reason: Reason = "",
+) -> None:
+    """Start nothing more in an availability zone; what runs there ends by itself."""
+    value = None if undo else DRAINED
+    _change(url, token, [(f"zone/{zone}", "zone_mode", value)], reason, False)
+
+
 @config_app.command("get")
 def config_get(
     token: Token,
--- a/src/gapdrum/entries.py
+++ b/src/gapdrum/entries.py
@@ -26,7 +26,7 @@
 from gapdrum.peers import Peers
 from gapdrum.probes import add_probe_routes
 from gapdrum.resources import JobResources
-from gapdrum.settings import SettingsHolder
+from gapdrum.settings import DRAINED, SettingsHolder
 from gapdrum.states import load_chart
 from gapdrum.store import StoreClient
 from gapdrum.timers import MS_PER_S, Timers
@@ -149,8 +149,9 @@
         await self.dispatcher.journal.flush()
         self.state = PROCESS_CHART.next_state(self.state, "stop")
 
-    def _is_drained(self, agent_id: str) -> bool:
-        return self.settings.for_runner(agent_id).runner_mode == "drained"
+    def _is_drained(self, agent_id: str, zone: str) -> bool:
+        runner_mode = self.settings.for_runner(agent_id).runner_mode
+        return runner_mode == DRAINED or self.settings.is_zone_drained(zone)
 
     def _describe(self) -> EntryRecord:
         agents = [view.settings_version for view in self.dispatcher.members]
--- a/src/gapdrum/ledger.py
+++ b/src/gapdrum/ledger.py
@@ -30,6 +30,7 @@
 REASON_QUEUE_FULL = "queue_full"
 REASON_LEAVING = "runner_leaving"
 REASON_NEVER_RECEIVED = "never_received"
+REASON_ZONE_DRAINED = "zone_drained"
 
 
 @attrs.define
@@ -87,6 +88,7 @@
         self.queue_limit = queue_limit
         self.retention_ms = retention_ms
         self.leaving = False
+        self.zone_drained = False
         self._jobs: dict[str, HeldJob] = {}
         self._queue: deque[HeldTask] = deque()
         self._queued = 0
@@ -141,7 +143,7 @@
 
     def may_start(self, task: HeldTask, now_ms: int) -> bool:
         """Check once more, directly before the runner is called."""
-        return now_ms <= self._jobs[task.job_id].start_by_ms
+        return not self.zone_drained and now_ms <= self._jobs[task.job_id].start_by_ms
 
     def finish(self, task: HeldTask, event: str, reason: str, result: str, run_ms: int) -> TaskRow:
         """Record the outcome of a started attempt and return its row."""
@@ -177,11 +179,11 @@
                 self._end(task, REASON_NEVER_RECEIVED)
         return job.holdings()
 
-    def decline_queue(self) -> list[HeldTask]:
-        """Decline all that waits, as the runner is leaving; return what was declined."""
+    def decline_queue(self, reason: str) -> list[HeldTask]:
+        """Decline all that waits, for a reason; return what was declined."""
         waiting = [task for task in self._queue if task.state == QUEUED]
         for task in waiting:
-            self._end(task, REASON_LEAVING)
+            self._end(task, reason)
         self._queue.clear()
         self._queued = 0
         return waiting
@@ -214,6 +216,8 @@
             self._end(task, REASON_FENCED)
         elif self.leaving:
             self._end(task, REASON_LEAVING)
+        elif self.zone_drained:
+            self._end(task, REASON_ZONE_DRAINED)
         elif now_ms > order.start_by_ms:
             self._end(task, REASON_LAPSED)
         elif self._queued >= free_slots + self.queue_limit:
--- a/src/gapdrum/members.py
+++ b/src/gapdrum/members.py
@@ -89,13 +89,15 @@
     def __init__(self) -> None:
         self._views: dict[str, RunnerView] = {}
         self._by_upstream: dict[str, list[RunnerView]] = {}
-        self._is_drained: Callable[[str], bool] = lambda _agent_id: False
+        self._any_drained = False
+        self._is_drained: Callable[[str, str], bool] = lambda _agent_id, _zone: False
 
-    def mark_drained(self, is_drained: Callable[[str], bool]) -> None:
-        """Take from the operators' settings which runners get no new work."""
+    def mark_drained(self, is_drained: Callable[[str, str], bool]) -> None:
+        """Take from the operators' settings which runners, by agent and zone, get no new work."""
         self._is_drained = is_drained
         for view in self._views.values():
-            view.drained = is_drained(view.agent.agent_id)
+            view.drained = is_drained(view.agent.agent_id, view.zone)
+        self._any_drained = any(view.drained for view in self._views.values())
 
     def __iter__(self):
         return iter(self._views.values())
@@ -121,7 +123,8 @@
             return known, None
         view = RunnerView(agent, hello.zone, hello.worker)
         view.note_clock(hello.agent_time_ms, now_ms)
-        view.drained = self._is_drained(hello.agent_id)
+        view.drained = self._is_drained(hello.agent_id, hello.zone)
+        self._any_drained = self._any_drained or view.drained
         self._views[hello.agent_id] = view
         if known is not None:
             self._drop_from_upstream(known)
@@ -159,6 +162,12 @@
             if view.takes_work and view.accelerators >= accelerators
         ]
 
+    def drained_zones(self, upstream: str) -> list[str]:
+        """Return the availability zones in which runners of an upstream are drained."""
+        if not self._any_drained:
+            return []  # the usual case, asked with each order
+        return sorted({view.zone for view in self.of_upstream(upstream) if view.drained})
+
     def _drop_from_upstream(self, view: RunnerView) -> None:
         views = self._by_upstream.get(view.upstream, [])
         if view in views:
--- a/src/gapdrum/scheduler.py
+++ b/src/gapdrum/scheduler.py
@@ -41,6 +41,7 @@
 
     job: Job
     roster: frozenset[AgentKey]
+    held_for_drain: set[int] = attrs.Factory(set)  # tasks of which that was noted
 
 
 @attrs.define(eq=False)
@@ -154,6 +155,7 @@
             view = self._choose(job, job.tasks[index], runners)
             if view is None:
                 self._enqueue(job, index, front=True)
+                self._note_held(job, index)
                 blocked.add(job.submission.team)
                 continue
             self._order(batches, job, index, view)
@@ -267,7 +269,20 @@
             batches[key] = _Batch(self.open_jobs[job.job_id], view)
         payload = job.tasks[index].payload
         batches[key].tasks.append(PlacedTask(index, number, payload))
-        self._note(job, index, code, view.agent.agent_id, free_slots=free_before, attempt=number)
+        figures = {"free_slots": free_before, "attempt": number}
+        drained = self.members.drained_zones(job.submission.upstream)
+        if drained:
+            figures["drained_zones"] = len(drained)  # why it may have gone elsewhere
+        self._note(job, index, code, view.agent.agent_id, **figures)
+
+    def _note_held(self, job: Job, index: int) -> None:
+        """Note once that a task waits while zones are drained that might have taken it."""
+        held = self.open_jobs[job.job_id].held_for_drain
+        drained = self.members.drained_zones(job.submission.upstream)
+        if drained and index not in held:
+            held.add(index)
+            subject = ",".join(drained)
+            self._note(job, index, reasons.HELD_ZONE_DRAINED, subject, zones=len(drained))
 
     def _send_batch(self, batch: _Batch) -> None:
         job = batch.open_job.job
--- a/src/gapdrum/settings.py
+++ b/src/gapdrum/settings.py
@@ -43,9 +43,12 @@
     store_writes_per_s: int = count_field(10_000, 1, default=300)
     refuse_retry_after_ms: int = count_field(600_000, 10, default=1_000)
     runner_mode: str = text_field(default="open")
+    zone_mode: str = text_field(default="open")
 
 
-RUNNER_MODES = ("open", "drained")
+OPEN = "open"
+DRAINED = "drained"
+MODES = (OPEN, DRAINED)
 FIELD_NAMES = tuple(field.name for field in attrs.fields(Settings))
 
 
@@ -117,7 +120,8 @@
     registries = {
         "placement": sorted(POLICIES),
         "queue_order": sorted(ORDERS),
-        "runner_mode": RUNNER_MODES,
+        "runner_mode": MODES,
+        "zone_mode": MODES,
     }
     choices = registries.get(name)
     if choices is not None and value not in choices:
@@ -187,6 +191,10 @@
         """Return the values in force for an upstream."""
         return self.at(f"upstream{SEPARATOR}{upstream}")
 
+    def is_zone_drained(self, zone: str) -> bool:
+        """Tell whether nothing more may be started in an availability zone."""
+        return self.at(f"zone{SEPARATOR}{zone}").zone_mode == DRAINED
+
     def for_runner(self, agent_id: str) -> Settings:
         """Return the values in force for one runner, named by its agent."""
         return self.at(f"runner{SEPARATOR}{agent_id}")
