--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -297,7 +297,8 @@
       | status | body                                        |
       | 200    | {"ver"                                      |
       | 200    | {}                                          |
-      | 200    | {"ver":1,"rows":[7],"clock_ms":5}           |
+      | 200    | {"ver":1,"rows":7,"clock_ms":5}             |
+      | 200    | [{"ver":1,"rows":[],"clock_ms":5}]          |
       | 200    | {"ver":"x","rows":[],"clock_ms":"x"}        |
 
   Scenario: a loop in the background that crashes is told and begun anew
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -837,7 +837,9 @@
 
 @then('a read of rows fails as "{code}"')
 def read_fails(context, code):
-    found = call_malformed(context, lambda at: RowStore(at).read("open", "", 1_000))
+    found = call_malformed(
+        context, lambda at: RowStore(at, new_log(Timers())).read("open", "", 1_000)
+    )
     assert found == code, found
 
 
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -378,7 +378,7 @@
 
 @then("its address asks for {wanted:d} thousandths")
 def address_asks(context, wanted):
-    record = load_record(context.store.row(address_row("entry-1")).value)
+    record = load_record(context.store.row(address_row("entry-1")).value, EntryAddress)
     assert record.wanted_permille == wanted, record
 
 
--- a/src/gapdrum/agent/entry_directory.py
+++ b/src/gapdrum/agent/entry_directory.py
@@ -6,7 +6,7 @@
 from gapdrum.core.records import ADDRESS_TABLE, WHOLE_PART, EntryAddress, load_record
 from gapdrum.core.rows import Row
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError, StoreHistoryGoneError
+from gapdrum.exceptions import RecordError, StoreError, StoreHistoryGoneError
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import MS_PER_S
 
@@ -70,6 +70,13 @@
         for row in rows:
             if row.value is None:
                 self._links.unlist(row.at.key)
-            else:
-                self._links.list_entry(row.at.key, load_record(row.value))
+                continue
+            try:
+                address = load_record(row.value, EntryAddress)
+            except RecordError as error:
+                self._log.write(
+                    "row_unreadable", place=f"{ADDRESS_TABLE}//{row.at.key}", reason=error.message
+                )
+                continue
+            self._links.list_entry(row.at.key, address)
         self._links.arrange()
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -48,7 +48,7 @@
         self.links = EntryLinks(
             self._greet, timers, log, self.sent, self.received, boot.instance, boot.zone
         )
-        self.directory = EntryDirectory(RowStore(boot.store), self.links, log, _seeds(boot))
+        self.directory = EntryDirectory(RowStore(boot.store, log), self.links, log, _seeds(boot))
         self.reports = Reports(self.links, self.keepers, timers)
         self.orders = EntryOrders(self.links, self.keepers, self.grants, self.reports, timers, log)
         self.links.held_owners = self._held_owners
@@ -56,7 +56,7 @@
         self.links.on_renamed = self.orders.rename_owner
         self.links.on_away = self.orders.stop_unwaited
         self.links.on_message = self.orders.take
-        self.operators = OperatorFeed(RowStore(boot.store), timers, log)
+        self.operators = OperatorFeed(RowStore(boot.store, log), timers, log)
         self.zones = ZoneWatch(log)
         self.operators.subscribe(self.zones.take_table)
         self.standby = TableStandby(self.operators, self.links, timers, log)
--- a/src/gapdrum/agent/runner_registry.py
+++ b/src/gapdrum/agent/runner_registry.py
@@ -11,11 +11,11 @@
 from gapdrum.core.runner_models import Heartbeat
 from gapdrum.event_log import EventLog
 from gapdrum.platform.boot import Boot
+from gapdrum.platform.heartbeats import decode_heartbeat
 from gapdrum.platform.machine_list import find_listed_runner
 from gapdrum.platform.runner_calls import (
     DEREGISTER_PREFIX,
     HEARTBEAT_PREFIX,
-    decode_heartbeat,
     fetch_identity,
 )
 from gapdrum.timers import MS_PER_S, Timers
--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -1,7 +1,16 @@
 """The operators' configuration: queues, upstreams and limits of the callers' interface."""
 
+import math
+
 import attrs
 
+from gapdrum.structures import count_field, text_field
+
+
+def _check_factor(_instance: object, attribute: attrs.Attribute, value: object) -> None:
+    if not math.isfinite(value) or value < 0:
+        raise ValueError(f"{attribute.name} must be a number from 0 on")
+
 
 @attrs.frozen
 class Queue:
@@ -11,27 +20,27 @@
     longest chain of work, plus the slack.
     """
 
-    name: str
-    host: str
-    prefix: str
-    upstream: str
-    priority: int
-    failures_allowed: int
-    latency_factor: float
-    latency_slack_ms: int
-    timeout_ms: int
+    name: str = text_field()
+    host: str = text_field()
+    prefix: str = text_field()
+    upstream: str = text_field()
+    priority: int = count_field()
+    failures_allowed: int = count_field()
+    latency_factor: float = attrs.field(validator=_check_factor)
+    latency_slack_ms: int = count_field()
+    timeout_ms: int = count_field()
 
 
 @attrs.frozen
 class Configuration:
     """One version of the configuration."""
 
-    version: int
-    queues: tuple[Queue, ...]
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+    version: int = count_field()
+    queues: tuple[Queue, ...] = attrs.field()
+    max_header_bytes: int = count_field(minimum=1)
+    max_body_bytes: int = count_field(minimum=1)
+    header_timeout_ms: int = count_field(minimum=1)
+    idle_timeout_ms: int = count_field(minimum=1)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path, None if there is none."""
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -5,14 +5,19 @@
 the write limit and several jobs of a part can be written together.
 """
 
+from typing import TypeVar
+
 import attrs
+from attrs import validators
 
 from gapdrum.codec import Decoder, encode, message
 from gapdrum.core.models import JobState, Resources, Step, TaskName
 from gapdrum.core.rows import RowKey
-from gapdrum.exceptions import FrameError
+from gapdrum.exceptions import FrameError, RecordError
 from gapdrum.structures import count_field, rows_field, text_field
 
+T = TypeVar("T")
+
 OPEN_TABLE = "open"
 PROGRESS_TABLE = "progress"
 ENDED_TABLE = "ended"
@@ -26,6 +31,7 @@
 MAX_STEPS = 1_000
 MAX_TASKS = 10_000
 MAX_QUEUES = 10_000
+_COUNTS = validators.deep_iterable(validators.instance_of(int))
 
 
 def job_part(job_id: str) -> str:
@@ -62,15 +68,15 @@
 class StepRow:
     """A step in the flat form of a row."""
 
-    tasks: int
-    cpu_milli: int
-    memory_mb: int
-    accelerators: int
-    estimate_ms: int
-    after: tuple[int, ...] = attrs.field(converter=tuple)
-    required_label: str = ""
-    data_rack: str = ""
-    runner_limit: int = 0
+    tasks: int = count_field(MAX_TASKS, 1)
+    cpu_milli: int = count_field()
+    memory_mb: int = count_field()
+    accelerators: int = count_field()
+    estimate_ms: int = count_field()
+    after: tuple[int, ...] = attrs.field(converter=tuple, validator=_COUNTS)
+    required_label: str = text_field(MAX_SPEC_LENGTH, default="")
+    data_rack: str = text_field(MAX_SPEC_LENGTH, default="")
+    runner_limit: int = count_field(default=0)
 
     def to_step(self) -> Step:
         """Return the step."""
@@ -119,10 +125,10 @@
 class TaskProgress:
     """What is known for good of a task of an open job, with the attempts that failed."""
 
-    step: int
-    index: int
-    done: bool
-    failed_attempts: tuple[int, ...] = attrs.field(converter=tuple)
+    step: int = count_field()
+    index: int = count_field()
+    done: bool = attrs.field(validator=validators.instance_of(bool))
+    failed_attempts: tuple[int, ...] = attrs.field(converter=tuple, validator=_COUNTS)
 
 
 @message(61)
@@ -137,9 +143,9 @@
 class Restart:
     """A task that was started more than once, and the attempt that counts."""
 
-    step: int
-    index: int
-    attempt: int
+    step: int = count_field()
+    index: int = count_field()
+    attempt: int = count_field()
 
 
 @message(62)
@@ -148,7 +154,7 @@
     """A job that has ended, for good; who ended it tells a repeated write from another's."""
 
     queue: str = text_field()
-    state: str = text_field()
+    state: str = attrs.field(validator=validators.in_([state.value for state in JobState]))
     owner: str = text_field()
     epoch: int = count_field()
     restarts: tuple[Restart, ...] = rows_field(Restart, MAX_TASKS)
@@ -163,8 +169,8 @@
 class QueueDepth:
     """How many jobs of a queue an entry owns that have not begun."""
 
-    queue: str
-    waiting: int
+    queue: str = text_field()
+    waiting: int = count_field()
 
 
 @message(63)
@@ -199,11 +205,19 @@
     return encode(record)
 
 
-def load_record(value: bytes) -> object:
-    """Return the record in a row's value; raises FrameError."""
-    for record in Decoder().feed(value):
-        return record
-    raise FrameError("the row's value is cut short")
+def load_record(value: bytes, kind: type[T]) -> T:
+    """Return the record of a kind in a row's value.
+
+    Raises RecordError if it can't be read or is of another kind: another writer may have put it
+    there.
+    """
+    try:
+        record = next(Decoder().feed(value), None)
+    except FrameError as error:
+        raise RecordError(error.message) from error
+    if not isinstance(record, kind):
+        raise RecordError(f"expected {kind.__name__}, found {type(record).__name__}")
+    return record
 
 
 def owner_name(instance: str, incarnation: str) -> str:
--- a/src/gapdrum/entry/acceptance.py
+++ b/src/gapdrum/entry/acceptance.py
@@ -120,8 +120,8 @@
             self._take_job(job_id, queue, record, result.version, store_ms)
             return
         present = next((row for row in result.rows if row.at == open_row(job_id)), None)
-        if present is not None and present.value:
-            found = load_record(present.value)
+        if present is not None and present.value is not None:
+            found = load_record(present.value, OpenJob)
             if found.owner == record.owner and found.epoch == record.epoch:
                 self._take_job(job_id, queue, found, present.version, store_ms)
                 return
--- a/src/gapdrum/entry/endings.py
+++ b/src/gapdrum/entry/endings.py
@@ -12,6 +12,7 @@
 from gapdrum.core.orders import EndsStored, JobEpoch, JobsClaimed, RunEvent
 from gapdrum.core.records import (
     EndedJob,
+    OpenJob,
     Restart,
     dump_record,
     ended_row,
@@ -157,7 +158,7 @@
 
         Returns False if the row has changed meanwhile and must be read again.
         """
-        found = load_record(row.value)
+        found = load_record(row.value, OpenJob)
         record = EndedJob(found.queue, JobState.CANCELLED.value, found.owner, found.epoch + 1, ())
         transaction = _ending(job_id, row.version, record, True)
         result = await self._writer.write(job_part(job_id), transaction)
@@ -184,13 +185,14 @@
             # The open row is read first: a job moves from there to the ended ones, never back.
             opened = await self._store.read_row(open_row(job_id))
             ended = await self._store.read_row(ended_row(job_id))
+            if ended is not None:
+                self.remember(job_id, load_record(ended.value, EndedJob))
         except StoreError as error:
             self._log.write("lookup_failed", request=job_id, code=error.code)
             return
         finally:
             self._lookups.discard(job_id)
         if ended is not None:
-            self.remember(job_id, load_record(ended.value))
             self._let_go(place, event, self._known[job_id])
         elif opened is None:
             self._dispatch.let_go(place, (event.end_number,))
@@ -222,12 +224,7 @@
 
 def _is_ours(conflict: Conflict, record: EndedJob) -> bool:
     """Tell whether the row that is in the way is the one of an earlier, unanswered try."""
-    for row in conflict.rows:
-        if row.value is not None:
-            found = load_record(row.value)
-            if found == record:
-                return True
-    return False
+    return any(row.value == dump_record(record) for row in conflict.rows)
 
 
 def _restarts(job: Job) -> tuple[Restart, ...]:
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -8,7 +8,7 @@
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import Job, longest_chain_ms
 from gapdrum.core.models import JobState
-from gapdrum.core.records import ended_row, load_record, open_row
+from gapdrum.core.records import EndedJob, ended_row, load_record, open_row
 from gapdrum.entry.acceptance import Acceptance, Acceptor
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.configuration_watch import ConfigurationWatch
@@ -226,7 +226,7 @@
         ended = await self._store.read_row(ended_row(job_id))
         if ended is None:
             return None
-        record = load_record(ended.value)
+        record = load_record(ended.value, EndedJob)
         self._endings.remember(job_id, record)
         return record.job_state
 
--- a/src/gapdrum/entry/lease.py
+++ b/src/gapdrum/entry/lease.py
@@ -23,7 +23,7 @@
 from gapdrum.core.rows import ABSENT, Conflict, Expectation, Put, Row, Transaction
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError
+from gapdrum.exceptions import RecordError, StoreError
 from gapdrum.timers import MS_PER_S, Timers
 
 RENEW_INTERVAL_MS = 1_000
@@ -34,6 +34,8 @@
 LEASE_MS = 4_000
 # Others take a lease as lapsed only later, by their own clocks and timers.
 LAPSE_SLACK_MS = 600
+# The incarnation of a lease that can't be read: no owner of any job is named so.
+UNREADABLE = "unreadable"
 
 
 @attrs.define
@@ -157,7 +159,11 @@
         self.on_lost()
 
     def _is_own(self, row: Row) -> bool:
-        return load_record(row.value).incarnation == self.incarnation
+        try:
+            return load_record(row.value, EntryLease).incarnation == self.incarnation
+        except RecordError as error:
+            self._note_unreadable(row, error)
+            return False
 
     def _take_renewal(self, version: int, sent_ms: int) -> None:
         self._version = version
@@ -194,13 +200,23 @@
 
     def _note_lease(self, name: str, row: Row, now_ms: int) -> bool:
         """Note a lease as it was read; return whether an earlier life of the entry has ended."""
-        lease = load_record(row.value)
         before = self.others.get(name)
         if before is not None and before.version == row.version:
             return False
+        try:
+            lease = load_record(row.value, EntryLease)
+        except RecordError as error:
+            # Another writer's: like a lease that is not renewed, it lapses and is removed.
+            self._note_unreadable(row, error)
+            lease = before.lease if before is not None else EntryLease(UNREADABLE, 0, ())
         self.others[name] = SeenLease(lease, row.version, now_ms)
         return before is not None and before.lease.incarnation != lease.incarnation
 
+    def _note_unreadable(self, row: Row, error: RecordError) -> None:
+        self._log.write(
+            "row_unreadable", place=f"{LEASE_TABLE}//{row.at.key}", reason=error.message
+        )
+
     def _has_lapsed(self, name: str, now_ms: int) -> bool:
         unchanged_ms = now_ms - self.others[name].unchanged_since_ms
         return unchanged_ms > LEASE_MS + LAPSE_SLACK_MS
--- a/src/gapdrum/entry/peer_notices.py
+++ b/src/gapdrum/entry/peer_notices.py
@@ -6,7 +6,7 @@
 from gapdrum.background import Background
 from gapdrum.backoff import Backoff
 from gapdrum.core.orders import JobCancelled
-from gapdrum.core.records import address_row, entry_of_owner, load_record
+from gapdrum.core.records import EntryAddress, address_row, entry_of_owner, load_record
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.event_log import EventLog
 from gapdrum.exceptions import FrameError, StoreError, StreamClosedError
@@ -59,7 +59,7 @@
         row = await self._store.read_row(address_row(entry_of_owner(owner)))
         if row is None:
             return  # the owner has ended, and nothing runs in its name for long
-        address = load_record(row.value)
+        address = load_record(row.value, EntryAddress)
         stream = await open_stream(
             address.host, address.port, self._sent, self._received, timeout_s=CONNECT_TIMEOUT_S
         )
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -66,11 +66,11 @@
         self.received: Counter[str] = Counter()
         self.leaving = False
         self._placing = False
-        rows = RowStore(boot.store)
+        rows = RowStore(boot.store, log)
         self.store = StoreAccess(rows, timers, log)
         self.background = Background(log)
         self.writer = Writer(self.store, self.background)
-        self.operators = OperatorFeed(RowStore(boot.store), timers, log)
+        self.operators = OperatorFeed(RowStore(boot.store, log), timers, log)
         self.configuration = ConfigurationWatch(log)
         self.zones = ZoneWatch(log)
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
--- a/src/gapdrum/entry/store_access.py
+++ b/src/gapdrum/entry/store_access.py
@@ -59,7 +59,7 @@
         rows: list[Row] = []
         page = await self.read(table, part)
         rows.extend(page.rows)
-        while page.has_more:
+        while page.has_more and page.rows:
             page = await self.read(table, part, rows[-1].at.key + "\0")
             rows.extend(page.rows)
         return rows
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -11,6 +11,7 @@
     JOB_PARTS,
     OPEN_TABLE,
     PROGRESS_TABLE,
+    JobProgress,
     OpenJob,
     dump_record,
     load_record,
@@ -24,7 +25,7 @@
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.entry.writer import Writer
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError
+from gapdrum.exceptions import RecordError, StoreError
 from gapdrum.timers import Timers
 
 # Jobs claimed in one transaction; a row has up to 6 KB, and others may be after the same jobs.
@@ -92,7 +93,12 @@
                 await self._claim(part, orphans[begin : begin + CLAIM_BATCH])
 
     def _is_orphan(self, row: Row, owners: frozenset[str]) -> bool:
-        owner = load_record(row.value).owner
+        try:
+            owner = load_record(row.value, OpenJob).owner
+        except RecordError as error:
+            # Nobody can run it; whoever asks after the job is told that its row can't be read.
+            self._note_unreadable(row, error)
+            return False
         if owner == self._lease.owner:
             # A claim whose answer was lost has made the row ours without our knowing the job.
             return not self._is_known(row.at.key)
@@ -125,7 +131,7 @@
         self._links.broadcast(JobsClaimed(epochs))
 
     def _claimed(self, row: Row) -> OpenJob:
-        record = load_record(row.value)
+        record = load_record(row.value, OpenJob)
         return attrs.evolve(record, owner=self._lease.owner, epoch=record.epoch + 1)
 
     def _take(self, job_id: str, record: OpenJob, version: int, progress: Row | None) -> None:
@@ -137,7 +143,12 @@
             task.phase = TaskPhase.UNKNOWN
         if progress is not None:
             job.has_progress_row = True
-            job.restore(load_record(progress.value))
+            try:
+                job.restore(load_record(progress.value, JobProgress))
+            except RecordError as error:
+                # Which of its tasks are done is not known, so none of them may be started.
+                self._note_unreadable(progress, error)
+                return
         self._log.write(
             "job_taken_over",
             request=job_id,
@@ -148,6 +159,10 @@
         )
         self._dispatch.add_job(job, now_ms)
 
+    def _note_unreadable(self, row: Row, error: RecordError) -> None:
+        place = f"{row.at.table}/{row.at.part}/{row.at.key}"
+        self._log.write("row_unreadable", place=place, reason=error.message)
+
     def unsettled_claims(self) -> tuple[JobEpoch, ...]:
         """Return the jobs of which agents that connect now may hold runs of earlier owners."""
         return tuple(
--- a/src/gapdrum/exceptions.py
+++ b/src/gapdrum/exceptions.py
@@ -144,6 +144,12 @@
     code = "store_rejected"
 
 
+class RecordError(StoreError):
+    """A row that should hold a record of ours can't be read."""
+
+    code = "record_unreadable"
+
+
 class StoreHistoryGoneError(StoreError):
     """The store no longer has the changes that were asked for; read the rows anew."""
 
--- a/src/gapdrum/platform/boot.py
+++ b/src/gapdrum/platform/boot.py
@@ -48,7 +48,7 @@
         document = tomllib.load(file)
     try:
         return decode_boot(document)
-    except (KeyError, TypeError) as error:
+    except (LookupError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"{source}: field missing or wrong: {error}") from error
 
 
--- a/src/gapdrum/platform/configuration.py
+++ b/src/gapdrum/platform/configuration.py
@@ -11,7 +11,7 @@
     """Return the configuration in its row; raises ValueError."""
     try:
         return _decode(json.loads(row.value))
-    except (KeyError, TypeError) as error:
+    except (LookupError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise ValueError(f"the configuration is malformed: {error}") from error
 
 
--- a/src/gapdrum/platform/machine_list.py
+++ b/src/gapdrum/platform/machine_list.py
@@ -3,6 +3,8 @@
 from typing import Any
 from urllib.parse import quote
 
+import attrs
+
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.runner_models import ListedRunner
 from gapdrum.platform.resources import decode_resources
@@ -23,31 +25,63 @@
     path = "/machines"
     try:
         for _ in range(MAX_PAGES):
-            document = await _read_page(client, path, timeout_ms)
-            for row in document["machines"]:
-                if row.get("id") == runner_id:
-                    return _decode_machine(row)
-            if not document.get("next_token"):
-                return None
-            path = f"/machines?page_token={quote(str(document['next_token']))}"
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise NoReplyError(f"the list of machines is malformed: {error!r}") from error
+            page = decode_page(await _read_page(client, path, timeout_ms), runner_id)
+            if page.found is not None or not page.next_token:
+                return page.found
+            path = f"/machines?page_token={quote(page.next_token)}"
     finally:
         client.close()
     raise NoReplyError(f"the list of machines has over {MAX_PAGES} pages")
 
 
-async def _read_page(client: HttpClient, path: str, timeout_ms: int) -> dict[str, Any]:
+@attrs.frozen
+class ListPage:
+    """What a page of the list says of a runner, and where the list goes on."""
+
+    found: ListedRunner | None
+    next_token: str
+
+
+def decode_page(document: Any, runner_id: str) -> ListPage:
+    """Return what a page says of a runner; raises NoReplyError.
+
+    Machines of other writers, which can't be read, are passed over.
+    """
+    try:
+        rows = [row for row in document["machines"] if isinstance(row, dict)]
+        found = next((row for row in rows if row.get("id") == runner_id), None)
+        token = str(document.get("next_token") or "")
+        return ListPage(_decode_machine(found) if found is not None else None, token)
+    except (LookupError, TypeError, ValueError, AttributeError) as error:
+        raise NoReplyError(f"the list of machines is malformed: {error!r}") from error
+
+
+async def _read_page(client: HttpClient, path: str, timeout_ms: int) -> Any:
     reply = await client.call("GET", path, timeout_ms=timeout_ms)
     if reply.status != 200:
         raise NoReplyError(f"the list of machines was answered {reply.status}")
-    return reply.document()
+    try:
+        return reply.document()
+    except ValueError as error:
+        raise NoReplyError("the list of machines is no JSON") from error
 
 
 def _decode_machine(row: dict[str, Any]) -> ListedRunner:
     return ListedRunner(
         # A ``pool`` of machines is what serves an upstream.
-        upstream=row["pool"],
+        upstream=_decode_pool(row["pool"]),
         capacity=decode_resources(row["capacity"]),
-        labels=tuple(row.get("labels", ())),
+        labels=_decode_labels(row.get("labels", [])),
     )
+
+
+def _decode_pool(pool: object) -> str:
+    if not isinstance(pool, str) or not pool:
+        raise ValueError("the pool has no name")
+    return pool
+
+
+def _decode_labels(labels: object) -> tuple[str, ...]:
+    if not isinstance(labels, list) or not all(isinstance(label, str) for label in labels):
+        raise ValueError("labels must be texts")
+    return tuple(labels)
--- a/src/gapdrum/platform/resources.py
+++ b/src/gapdrum/platform/resources.py
@@ -5,8 +5,22 @@
 
 from gapdrum.core.models import Resources
 
+MAX_AMOUNT = 2**31
+
 
 def decode_resources(document: Mapping[str, Any]) -> Resources:
-    """Return the room in a document; a field that is left out is 0."""
+    """Return the room in a document; a field that is left out is 0.
+
+    Raises TypeError or ValueError for a field of another type, or out of range.
+    """
+    if not isinstance(document, Mapping):
+        raise TypeError("the room must be an object")
     # ``cpu`` is in thousandths of a core, ``gpu`` counts accelerators.
-    return Resources(document.get("cpu", 0), document.get("mem_mb", 0), document.get("gpu", 0))
+    return Resources(*(_take_amount(document, name) for name in ("cpu", "mem_mb", "gpu")))
+
+
+def _take_amount(document: Mapping[str, Any], name: str) -> int:
+    amount = document.get(name, 0)
+    if type(amount) is not int or not 0 <= amount <= MAX_AMOUNT:
+        raise ValueError(f"{name} must be a whole number from 0 on")
+    return amount
--- a/src/gapdrum/platform/rows.py
+++ b/src/gapdrum/platform/rows.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections import OrderedDict
 from typing import Any
 from urllib.parse import urlencode
 
@@ -16,6 +17,7 @@
     RowKey,
     Transaction,
 )
+from gapdrum.event_log import EventLog
 from gapdrum.exceptions import (
     StoreError,
     StoreHistoryGoneError,
@@ -25,6 +27,14 @@
 from gapdrum.transport.http_client import HttpClient, NoReplyError, NotSentError
 from gapdrum.transport.http_messages import HttpReply
 
+# What reading a document raises whose fields are missing or of other types.
+MALFORMED = (LookupError, TypeError, ValueError, AttributeError, OverflowError)
+# The value of a row that was there and could not be read: no record of ours is empty.
+UNREADABLE = b""
+# Places of rows that could not be read which are remembered, so that each is logged once.
+KEPT_PLACES = 256
+MAX_PLACE_LENGTH = 200
+MAX_REASON_LENGTH = 200
 FEED_MARGIN_MS = 500  # a feed answers at its own time-out; allow the way and a slow store
 
 
@@ -35,15 +45,17 @@
     StoreOutcomeUnknownError where a write may or may not take effect.
     """
 
-    def __init__(self, address: Endpoint) -> None:
+    def __init__(self, address: Endpoint, log: EventLog) -> None:
         self._client = HttpClient(address.host, address.port)
+        self._log = log
+        self._unreadable: OrderedDict[str, None] = OrderedDict()  # what was said already
 
     async def transact(self, transaction: Transaction, timeout_ms: int) -> Committed | Conflict:
         """Try a transaction once."""
         body = json.dumps(_encode_transaction(transaction)).encode()
         reply = await self._call("POST", "/rows-tx", body, timeout_ms)
         if reply.status == 412:
-            return Conflict(_decode_rows(_document(reply)))
+            return Conflict(self._decode_all(_document(reply)))
         _check(reply)
         return Committed(_version(_document(reply)))
 
@@ -54,20 +66,21 @@
         query = {"table": table, "part": part, "limit": limit}
         if first:
             query["from"] = first
-        return await self._read(query, timeout_ms)
+        document = await self._read(query, timeout_ms)
+        rows = self._decode_rows(document)
+        return Page(rows, bool(document.get("has_more")), _version(document))
 
     async def read_row(self, at: RowKey, timeout_ms: int) -> Row | None:
         """Read one row; None if it does not exist."""
         # ``destination`` is the end of the range, excluded: the next key after this one.
         query = {"table": at.table, "part": at.part, "from": at.key, "destination": at.key + "\0"}
-        page = await self._read({**query, "limit": 1}, timeout_ms)
-        return page.rows[0] if page.rows else None
+        rows = self._decode_all(await self._read({**query, "limit": 1}, timeout_ms))
+        return rows[0] if rows else None
 
-    async def _read(self, query: dict[str, Any], timeout_ms: int) -> Page:
+    async def _read(self, query: dict[str, Any], timeout_ms: int) -> dict[str, Any]:
         reply = await self._call("GET", f"/rows-get?{urlencode(query)}", b"", timeout_ms)
         _check(reply)
-        document = _document(reply)
-        return Page(_decode_rows(document), bool(document.get("has_more")), _version(document))
+        return _document(reply)
 
     async def watch(self, table: str, after: int, wait_ms: int) -> Changes:
         """Wait for changes of a table; raises StoreHistoryGoneError if they are forgotten."""
@@ -77,7 +90,47 @@
             raise StoreHistoryGoneError(f"the store has no changes after {after}")
         _check(reply)
         document = _document(reply)
-        return Changes(_decode_rows(document), _version(document))
+        return Changes(self._decode_rows(document), _version(document))
+
+    def _decode_rows(self, document: dict[str, Any]) -> tuple[Row, ...]:
+        """Return the rows of an answer; one without an identity is left out, as it names nothing.
+
+        A row of another writer must not cost the others.
+        """
+        rows = document.get("rows")
+        if not isinstance(rows, list):
+            raise StoreOutcomeUnknownError("the store's answer has no rows")
+        return tuple(filter(None, map(self._decode_row, rows)))
+
+    def _decode_all(self, document: dict[str, Any]) -> tuple[Row, ...]:
+        """Return the rows of an answer on rows that the caller has named: none may be missing."""
+        rows = self._decode_rows(document)
+        if len(rows) != len(document["rows"]):
+            raise StoreOutcomeUnknownError("the store's answer has rows without an identity")
+        return rows
+
+    def _decode_row(self, row: object) -> Row | None:
+        """Return a row, with ``UNREADABLE`` as its value if that or its version can't be read."""
+        try:
+            at = _decode_identity(row)
+        except MALFORMED as error:
+            self._note_unreadable("?", error)
+            return None
+        try:
+            return _decode_contents(at, row)
+        except MALFORMED as error:
+            self._note_unreadable(f"{at.table}/{at.part}/{at.key}", error)
+            return Row(at, UNREADABLE, ABSENT)
+
+    def _note_unreadable(self, place: str, error: Exception) -> None:
+        """Say once where a row stands that can't be read."""
+        if place in self._unreadable:
+            return
+        self._unreadable[place] = None
+        while len(self._unreadable) > KEPT_PLACES:
+            self._unreadable.popitem(last=False)
+        reason = repr(error)[:MAX_REASON_LENGTH]
+        self._log.write("row_unreadable", place=place[:MAX_PLACE_LENGTH], reason=reason)
 
     async def _call(self, method: str, path: str, body: bytes, timeout_ms: int) -> HttpReply:
         try:
@@ -99,25 +152,21 @@
 
 def _document(reply: HttpReply) -> dict[str, Any]:
     try:
-        return reply.document()
+        document = reply.document()
     except ValueError as error:
         raise StoreOutcomeUnknownError("the store's answer is no JSON") from error
+    if not isinstance(document, dict):
+        raise StoreOutcomeUnknownError("the store's answer is no object")
+    return document
 
 
 def _version(document: dict[str, Any]) -> int:
     try:
         return int(document["ver"])
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise StoreOutcomeUnknownError("the store's answer has no version") from error
 
 
-def _decode_rows(document: dict[str, Any]) -> tuple[Row, ...]:
-    try:
-        return tuple(_decode_row(row) for row in document["rows"])
-    except (KeyError, TypeError, ValueError) as error:
-        raise StoreOutcomeUnknownError(f"the store's rows are malformed: {error!r}") from error
-
-
 def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
     return {
         "expect": [
@@ -135,8 +184,14 @@
     return {"table": at.table, "part": at.part, "key": at.key}
 
 
-def _decode_row(row: dict[str, Any]) -> Row:
-    at = RowKey(row["table"], row.get("part", ""), row["key"])
+def _decode_identity(row: object) -> RowKey:
+    names = (row["table"], row.get("part", ""), row["key"])
+    if not all(isinstance(name, str) for name in names):
+        raise TypeError("table, part and key must be texts")
+    return RowKey(*names)
+
+
+def _decode_contents(at: RowKey, row: dict[str, Any]) -> Row:
     version = int(row.get("ver", ABSENT))
     absent = row.get("removed") or row.get("value") is None
-    return Row(at, None if absent else base64.b64decode(row["value"]), version)
+    return Row(at, None if absent else base64.b64decode(row["value"], validate=True), version)
--- a/src/gapdrum/platform/runner_calls.py
+++ b/src/gapdrum/platform/runner_calls.py
@@ -1,13 +1,12 @@
-"""What a runner is told and tells: heartbeats, starts, stops, and looks at what it runs."""
+"""What a runner is told, and what it answers: starts, stops, and looks at what it runs."""
 
 import json
 from typing import Any
 
-from gapdrum.core.endpoints import Endpoint, parse_endpoint
+from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import RunEnd, RunKey, TaskName
-from gapdrum.core.runner_models import EndedRun, Heartbeat, RunnerLook, RunningTask
+from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
 from gapdrum.exceptions import GapdrumError
-from gapdrum.platform.resources import decode_resources
 from gapdrum.transport.http_client import HttpClient, NoReplyError
 from gapdrum.transport.http_messages import HttpReply
 
@@ -35,31 +34,15 @@
         self.clock_ms = clock_ms
 
 
+# What reading a document raises whose fields are missing or of other types.
+MALFORMED = (LookupError, ValueError, TypeError, AttributeError, OverflowError)
+
 # Reasons of a rejection.
 REASON_FENCED = "fence"
 REASON_SUPERSEDED = "old"
 REASON_LATE = "late"
 
 
-def decode_heartbeat(runner_id: str, body: bytes) -> Heartbeat:
-    """Return the heartbeat in a body; raises ValueError."""
-    try:
-        document = json.loads(body)
-        return Heartbeat(
-            runner_id=runner_id,
-            upstream=document["service"],
-            address=parse_endpoint(document["address"]),
-            zone=document.get("zone", ""),
-            draining=document["state"] == "draining",
-            capacity=decode_resources(document.get("capacity", {})),
-            # The runner's kind and its rack.
-            labels=tuple(document.get("labels", ())),
-            sequence=int(document.get("sequence", 0)),
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"the heartbeat is malformed: {error}") from error
-
-
 class RunnerCalls:
     """Calls one incarnation of a runner. Raises NotSentError and NoReplyError, too."""
 
@@ -107,7 +90,7 @@
         try:
             running = tuple(_decode_running(row) for row in document["running"])
             ended = tuple(_decode_ended(row) for row in document["ended"])
-        except (KeyError, ValueError, TypeError, IndexError) as error:
+        except MALFORMED as error:
             raise NoReplyError(f"the look is malformed: {error!r}") from error
         return RunnerLook(clock_ms, running, ended)
 
@@ -134,16 +117,19 @@
         document = reply.document() if reply.body else {}
     except ValueError:
         document = {}
+    if not isinstance(document, dict):
+        document = {}
     if reply.status != 200:
-        reason = document.get("reason", "")
-        raise RunnerRejectedError(reply.status, reason, document.get("clock_ms"))
+        clock_ms = document.get("clock_ms")
+        known_clock_ms = clock_ms if type(clock_ms) is int else None
+        raise RunnerRejectedError(reply.status, str(document.get("reason", "")), known_clock_ms)
     return document
 
 
 def _clock(document: dict[str, Any]) -> int:
     try:
         return int(document["clock_ms"])
-    except (KeyError, ValueError, TypeError) as error:
+    except (KeyError, ValueError, TypeError, OverflowError) as error:
         raise NoReplyError(f"the reply has no clock: {error!r}") from error
 
 
--- a/src/gapdrum/platform/submissions.py
+++ b/src/gapdrum/platform/submissions.py
@@ -76,7 +76,7 @@
             return self._findings
         self._check_names(document, JOB_FIELDS, "$")
         spec = document.get("spec")
-        if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
+        if not _is_text(spec) or len(spec.encode()) > MAX_SPEC_BYTES:
             self._add("$.spec", f"expected a string of at most {MAX_SPEC_BYTES} bytes")
         steps = document.get("steps")
         if not isinstance(steps, list) or not steps:
@@ -102,7 +102,8 @@
         for name in ("cpu", "mem_mb", "gpu", "estimate_ms", "anti_affinity"):
             self._check_count(step, name, place)
         for name in ("requires", "affinity", "image"):
-            if not isinstance(step.get(name, ""), str):
+            text = step.get(name, "")
+            if not _is_text(text) or len(text) > MAX_SPEC_BYTES:
                 self._add(f"{place}.{name}", "expected a string")
         after = step.get("after", [])
         if not isinstance(after, list) or not all(
@@ -121,6 +122,11 @@
         self._findings.append(Finding(place, message))
 
 
+def _is_text(value: object) -> bool:
+    """Tell whether a value is a text that can be written as UTF-8; JSON can hold others."""
+    return isinstance(value, str) and not any("\ud800" <= letter <= "\udfff" for letter in value)
+
+
 def _refuse_unsupported(document: dict[str, Any]) -> None:
     places = [f"$.{name}" for name in UNSUPPORTED_JOB_FIELDS if document.get(name)]
     for number, step in enumerate(document["steps"]):
--- a/src/gapdrum/transport/http_messages.py
+++ b/src/gapdrum/transport/http_messages.py
@@ -66,8 +66,11 @@
     body: bytes
 
     def document(self) -> Any:
-        """Return the body's JSON; raises ValueError if it is none."""
-        return json.loads(self.body)
+        """Return the body's JSON; raises ValueError if it is none, or nested without end."""
+        try:
+            return json.loads(self.body)
+        except RecursionError as error:
+            raise ValueError("nested too deep") from error
 
 
 def _phrase(status: int) -> str:
