--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -40,10 +40,15 @@
       | 1    | refused after a wait                   |
       | 1    | late: its first task started late      |
       | 1    | late: its last task started late       |
-      | 1    | late: it ran longer than stated        |
+      | 1    | late: its tasks began in time, and its answer came late |
       | 1    | late: a start came to nothing (no_room) |
       | 1    | no end is logged, it had begun         |
 
+  Scenario: losses are told by zone, by seconds from the first line, for programs, and drawn
+    Given logs of jobs that were served, refused, given up, late and left without an end
+    Then "gapdrum logs losses" tells of 8 jobs in "moka-hall" in second 0
+    And it draws 8 jobs in second 0
+
   Scenario: figures tell the messages of streams by direction and kind
     Given a process that has sent 3 "AgentBeat" and received 2 "BeatEcho"
     Then its figures tell 3 "AgentBeat" that were sent
--- a/src/gapdrum/cli.py
+++ b/src/gapdrum/cli.py
@@ -13,8 +13,9 @@
 from rich.console import Console
 from rich.table import Table
 
+from gapdrum.conversion import unstructure
 from gapdrum.exceptions import GapdrumError
-from gapdrum.losses import sum_up_losses
+from gapdrum.losses import draw_losses, sum_up_losses
 from gapdrum.sessions import Session
 from gapdrum.settings import DRAINED
 from gapdrum.timelines import build_timeline, read_lines
@@ -314,18 +315,28 @@
 @logs_app.command()
 def losses(
     files: Annotated[list[Path], typer.Argument(help="Logs of entries and agents.")],
+    as_json: AsJson = False,
 ) -> None:
-    """Show what jobs were lost or late, when, and for what reason, most frequent first."""
-    table = Table("jobs", "reason", "queues", "entries", "worst seconds of the day")
-    for loss in sum_up_losses(read_lines(files)):
+    """Show what jobs were lost or late, when, and for what reason, most frequent first.
+
+    Seconds count from the first line; jobs are late by the work as it was.
+    """
+    found = sum_up_losses(read_lines(files))
+    if as_json:
+        typer.echo(json.dumps([unstructure(loss) for loss in found]))
+        return
+    table = Table("jobs", "reason", "queues", "zones", "worst seconds")
+    for loss in found:
         table.add_row(
             str(loss.jobs),
             loss.reason,
             _cell(dict(loss.queues.most_common())),
-            _cell(dict(loss.entries.most_common())),
+            _cell(dict(loss.zones.most_common())),
             loss.worst_seconds(),
         )
     Console().print(table)
+    for line in draw_losses(found):
+        typer.echo(line)
 
 
 def main() -> None:
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -73,6 +73,8 @@
             queue=queue.name,
             tasks=len(job.tasks),
             objective_ms=job.objective_ms,
+            chain_ms=job.chain_ms,
+            latency_factor=queue.latency_factor,
         )
         self._dispatch.add_job(job, now_ms)
 
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -94,7 +94,16 @@
     "request", "call", "queue", "configuration",
 )  # fmt: skip
 _add("job_accepted", "The job's row is stored.", "request", "queue", "tasks", "version", "store_ms")
-_add("job_begun", "A caller waits for the job.", "request", "queue", "tasks", "objective_ms")
+_add(
+    "job_begun",
+    "A caller waits for the job; the objective is by the stated work of its longest chain.",
+    "request",
+    "queue",
+    "tasks",
+    "objective_ms",
+    "chain_ms",
+    "latency_factor",
+)
 _add("job_known", "The job was handed in before.", "request", "queue", "store_ms")
 _add("job_refused", "The job has not run and will not.", "request", "queue", "reason")
 _add(
--- a/src/gapdrum/losses.py
+++ b/src/gapdrum/losses.py
@@ -1,5 +1,6 @@
 """Sums up from log lines what jobs were lost or late, when, and for what reason."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 
@@ -11,6 +12,8 @@
 # Seconds that are told of each reason, those with the most losses first.
 WORST_SECONDS = 3
 ENDED = "ended"
+DONE = "done"
+BAR_LENGTH = 60  # characters of the busiest second in the picture
 GIVEN_UP = "no_room_in_time"
 
 
@@ -21,20 +24,20 @@
     reason: str
     jobs: int = 0
     queues: Counter[str] = attrs.Factory(Counter)
-    entries: Counter[str] = attrs.Factory(Counter)
-    seconds: Counter[int] = attrs.Factory(Counter)
+    zones: Counter[str] = attrs.Factory(Counter)
+    seconds: Counter[int] = attrs.Factory(Counter)  # since the first line
 
-    def count(self, job: "JobHistory") -> None:
+    def count(self, job: "JobHistory", zone: str, first_ms: int) -> None:
         """Count a job."""
         self.jobs += 1
         self.queues[job.queue] += 1
-        self.entries[job.entry] += 1
-        self.seconds[job.submitted_ms // MS_PER_S] += 1
+        self.zones[zone] += 1
+        self.seconds[(job.submitted_ms - first_ms) // MS_PER_S] += 1
 
     def worst_seconds(self) -> str:
-        """Return the seconds of the day with most of these jobs, and how many."""
+        """Return the seconds with most of these jobs, and how many."""
         most = self.seconds.most_common(WORST_SECONDS)
-        return ", ".join(f"{second % 86_400} s: {count}" for second, count in sorted(most))
+        return ", ".join(f"{second} s: {count}" for second, count in sorted(most))
 
 
 @attrs.define
@@ -45,15 +48,28 @@
     entry: str
     submitted_ms: int
     objective_ms: int = 0
+    chain_ms: int = 0
+    latency_factor: float = 0.0
+    ran_ms: dict[str, int] = attrs.Factory(dict)  # the longest run that was done, by step
     starts_ms: list[int] = attrs.Factory(list)
     released: Counter[str] = attrs.Factory(Counter)
     outcome: str = ""
     total_ms: int = 0
 
+    @property
+    def due_ms(self) -> float:
+        """Return within which time callers need the answer: by the work as it was.
+
+        Stated work is 40% off: by that, 2,417 jobs of a day counted as late of which callers saw
+        some 250.
+        """
+        chain_ms = sum(self.ran_ms.values())
+        return self.objective_ms + self.latency_factor * (chain_ms - self.chain_ms)
+
     def reason(self) -> str:
         """Return why the job was lost or late; empty if it was neither."""
         if self.outcome == ENDED:
-            return self._lateness() if self.total_ms > self.objective_ms else ""
+            return self._lateness() if self.total_ms > self.due_ms else ""
         if self.outcome:
             return self.outcome if not self.starts_ms else f"{self.outcome}, after it had begun"
         return "no end is logged" + (", it had begun" if self.starts_ms else "")
@@ -64,14 +80,14 @@
             return "late: no start is logged"
         first_ms = min(self.starts_ms) - self.submitted_ms
         last_ms = max(self.starts_ms) - self.submitted_ms
-        over_ms = self.total_ms - self.objective_ms
+        over_ms = self.total_ms - self.due_ms
         if first_ms >= over_ms:
             return "late: its first task started late"
         if self.released:
             return f"late: a start came to nothing ({self.released.most_common(1)[0][0]})"
         if last_ms >= over_ms:
             return "late: its last task started late"
-        return "late: it ran longer than stated"
+        return "late: its tasks began in time, and its answer came late"
 
 
 def sum_up_losses(lines: Iterable[LogLine]) -> list[Loss]:
@@ -82,29 +98,58 @@
         for loss in sum_up_losses(read_lines(paths)):
             print(loss.reason, loss.jobs, loss.worst_seconds())
     """
+    day = _gather_day(lines)
     losses: dict[str, Loss] = {}
-    for job in _gather_jobs(lines).values():
+    for job in day.jobs.values():
         reason = job.reason()
         if reason:
-            losses.setdefault(reason, Loss(reason)).count(job)
+            zone = day.zones.get(job.entry, job.entry)
+            losses.setdefault(reason, Loss(reason)).count(job, zone, day.first_ms)
     return sorted(losses.values(), key=lambda loss: -loss.jobs)
 
 
-def _gather_jobs(lines: Iterable[LogLine]) -> dict[str, JobHistory]:
-    jobs: dict[str, JobHistory] = {}
+def draw_losses(losses: Iterable[Loss]) -> list[str]:
+    """Return a line for each second with losses, as long as there are many."""
+    seconds = sum((loss.seconds for loss in losses), Counter())
+    most = max(seconds.values(), default=1)
+    return [
+        f"{second:>5} s {seconds[second]:>6} {'#' * math.ceil(BAR_LENGTH * seconds[second] / most)}"
+        for second in sorted(seconds)
+    ]
+
+
+@attrs.define
+class _Day:
+    """All jobs that were handed in, and the availability zones of instances."""
+
+    first_ms: int = 0
+    jobs: dict[str, JobHistory] = attrs.Factory(dict)
+    zones: dict[str, str] = attrs.Factory(dict)
+
+
+def _gather_day(lines: Iterable[LogLine]) -> _Day:
+    day = _Day()
     for line in lines:
+        day.first_ms = min(day.first_ms or line.t_ms, line.t_ms)
         request = line.fields.get("request")
-        if line.event == "job_submitted" and request not in jobs:
-            jobs[request] = JobHistory(line.fields["queue"], line.instance, line.t_ms)
-        elif request in jobs:
-            _take_line(jobs[request], line)
-    return jobs
+        if line.event == "started":
+            day.zones[line.instance] = line.fields["zone"]
+        elif line.event == "job_submitted" and request not in day.jobs:
+            day.jobs[request] = JobHistory(line.fields["queue"], line.instance, line.t_ms)
+        elif request in day.jobs:
+            _take_line(day.jobs[request], line)
+    return day
 
 
 def _take_line(job: JobHistory, line: LogLine) -> None:
     fields = line.fields
     if line.event == "job_begun":
         job.objective_ms = fields["objective_ms"]
+        job.chain_ms = fields["chain_ms"]
+        job.latency_factor = fields["latency_factor"]
+    elif line.event == "task_ended" and fields["end"] == DONE:
+        step = fields["task"].rsplit(".", 1)[0]
+        job.ran_ms[step] = max(job.ran_ms.get(step, 0), fields["ran_ms"])
     elif line.event == "task_started":
         job.starts_ms.append(line.t_ms)
     elif line.event == "task_released":
