--- a/tools/planted.py
+++ b/tools/planted.py
@@ -14,6 +14,7 @@
 from gapdrum.core import fleet
 from gapdrum.core.models import NOTHING
 from gapdrum.core.runner_ledger import RunnerLedger
+from gapdrum.core.zone_drains import ZoneDrains
 from gapdrum.entry.acceptance import Acceptance, Acceptor
 from gapdrum.entry.waiting_callers import WaitingCallers
 
@@ -86,6 +87,13 @@
     RunnerLedger._note_end = forget
 
 
+@mechanism
+def drains() -> None:
+    """Pass over which availability zones are drained."""
+    ZoneDrains.is_closed = lambda _self, _zone: False
+    fleet.Fleet.open_runners = lambda self: self.runners.values()
+
+
 @mechanism
 def memory() -> None:
     """Count nothing of what an agent finds that has started anew."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,7 +26,7 @@
 import attrs
 import urllib3
 from local_system import find_port, wait_for
-from platform_system import RUNNER_CPU_MILLI, PlatformSystem
+from platform_system import RUNNER_CPU_MILLI, ZONES, PlatformSystem
 from proxy import MODES, PASS, Proxy
 
 ENTRIES, AGENTS, CALLERS = 2, 3, 6
@@ -34,6 +34,7 @@
 RESEND_S = 1.3
 CALM_S = 3.0
 END_TIMEOUT_S = 40
+DRAIN_SHARE = 0.25  # of the faults that are followed by a change of drained zones
 # What a row of a runner's history does to the number of its runs.
 STEPS = {"started": 1, "done": -1, "failed": -1, "stopped": -1, "lapsed": -1, "killed": -1}
 
@@ -53,6 +54,8 @@
 
     def __init__(self, seed: int, seconds: float, planted: str = "") -> None:
         self.random = random.Random(seed)
+        # Drains are drawn by themselves, so that seeds play the same other faults as before.
+        self._drain_random = random.Random(f"drains {seed}")
         self.seconds = seconds
         self._proxies: list[Proxy] = []
         self.system = PlatformSystem(
@@ -87,11 +90,12 @@
             try:
                 self._inject()
                 self._calm()
+                broken = self._check_drain()
             finally:
                 self._stop.set()
             for caller in callers:
                 caller.join()
-            broken = self._check_stored()
+            broken += self._check_stored()
             return broken + check_runs(self.system.histories(), self.jobs, self.killed_ms)
 
     # Load.
@@ -141,6 +145,8 @@
         ]
         while time.monotonic() < end_s:
             self.faults.append(self.random.choice(kinds)())
+            if self._drain_random.random() < DRAIN_SHARE:
+                self.faults.append(self._drain_zones())
             time.sleep(self.random.uniform(0.2, 2.0))
 
     def _pick(self) -> tuple[str, object]:
@@ -212,6 +218,15 @@
             return f"runner {number} was just starting"
         return f"runner {number} {mode}"
 
+    def _drain_zones(self) -> str:
+        """Drain some availability zones, perhaps all; those that were drained are restored."""
+        zones = [zone for zone in ZONES if self._drain_random.random() < 0.3]
+        try:
+            self.system.drain_zones(zones)
+        except urllib3.exceptions.HTTPError:
+            return "the store did not take a drain"  # it is silent, or away
+        return f"drain {' '.join(zones) or 'nothing'}"
+
     def _later(self, delay_s: float, work: Callable[[], object]) -> None:
         timer = threading.Timer(delay_s, self._undo, (work,))
         timer.daemon = True
@@ -235,10 +250,26 @@
         for process in [*self.system.entries, *self.system.agents, *self.system.runners]:
             self._start(process)
             process.signal(signal.SIGCONT)
+        self.system.drain_zones(())
         time.sleep(CALM_S)
 
     # Checks.
 
+    def _check_drain(self) -> list[str]:
+        """Check, with callers still on, that nothing starts in a zone once it is drained."""
+        number = self._drain_random.randrange(AGENTS)
+        self.system.drain_zones((ZONES[number],))
+        time.sleep(CALM_S)
+        drained_ms = time.time_ns() // 1_000_000
+        time.sleep(CALM_S)
+        rows = self.system.call(self.system.runners[number].port, "GET", "/history")[1]
+        self.system.drain_zones(())
+        return [
+            f"drained zone: {row}"
+            for row in rows
+            if row["how"] == "started" and row["wall_ms"] > drained_ms
+        ]
+
     def _check_stored(self) -> list[str]:
         """Check that each stored job that was accepted ends in one state at all entries."""
         broken = []
