Take an event for a waiting caller's run only from where the entry has placed it

What callers saw: a task of a job that was sent again could be at work at two runners. Cause: attempts of jobs that are not stored begin at 1 with each submission, and the entry compared events by task and attempt. An end or a loss of a run that an earlier submission left behind (told by a restarted agent to any entry) was taken for the present run's, which was let go while at work and placed again. Change: a task remembers where each attempt was placed; for jobs that are not stored an event counts only from there, else it is logged as event_of_earlier_submission, and its end let go at the runner. Why it holds: a runner takes a run number of a task once in its life, so runner, task and attempt name one run. Attempts of stored jobs are unique over owners by their epoch and are not compared.

Whether this acted in the record is not known: it needs an end that was not noted yet when its agent was killed.

--- a/features/resubmission.feature
+++ b/features/resubmission.feature
@@ -19,6 +19,12 @@
     And the caller submits the job again at entry 1, as soon as it may
     Then no task ran twice at the same time
 
+  # A job whose caller waits is numbered from attempt 1 at each submission, and an entry compared
+  # events by task and attempt alone. An agent that has started anew does not know whose an end is
+  # and tells it to any entry; one that ran the job sent again took "failed" for the end of its own
+  # run, let that go while it was at work and placed attempt 2 beside it. The line to look for names
+  # a runner at which the task was never placed: {"event":"task_ended","attempt":1,"end":"failed",
+  # "runner":"i-earlier"}; today it is an event_of_earlier_submission.
   Scenario: an end of an earlier submission is not taken for one of the present run
     Given an owner that sees one runner
     And the agent tells that it holds nothing
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -125,7 +125,9 @@
         task = job.by_name.get(name)
         if task is None:
             return
-        if event.kind == orders.ENDED:
+        if not job.knows_run(task, event.attempt, place):
+            self._pass_over(place, event)
+        elif event.kind == orders.ENDED:
             self._take_end(job, task, place, event, now_ms)
         elif event.attempt != task.attempt:
             return
@@ -142,6 +144,23 @@
             job.begun = True
             self.placer.release(job, task, event.detail, now_ms)
 
+    def _pass_over(self, place: Place, event: orders.RunEvent) -> None:
+        """Pass over a run of an earlier submission: taken for the present one it would start twice.
+
+        Its end, which no owner asks for any more, need not be kept at the runner.
+        """
+        self.outside.note(
+            "event_of_earlier_submission",
+            request=event.task.partition(".")[0],
+            task=event.task,
+            attempt=event.attempt,
+            kind=event.kind,
+            reason=event.detail,
+            runner=place.runner_id,
+        )
+        if event.kind == orders.ENDED and event.kept:
+            self.outside.foreign_end(place, event)
+
     def lose_job(self, lost: orders.JobLost) -> None:
         """Let go of a job that another entry has claimed."""
         job = self.jobs.get(lost.job_id)
@@ -329,7 +348,7 @@
             task.started_ms = now_ms
             job.begun = True
         task.attempt = attempt
-        task.place = place
+        task.put(place)
         runner = self.fleet.runners.get(place)
         if runner is not None:
             runner.out.add(task)
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -51,7 +51,10 @@
 
 @attrs.define(eq=False)
 class Task:
-    """One task of a job; ``attempt`` is the number of its last start."""
+    """One task of a job; ``attempt`` is the number of its last start.
+
+    ``placed_at`` tells where each attempt was ordered or adopted.
+    """
 
     name: TaskName
     step: Step
@@ -59,6 +62,7 @@
     attempt: int = 0
     failed_attempts: set[int] = attrs.Factory(set)
     place: Place | None = None
+    placed_at: dict[int, Place] = attrs.Factory(dict)
     started_ms: int = 0
     moves: int = 0
     avoided: set[str] = attrs.Factory(set)
@@ -69,6 +73,11 @@
         """Return the key of the last start."""
         return RunKey(self.name, self.attempt)
 
+    def put(self, place: Place) -> None:
+        """Note where the last start is."""
+        self.place = place
+        self.placed_at[self.attempt] = place
+
 
 @attrs.define(eq=False)
 class Job:
@@ -130,6 +139,14 @@
         """Return from when on an end of the job is worth nothing to its caller."""
         return self.accepted_ms + LATE_FACTOR * self.objective_ms
 
+    def knows_run(self, task: Task, attempt: int, place: Place) -> bool:
+        """Tell whether a run at a place is one of this job's.
+
+        Attempts of stored jobs are unique over all owners. Those of others begin at 1 with each
+        submission, so a run of an earlier one has the same name and can be told by its place only.
+        """
+        return self.kept or task.placed_at.get(attempt) == place
+
     def ready_tasks(self) -> list[Task]:
         """Return the waiting tasks whose turn has come."""
         open_steps = {task.name.step for task in self.tasks if task.phase is not TaskPhase.DONE}
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -190,7 +190,7 @@
     def _assign(self, job: Job, task: Task, runner: RunnerView, now_ms: int) -> None:
         task.attempt = job.next_attempt(task)
         task.phase = TaskPhase.ORDERED
-        task.place = runner.place
+        task.put(runner.place)
         task.started_ms = 0
         runner.order(task.step.resources)
         self.backlog.note_placed(work_of_task(task), now_ms)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -151,6 +151,10 @@
     "task_ended", "The runner lists the end of a run.",
     "request", "task", "attempt", "end", "runner", "ran_ms",
 )  # fmt: skip
+_add(
+    "event_of_earlier_submission", "A run that an earlier submission of the job left behind.",
+    "request", "task", "attempt", "kind", "reason", "runner",
+)  # fmt: skip
 _add("order_refused", "The agent does not start the run.", "request", "task", "attempt", "reason")
 _add(
     "start_rejected", "The runner does not start the run.",
