Renew nothing after an agent's start before its owners have claimed what runs

What callers saw: a task of theirs at work at two runners, after entries and agents were killed together. Cause: the first look of an agent's new life renewed the lease of all that ran by a whole second before it knew whose that was, and kept it for 400 ms from its own start, however long ago the owner had been heard. Change: what is found is not claimed by anybody; while any run is unclaimed, and before the first look, nothing is renewed; an unclaimed run is stopped after 400 ms. An entry echoes the clock of an agent's greeting at once, as a claimed run was stopped until the first beat was echoed otherwise. Why it holds: the lease that the former life asked for ended 1,150 ms after the owner's last word already, and no life adds to that without a word of the owner.

Scenario: renewals of the first two looks 1,000 and 700 ms before, none after; 1,000 ms with the first look after the owner's claim.

--- a/features/resubmission.feature
+++ b/features/resubmission.feature
@@ -44,10 +44,19 @@
     When an agent tells of attempt 1 of an earlier submission, at another runner, that it was lost
     Then the task is still at the agent
 
+  # An agent's first look after a start renewed the lease of all that ran by a whole second, before
+  # it knew whose that was, and kept it for 400 ms more, however long ago the owner was heard last.
+  # With entries and agents killed together, and agents back after 0.6 s, runs went on until
+  # 1,303 ms after the kill, when the same job sent again started at 1,305 ms. The renewals of the
+  # first two looks were 1,000 and 700 ms; the lines are {"event":"runner_looked","running":4} and,
+  # later than 1.3 s after the last line of the owner's life, "run_stopped_for_silence" without owner.
   Scenario: an agent that has just started renews nothing before it knows whose it is
     Given a keeper of a runner that holds a run of an earlier life of the agent
     When it looks twice
     Then no look has renewed the lease
+    When an entry joins, echoes the greeting's clock and adopts the run
+    And it looks once
+    Then that look has renewed the lease by 1000 ms
 
   Scenario: what a new stream's echoes say does not count for runs that the entry has let go of
     Given a run for a waiting caller, whose owner has just been heard
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -527,7 +527,7 @@
     timers = ManualTimers()
     ledger = RunnerLedger("i-1", capacity=Resources(capacity, 100, 0), draining=draining)
     ledger.take_look(RunnerLook(10, (), ()), 0)
-    grants = Grants(BOUNDS, 0)
+    grants = Grants(BOUNDS)
     grants.note(OWNER, timers.now_ms(), True)
     calls = RunnerCalls(Endpoint("127.0.0.1", 1), "i-1")
     runner = RunnerContext(ledger, calls, grants, 1_000, timers, new_log(timers), list)
@@ -584,7 +584,7 @@
         context.room_told.append(bool(keeper.ledger.free.cpu_milli))
 
     context.keeper = RunnerKeeper(
-        "i-1", Endpoint("127.0.0.1", 1), Grants(BOUNDS, 0), 1_000, timers, new_log(timers), report,
+        "i-1", Endpoint("127.0.0.1", 1), Grants(BOUNDS), 1_000, timers, new_log(timers), report,
         lambda keeper: report(keeper, []),
     )  # fmt: skip
     context.keeper.ledger.capacity = Resources(4_000, 100, 0)
@@ -691,7 +691,7 @@
     entry_orders = EntryOrders(
         context.links,
         {"i-1": context.keeper},
-        Grants(BOUNDS, 0),
+        Grants(BOUNDS),
         context.reports,
         timers,
         new_log(timers),
@@ -1198,7 +1198,7 @@
 
 @given("grants of an agent")
 def new_grants(context):
-    context.grants = Grants(BOUNDS, 0)
+    context.grants = Grants(BOUNDS)
 
 
 @when("an owner without a lease echoes the clock {clock:d}")
--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -170,6 +170,24 @@
         step(context)
 
 
+@when("it looks once")
+def look_once(context):
+    step(context)
+
+
+@when("an entry joins, echoes the greeting's clock and adopts the run")
+def entry_adopts(context):
+    join(context)
+    echo(context)
+    row = orders.AdoptedRun(TASK.text, 1, 1, False, 500, 10, 0)
+    context.agent.orders.take(context.link, orders.AdoptRuns("i-1", (row,)))
+
+
+@then("that look has renewed the lease by {time_ms:d} ms")
+def renewed_by(context, time_ms):
+    assert context.runner.renewals[-1] - context.timers.now_ms() == time_ms
+
+
 @then("no look has renewed the lease")
 def nothing_renewed(context):
     assert not any(context.runner.renewals), context.runner.renewals
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -138,7 +138,7 @@
     link = EntryLink("entry-1", None)
     link.owner, link.stream, link.heard_ms = OWNER, FakeStream(), context.timers.now_ms()
     context.links._links["entry-1"] = context.link = link
-    context.grants = Grants(BOUNDS, 0)
+    context.grants = Grants(BOUNDS)
     context.grants.note(OWNER, context.timers.now_ms(), True)
     context.links.beat()
 
@@ -209,7 +209,7 @@
     return RunnerRegistry(
         boot,
         context.keepers,
-        Grants(BOUNDS, 0),
+        Grants(BOUNDS),
         FakeReports(),
         timers,
         EventLog("agent-1", timers),
--- a/features/steps/zone_drain_steps.py
+++ b/features/steps/zone_drain_steps.py
@@ -195,7 +195,7 @@
 def new_agent(context, zone, answers=True):
     context.timers = ManualTimers()
     log = new_log(context.timers)
-    context.grants = Grants(BOUNDS, 0)
+    context.grants = Grants(BOUNDS)
     context.links = TellingLinks()
     link = EntryLink("entry-1", None)
     link.owner = OWNER
--- a/src/gapdrum/agent/grants.py
+++ b/src/gapdrum/agent/grants.py
@@ -1,21 +1,20 @@
 """For how long the agent may act for each entry, by the clocks that entries echo."""
 
 from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS, STOP_ALLOWANCE_MS, RunBounds
-from gapdrum.core.runner_ledger import UNKNOWN_OWNER, Run
+from gapdrum.core.runner_ledger import Run
 
 
 class Grants:
     """The last echoed clock of each owner.
 
     For jobs that are stored only the echoes count that were sent while the owner held its
-    lease. After a start of the agent, owners of what runs are unknown; that is kept alive for a
-    short time only, which entries allow for before they take a run for dead.
+    lease. After a start of the agent, the owners of what runs are unknown, and so is when they
+    were heard last: none of that is renewed, and it is stopped unless its owner claims it soon.
     """
 
-    def __init__(self, bounds: RunBounds, now_ms: int) -> None:
+    def __init__(self, bounds: RunBounds) -> None:
         self._bounds = bounds
-        unknown_ms = now_ms + RESTART_ALLOWANCE_MS - bounds.grant_ms(kept=True)
-        self._echoed = {(UNKNOWN_OWNER, True): unknown_ms}
+        self._echoed: dict[tuple[str, bool], int] = {}
 
     def note(self, owner: str, clock_ms: int, lease_held: bool) -> None:
         """Note a clock of ours that an owner has echoed."""
@@ -36,10 +35,16 @@
         echoed_ms = self._echoed.get((owner, kept))
         return echoed_ms + self._bounds.grant_ms(kept) if echoed_ms is not None else 0
 
-    def is_over(self, run: Run, now_ms: int) -> bool:
-        """Tell whether a run must be stopped, as its owner is silent."""
-        return now_ms >= self.until_ms(run.owner, run.kept)
-
-    def lease_limit_ms(self, owner: str, kept: bool) -> int:
-        """Return when a lease of a run of this owner must have ended at the latest."""
+    def hold_until_ms(self, owner: str, kept: bool) -> int:
+        """Return when the lease of what runs for an owner must have ended at the latest."""
         return self.until_ms(owner, kept) + STOP_ALLOWANCE_MS
+
+    def stop_due_ms(self, run: Run) -> int:
+        """Return when a run must be stopped, unless its owner is heard before."""
+        if not run.claimed:
+            return run.since_ms + RESTART_ALLOWANCE_MS
+        return self.until_ms(run.owner, run.kept)
+
+    def lease_limit_ms(self, run: Run) -> int:
+        """Return when the lease of a run must have ended, 0 if it must not be renewed at all."""
+        return self.hold_until_ms(run.owner, run.kept) if run.claimed else 0
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -44,7 +44,7 @@
         self.incarnation = uuid.uuid4().hex[:12]
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
-        self.grants = Grants(RunBounds(boot.resubmit_ms), timers.now_ms())
+        self.grants = Grants(RunBounds(boot.resubmit_ms))
         self.keepers: dict[str, RunnerKeeper] = {}
         self.links = EntryLinks(
             self._greet, timers, log, self.sent, self.received, boot.instance, boot.zone
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -50,14 +50,11 @@
     def lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, less if an owner is silent.
 
-        0 while the lease must lapse.
+        None, or less, while the lease must lapse, and while it is not known whose all runs are.
         """
-        if self.ledger.must_lapse():
+        if self.ledger.must_lapse() or not self.ledger.looked:
             return 0
-        limits = [
-            self.grants.lease_limit_ms(run.owner, run.kept) - now_ms
-            for run in self.ledger.runs.values()
-        ]
+        limits = [self.grants.lease_limit_ms(run) - now_ms for run in self.ledger.runs.values()]
         return min([self.run_lease_ms, *limits])
 
     def lease_until(self, left_ms: int) -> int:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -68,7 +68,7 @@
         self, owner: str, order: orders.StartOrder, row: orders.OrderedRun, now_ms: int
     ) -> None:
         # The start also renews the lease of all, so it is bound by the same limits.
-        limit_ms = self._context.grants.lease_limit_ms(owner, order.kept) - now_ms
+        limit_ms = self._context.grants.hold_until_ms(owner, order.kept) - now_ms
         left_ms = max(1, min(START_WINDOW_MS, self._context.lease_left_ms(now_ms), limit_ms))
         expires_ms = self._context.lease_until(left_ms)
         run = Run(
@@ -181,12 +181,12 @@
     def _stop_due_ms(self, run: Run) -> int:
         if run.stopping:
             return self._stops_sent.get(run.key, 0) + STOP_REPEAT_MS
-        return self._context.grants.until_ms(run.owner, run.kept)
+        return self._context.grants.stop_due_ms(run)
 
     def stop_what_must(self, now_ms: int) -> None:
         """Stop what runs for owners that are silent, and repeat stops without effect."""
         for run in list(self.ledger.runs.values()):
-            if not run.stopping and self._context.grants.is_over(run, now_ms):
+            if not run.stopping and now_ms >= self._stop_due_ms(run):
                 run.stopping = True
                 self._context.log.write(
                     "run_stopped_for_silence",
--- a/src/gapdrum/core/run_bounds.py
+++ b/src/gapdrum/core/run_bounds.py
@@ -12,7 +12,8 @@
 GRANT_MS = 1_300
 # After a grant has ended, a run is stopped; its lease ends this much later at the latest.
 STOP_ALLOWANCE_MS = 300
-# An agent that has just started keeps what runs alive for this long, to be told by its owners.
+# An agent that has just started waits so long for owners to claim what runs, then stops it. Until
+# then it renews nothing: what it can't know is how long ago the owner was heard.
 RESTART_ALLOWANCE_MS = 400
 # Runners' clocks may be 2% slow, timers a little late.
 CLOCK_SLACK_MS = 150
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -35,7 +35,8 @@
     """A run at the runner; ``room`` is None after a restart until its owner tells it.
 
     ``start_expires_ms`` is the reading of the runner's clock from which on the start can't
-    take effect any more, and ``calling`` tells whether the call is still under way.
+    take effect any more, and ``calling`` tells whether the call is still under way. One that is
+    not ``claimed`` was found at the runner, and its owner has not said yet that it is its own.
     """
 
     key: RunKey
@@ -46,6 +47,7 @@
     since_ms: int
     phase: str = orders.HELD_STARTING
     kept: bool = True
+    claimed: bool = True
     calling: bool = False
     stopping: bool = False
     percent: int = 0
@@ -177,6 +179,7 @@
         run.owner = owner
         run.epoch = epoch
         run.kept = kept
+        run.claimed = True
 
     def take_look(self, look: RunnerLook, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
         """Bring the ledger up to what the runner shows; return what changed, run by run."""
@@ -212,7 +215,8 @@
     ) -> list[tuple[Run, orders.RunEvent]]:
         run = self.runs.get(key)
         if run is None:
-            run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=orders.HELD_RUNNING)
+            found = orders.HELD_RUNNING
+            run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=found, claimed=False)
             self.begin(run)
         if percent != run.percent:
             run.percent = percent
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -87,6 +87,8 @@
         stream.send(orders.EntryGreeting(self.owner()))
         if self.zones.drains.known:
             stream.send(self.zones.drains_told())  # before any order: the agent starts nothing else
+        # What this entry claims would be stopped before its first beat is echoed otherwise.
+        stream.send(self._echo(greeting.clock_ms))
         claims = self.unsettled_claims()
         if claims:
             stream.send(orders.JobsClaimed(claims))
@@ -100,14 +102,17 @@
                 del self._streams[greeting.agent]
                 self.dispatch.fleet.agent_left(view)
 
+    def _echo(self, clock_ms: int) -> orders.BeatEcho:
+        """Return this entry's word on a reading of an agent's clock."""
+        return orders.BeatEcho(clock_ms, self.holds_lease(), self.follows_table())
+
     def _take(self, view: AgentView, message: object) -> None:
         now_ms = self._timers.now_ms()
         dispatch = self.dispatch
         if isinstance(message, orders.AgentBeat):
             view.heard_ms = now_ms
             view.clock_ms = message.clock_ms
-            echo = orders.BeatEcho(message.clock_ms, self.holds_lease(), self.follows_table())
-            self.send(view.agent, echo)
+            self.send(view.agent, self._echo(message.clock_ms))
         elif isinstance(message, orders.RunEvents):
             dispatch.take_events(view, message, now_ms)
         elif isinstance(message, orders.RoomReport):
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -82,7 +82,7 @@
         self.log = fleet.log
         self.name = f"agent-{number}"
         self.zone = f"zone-{number % fleet.load.zones}" if fleet.load.zones else "zone-0"
-        self.grants = Grants(RunBounds(RESUBMIT_MS), self.timers.now_ms())
+        self.grants = Grants(RunBounds(RESUBMIT_MS))
         self.links = VirtualLinks()
         self.keepers: dict[str, VirtualKeeper] = {}
         self.reports = Reports(self.links, self.keepers, self.timers)
