Let the echoes on a new stream count only for runs that their entry has claimed there

What callers saw: a task of theirs could be at work at two runners although no process was killed. Cause: an entry stops what runs for a caller that left and forgets the job; a stop that is lost with a stream that goes silent is never sent again, and the entry's echoes on the next stream kept the run up to its end. Change: when an entry joins, what runs for it counts with the last word of the former stream until the entry claims it (AdoptRuns, which it sends for each run that it expects as soon as it is told what is held). Why it holds: within one stream an echo can't overtake a stop, and no word of a stream counts before the claims on it.

Scenario: renewed until 3.2 s after the owner's word before, 1,150 ms at most after.

--- a/features/resubmission.feature
+++ b/features/resubmission.feature
@@ -58,11 +58,21 @@
     And it looks once
     Then that look has renewed the lease by 1000 ms
 
+  # An entry stops what runs for a caller that left, and forgets the job. If the stream goes silent
+  # before the stop arrives, the agent opens a new one, and the entry's echoes on it kept the run up
+  # to its end, while the caller's job ran elsewhere: renewed until 4,196 when the owner was heard
+  # at 1,000 on the earlier stream. The lines are a task_stop_ordered without its task_ended, with
+  # an entry_lost and an entry_joined of that entry at the agent between.
   Scenario: what a new stream's echoes say does not count for runs that the entry has let go of
     Given a run for a waiting caller, whose owner has just been heard
     When its stream ends, and the same owner joins again 200 ms later and echoes on
     Then the run is over 1150 ms after its owner was heard on the earlier stream
 
+  Scenario: a run that its entry still wants outlives a change of streams
+    Given a run for a waiting caller, whose owner has just been heard
+    When its stream ends, and the same owner joins again 200 ms later, claims it and echoes on
+    Then the run has not been stopped
+
   Scenario: a run whose stop is left unanswered is not renewed for ever
     Given a run for a waiting caller, whose owner has just been heard
     When its owner stops it, the runner leaves that unanswered, and the owner echoes on
--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -179,6 +179,10 @@
 def entry_adopts(context):
     join(context)
     echo(context)
+    claim(context)
+
+
+def claim(context):
     row = orders.AdoptedRun(TASK.text, 1, 1, False, 500, 10, 0)
     context.agent.orders.take(context.link, orders.AdoptRuns("i-1", (row,)))
 
@@ -217,14 +221,32 @@
         step(context)
 
 
-@when("its stream ends, and the same owner joins again 200 ms later and echoes on")
-def stream_replaced(context):
+def replace_stream(context):
     context.agent.links._end_stream(context.link)
     context.timers.time_ms += 200
     join(context)
+
+
+@when("its stream ends, and the same owner joins again 200 ms later and echoes on")
+def stream_replaced(context):
+    replace_stream(context)
+    let_time_pass(context, 2_000)
+
+
+@when("its stream ends, and the same owner joins again 200 ms later, claims it and echoes on")
+def stream_replaced_and_claimed(context):
+    replace_stream(context)
+    claim(context)
     let_time_pass(context, 2_000)
 
 
+@then("the run has not been stopped")
+def not_stopped(context):
+    assert not context.stops, context.stops
+    last_ms = max(context.runner.renewals)
+    assert last_ms > context.timers.now_ms(), (last_ms, context.timers.now_ms())
+
+
 @when("its owner stops it, the runner leaves that unanswered, and the owner echoes on")
 def stop_unanswered(context):
     named = orders.NamedRun(TASK.text, 1)
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -159,6 +159,18 @@
         for owner in former:
             self.stop_unwaited(owner)
 
+    def await_claims(self, link: EntryLink) -> None:
+        """Let runs of an entry that has joined anew count as its own once it has claimed them.
+
+        A stop that was lost with the former stream would not end a run that the echoes on the new
+        one keep up.
+        """
+        for keeper in self._keepers.values():
+            for run in keeper.ledger.runs.values():
+                if run.owner == link.owner and run.claimed:
+                    run.word_ms = self._grants.word_ms(run.owner, run.kept)
+                    run.claimed = False
+
     def rename_owner(self, former: str, owner: str) -> None:
         """Let what runs for callers that wait go on for the same entry's new life."""
         for keeper in self._keepers.values():
--- a/src/gapdrum/agent/grants.py
+++ b/src/gapdrum/agent/grants.py
@@ -25,15 +25,14 @@
     def _note_one(self, key: tuple[str, bool], clock_ms: int) -> None:
         self._echoed[key] = max(self._echoed.get(key, 0), clock_ms)
 
-    def end(self, owner: str) -> None:
-        """End the grants of an owner that is known to be gone."""
-        for kept in (False, True):
-            self._echoed.pop((owner, kept), None)
-
     def until_ms(self, owner: str, kept: bool) -> int:
         """Return until when the agent may act for an owner, 0 if it never was granted."""
-        echoed_ms = self._echoed.get((owner, kept))
-        return echoed_ms + self._bounds.grant_ms(kept) if echoed_ms is not None else 0
+        word_ms = self.word_ms(owner, kept)
+        return word_ms + self._bounds.grant_ms(kept) if word_ms is not None else 0
+
+    def word_ms(self, owner: str, kept: bool) -> int | None:
+        """Return the last clock that an owner has echoed, None if it never did."""
+        return self._echoed.get((owner, kept))
 
     def hold_until_ms(self, owner: str, kept: bool) -> int:
         """Return when the lease of what runs for an owner must have ended at the latest."""
@@ -41,10 +40,16 @@
 
     def stop_due_ms(self, run: Run) -> int:
         """Return when a run must be stopped, unless its owner is heard before."""
-        if not run.claimed:
+        word_ms = self._word_for(run)
+        if word_ms is None:
             return run.since_ms + RESTART_ALLOWANCE_MS
-        return self.until_ms(run.owner, run.kept)
+        return word_ms + self._bounds.grant_ms(run.kept)
 
     def lease_limit_ms(self, run: Run) -> int:
         """Return when the lease of a run must have ended, 0 if it must not be renewed at all."""
-        return self.hold_until_ms(run.owner, run.kept) if run.claimed else 0
+        word_ms = self._word_for(run)
+        return word_ms + self._bounds.hold_ms(run.kept) if word_ms is not None else 0
+
+    def _word_for(self, run: Run) -> int | None:
+        """Return the last word that counts for a run: none of a stream where it isn't claimed."""
+        return self.word_ms(run.owner, run.kept) if run.claimed else run.word_ms
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -94,6 +94,7 @@
         if self.zones.drains.known:
             link.send(self.zones.drains_told())
         self.orders.end_former_lives(link)
+        self.orders.await_claims(link)
         self.reports.tell_everything(link)
 
     def _take_zones(self) -> None:
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -36,7 +36,8 @@
 
     ``start_expires_ms`` is the reading of the runner's clock from which on the start can't
     take effect any more, and ``calling`` tells whether the call is still under way. One that is
-    not ``claimed`` was found at the runner, and its owner has not said yet that it is its own.
+    not ``claimed`` was found at the runner, or its owner has joined anew, and has not said yet
+    that the run is its own; ``word_ms`` is the owner's last word before that, None if not known.
     """
 
     key: RunKey
@@ -48,6 +49,7 @@
     phase: str = orders.HELD_STARTING
     kept: bool = True
     claimed: bool = True
+    word_ms: int | None = None
     calling: bool = False
     stopping: bool = False
     percent: int = 0
