Stop what runs for a waiting caller when the time for which it waits is over

What callers saw: a task of a job whose caller waits at work at two runners at once. The caller's connection was cut without a reset; it took its time as over and sent the job again, to another entry.

Cause: nothing read X-Deadline, so an entry took a caller for one that still waits as long as its connection seemed open, and let the tasks run on.

Change: the time is read in platform/submissions.py and counted from when the request was received. An end that is known by then is still sent. A request that is handled after its time begins nothing. A stored job is no longer stopped when a caller leaves that waits for a job of the same identity. Each caller that goes is logged as caller_gone, with the reason (closed, waited_out) and how long it waited.

Why it holds: the caller sends again 1,300 ms after its time is over; the stop is ordered at that time plus the transit of the request, and a runner's stop must take effect within what is left of the 1,300 ms.

--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -15,12 +15,13 @@
 from gapdrum.entry.endings import Endings
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.store_access import StoreAccess
-from gapdrum.entry.waiting_callers import WaitingCallers
+from gapdrum.entry.waiting_callers import Caller, WaitingCallers
 from gapdrum.event_log import EventLog
 from gapdrum.exceptions import GapdrumError, StoreError
 from gapdrum.platform.submissions import (
     SubmittedJob,
     decode_job,
+    decode_wait_limit_ms,
     is_job_id,
     state_response,
     waiting_response,
@@ -158,7 +159,9 @@
     async def _run_to_end(
         self, request: HttpRequest, queue: Queue, job_id: str, job: SubmittedJob
     ) -> HttpResponse:
-        end = await self._callers.run(job_id, queue, job.spec, job.steps, request.closed)
+        wait_limit_ms = decode_wait_limit_ms(request.headers)
+        caller = Caller(request.closed, request.received_ms, wait_limit_ms)
+        end = await self._callers.run(job_id, queue, job.spec, job.steps, caller)
         if end.state is not None:
             return state_response(end.state)
         if end.not_run:
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -12,12 +12,24 @@
 from gapdrum.entry.acceptance import first_record, job_of_queue
 from gapdrum.entry.lease import Lease
 from gapdrum.event_log import EventLog
-from gapdrum.timers import Timers
+from gapdrum.timers import MS_PER_S, Timers
 
 # A job that is sent again after its answer gets the same answer here.
 KEPT_ANSWERS = 10_000
 
 
+@attrs.frozen
+class Caller:
+    """One who waits: until ``closed`` is done, and for so long after its request came.
+
+    Without a ``wait_limit_ms`` it has not said for how long.
+    """
+
+    closed: asyncio.Future
+    received_ms: int
+    wait_limit_ms: int | None = None
+
+
 @attrs.frozen
 class WaitEnd:
     """What a waiting caller is told: the job's final state, that it has not run, or neither."""
@@ -29,8 +41,9 @@
 class WaitingCallers:
     """Runs jobs for callers that wait, and stops a job that nobody waits for any more.
 
-    A caller whose connection has gone sends the job again after a pause, to any entry. What
-    runs of it is stopped at once, so that no task runs twice at the same time.
+    A caller whose connection has gone, or whose time is over, sends the job again after a
+    pause, to any entry. What runs of it is stopped at once, so that no task runs twice at the
+    same time. A connection can be cut without a sign of it, so the time counts by itself.
     """
 
     def __init__(self, dispatch: Dispatch, lease: Lease, timers: Timers, log: EventLog) -> None:
@@ -47,22 +60,43 @@
         queue: Queue,
         spec: str,
         steps: tuple[Step, ...],
-        closed: asyncio.Future,
+        caller: Caller,
     ) -> WaitEnd:
         """Run a job to its end, or as far as it gets."""
         known = self._answers.get(job_id)
         if known is not None:
             return WaitEnd(known)
+        left_s = self._left_s(caller)
+        if left_s == 0:  # whatever began now could overlap with what is sent again
+            self._note_gone(job_id, caller)
+            return WaitEnd()
         ended = asyncio.get_running_loop().create_future()
         self._callers.setdefault(job_id, set()).add(ended)
         if job_id not in self._dispatch.jobs:
             self._begin(job_id, queue, spec, steps)
-        await asyncio.wait({ended, closed}, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            {ended, caller.closed}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+        )
         if ended.done():
             return ended.result()
+        self._note_gone(job_id, caller)
         self._leave(job_id, ended)
         return WaitEnd()
 
+    def _left_s(self, caller: Caller) -> float | None:
+        if caller.wait_limit_ms is None:
+            return None
+        end_ms = caller.received_ms + caller.wait_limit_ms
+        return max(0, end_ms - self._timers.now_ms()) / MS_PER_S
+
+    def _note_gone(self, job_id: str, caller: Caller) -> None:
+        self._log.write(
+            "caller_gone",
+            request=job_id,
+            reason="closed" if caller.closed.done() else "waited_out",
+            waited_ms=self._timers.now_ms() - caller.received_ms,
+        )
+
     def _begin(self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]) -> None:
         now_ms = self._timers.now_ms()
         record = first_record(queue, spec, steps, self._lease.owner, self._timers.wall_ms())
@@ -85,6 +119,8 @@
         if callers or job is None:
             return
         self._callers.pop(job_id, None)
+        if job.kept:  # accepted under this identity before: it runs on without callers
+            return
         job.ending = JobState.CANCELLED
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job_id, "caller_gone")
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -124,6 +124,10 @@
     "job_ended", "The job has ended, and callers are told so.",
     "request", "state", "epoch", "store_ms", "total_ms", "objective_ms",
 )  # fmt: skip
+_add(
+    "caller_gone", "A caller that waited for the job has closed its connection, or waited it out.",
+    "request", "reason", "waited_ms",
+)  # fmt: skip
 _add("job_dropped", "This entry lets go of the job.", "request", "epoch", "reason")
 _add("end_unsettled", "The store has not said whether the end is stored.", "request", "code")
 _add("progress_stored", "Ends of tasks of a long job are stored.", "request", "ends")
--- a/src/gapdrum/platform/submissions.py
+++ b/src/gapdrum/platform/submissions.py
@@ -1,6 +1,7 @@
 """Jobs as callers hand them in, and the answers that tell their state."""
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -15,6 +16,11 @@
 MAX_TASKS = 10_000  # far above the 390 that users state; bounds the work of one body
 MAX_COUNT = 2**31
 
+# For how many milliseconds a caller waits for a response, counted from its sending.
+WAIT_LIMIT_HEADER = "x-deadline"
+MAX_WAIT_LIMIT_MS = 24 * 60 * 60 * 1_000
+MAX_WAIT_LIMIT_DIGITS = len(str(MAX_WAIT_LIMIT_MS))
+
 # Fields of a step that change what must happen and are not built. Copies of a task and
 # checkpoints are permissions, not duties, so they need nothing.
 UNSUPPORTED_STEP_FIELDS = ("gang", "same_rack", "long_running", "fills", "may_miss", "target_ms")
@@ -62,6 +68,18 @@
     )
 
 
+def decode_wait_limit_ms(headers: Mapping[str, str]) -> int | None:
+    """Return for how long a caller waits, or None if it does not say so in a form that is sound.
+
+    A value that can't be read must not cost the caller its answer, so it limits nothing.
+    """
+    text = headers.get(WAIT_LIMIT_HEADER, "").strip(" \t")
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_WAIT_LIMIT_DIGITS:
+        return None
+    limit_ms = int(text)
+    return limit_ms if 0 < limit_ms <= MAX_WAIT_LIMIT_MS else None
+
+
 class _JobChecker:
     """Collects what is wrong with a job's body, each finding with its place."""
 
