--- a/src/gapdrum/core/run_bounds.py
+++ b/src/gapdrum/core/run_bounds.py
@@ -20,7 +20,7 @@
 # After this long without a word of an agent, nothing runs there for the entry any more.
 SILENCE_LIMIT_MS = GRANT_MS + STOP_ALLOWANCE_MS + RESTART_ALLOWANCE_MS + CLOCK_SLACK_MS
 # What runs for a caller is over this much before the caller may submit the job again: its owner
-# notices late that the caller has gone (80 ms), the runner's clock is slow and stops take a while.
+# notices late that the caller has gone (75 ms), the runner's clock is slow and stops take a while.
 RESUBMIT_MARGIN_MS = 150
 
 
