Let an owner's last word count for its next name, when its entry has lost its lease

What callers saw: their jobs began anew after the lease of their entry was ended by another. Cause: what runs for callers goes by the entry's new name from then on, and no clock had been echoed under that name yet, so the next look stopped it. Change: the former name's word counts for the new one. Scenario: stopped at once before, not stopped after.

--- a/features/resubmission.feature
+++ b/features/resubmission.feature
@@ -107,3 +107,9 @@
     When its instance is suspended for 5000 ms
     Then it does not act for its jobs
     And the clocks of a process count what they should
+
+  Scenario: what runs for callers goes on when their entry goes by another name
+    Given a run for a waiting caller, whose owner has just been heard
+    When its entry loses its lease, and greets with the name of a new life on the same stream
+    And it looks once
+    Then the run has not been stopped
--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -18,7 +18,9 @@
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import Resources
+from gapdrum.core.orders import BEAT_INTERVAL_MS
 from gapdrum.core.records import EntryAddress
+from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS
 from gapdrum.core.runner_models import RunnerLook, RunningTask
 from gapdrum.event_log import EventLog
 from gapdrum.platform.boot import Boot, StoreLimits
@@ -244,6 +246,13 @@
     let_time_pass(context, 2_000)
 
 
+@when("its entry loses its lease, and greets with the name of a new life on the same stream")
+def entry_renamed(context):
+    context.timers.time_ms += BEAT_INTERVAL_MS + RESTART_ALLOWANCE_MS
+    echo(context)
+    context.agent.links._greeted(context.link, "entry-1/next-life")
+
+
 @then("the run has not been stopped")
 def not_stopped(context):
     assert not context.stops, context.stops
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -172,7 +172,14 @@
                     run.claimed = False
 
     def rename_owner(self, former: str, owner: str) -> None:
-        """Let what runs for callers that wait go on for the same entry's new life."""
+        """Let what runs for callers that wait go on for the same entry's new life.
+
+        The former name's last word counts for the new one, which has echoed nothing yet: without
+        it all of that would be stopped at once.
+        """
+        word_ms = self._grants.word_ms(former, kept=False)
+        if word_ms is not None:
+            self._grants.note(owner, word_ms, lease_held=False)
         for keeper in self._keepers.values():
             for run in keeper.ledger.runs.values():
                 if run.owner == former and not run.kept:
