Log when a run that was cut short was really over, and how old its owner's word was

Sight for tasks that run at two runners: an entry that lets go of a job writes task_stop_ordered and nothing more, and no line told when the run was over, nor whether its owner was silent. An agent now writes run_cut_short for each run that was stopped or lapsed (end, owner, how long silent, how long after the stop), silent_ms with run_stopped_for_silence, and runs_lapsed_unseen where it takes a runner's leases for over without seeing it. One line a run that is cut short; none for runs that end by themselves.

--- a/src/gapdrum/agent/grants.py
+++ b/src/gapdrum/agent/grants.py
@@ -55,6 +55,11 @@
             word_ms = min(word_ms, run.stopping_ms)
         return word_ms + self._bounds.hold_ms(run.kept)
 
+    def silent_ms(self, run: Run, now_ms: int) -> int | None:
+        """Return how long ago the last word came that counts for a run, None if not known."""
+        word_ms = self._word_for(run)
+        return now_ms - word_ms if word_ms is not None else None
+
     def _word_for(self, run: Run) -> int | None:
         """Return the last word that counts for a run: none of a stream where it isn't claimed."""
         return self.word_ms(run.owner, run.kept) if run.claimed else run.word_ms
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -9,7 +9,7 @@
 from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
-from gapdrum.core.models import Resources
+from gapdrum.core.models import Resources, RunEnd
 from gapdrum.core.room_offers import RoomOffers
 from gapdrum.core.runner_health import REST_MS
 from gapdrum.core.runner_ledger import Run, RunnerLedger
@@ -28,6 +28,7 @@
 LOOK_WAIT_MS = 200
 LOOK_ANSWER_MS = 150  # how much later than it waits a look is answered at most
 FIRST_LOOK_TIMEOUT_MS = 300
+CUT_SHORT = (RunEnd.STOPPED.value, RunEnd.LEASE_LAPSED.value)
 # Storing an end takes about 10 ms; looking again before that shows the same.
 UNSTORED_PAUSE_MS = 10
 
@@ -142,6 +143,7 @@
         ledger.note_clock(look.clock_ms, self._timers.awake_ms())
         self._note_reachable()
         events = ledger.take_look(look, now_ms)
+        self._note_cut_short(events, now_ms)
         if ledger.must_lapse() and look.clock_ms > self._context.lease_until_ms:
             ledger.note_lapse()
             self._log.write("lease_let_lapse", runner=self.runner_id, clock_ms=look.clock_ms)
@@ -149,6 +151,24 @@
             self._log.write("runner_suspect", runner=self.runner_id, rest_ms=REST_MS)
         return events
 
+    def _note_cut_short(self, events: list[tuple[Run, orders.RunEvent]], now_ms: int) -> None:
+        """Write how each run ended that was stopped, or whose lease has lapsed.
+
+        Its owner may have let go of the job, so nobody else tells when it was really over.
+        """
+        for run, event in events:
+            if event.kind == orders.ENDED and event.detail in CUT_SHORT:
+                self._log.write(
+                    "run_cut_short",
+                    request=run.key.task.job_id,
+                    task=event.task,
+                    attempt=event.attempt,
+                    end=event.detail,
+                    owner=run.owner,
+                    silent_ms=self._context.grants.silent_ms(run, now_ms),
+                    stop_ms=now_ms - run.stopping_ms if run.stopping else None,
+                )
+
     def _note_first(self, look: RunnerLook) -> None:
         self._log.write(
             "runner_looked",
@@ -225,6 +245,7 @@
         """Take a runner that can't be reached as gone once everything there has lapsed."""
         if self.ledger.runs and self._timers.awake_ms() > self._context.bound.ends_ms:
             settled = [run for run in self.ledger.runs.values() if not run.calling]
+            self._log.write("runs_lapsed_unseen", runner=self.runner_id, runs=len(settled))
             self._context.report(self.ledger.lose(settled, orders.LEASE_LAPSED))
 
     def set_gone(self, reason: str) -> None:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -199,6 +199,7 @@
                     task=run.key.task.text,
                     attempt=run.key.attempt,
                     owner=run.owner,
+                    silent_ms=self._context.grants.silent_ms(run, now_ms),
                 )
             if run.stopping and now_ms >= self._stop_due_ms(run):
                 self._send_stop(run.key, now_ms)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -165,7 +165,19 @@
     "request", "task", "attempt", "status", "reason",
 )  # fmt: skip
 _add("stop_unanswered", "The runner has not answered a stop.", "task", "attempt", "code")
-_add("run_stopped_for_silence", "The run's owner is silent.", "request", "task", "attempt", "owner")
+_add(
+    "run_stopped_for_silence",
+    "The run's owner is silent, for ``silent_ms`` if the agent has heard it in this life.",
+    "request", "task", "attempt", "owner", "silent_ms",
+)  # fmt: skip
+_add(
+    "run_cut_short",
+    "A run was stopped or its lease lapsed; its owner was silent for so long, its stop so old.",
+    "request", "task", "attempt", "end", "owner", "silent_ms", "stop_ms",
+)  # fmt: skip
+_add(
+    "runs_lapsed_unseen", "A runner can't be reached; all leases there are over.", "runner", "runs"
+)
 _add(
     "run_stopped_for_owner", "The entry at which the caller waited is gone.",
     "request", "task", "attempt", "owner",
