--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -245,7 +245,8 @@
         """Take a runner that can't be reached as gone once everything there has lapsed."""
         if self.ledger.runs and self._timers.awake_ms() > self._context.bound.ends_ms:
             settled = [run for run in self.ledger.runs.values() if not run.calling]
-            self._log.write("runs_lapsed_unseen", runner=self.runner_id, runs=len(settled))
+            if settled:
+                self._log.write("runs_lapsed_unseen", runner=self.runner_id, runs=len(settled))
             self._context.report(self.ledger.lose(settled, orders.LEASE_LAPSED))
 
     def set_gone(self, reason: str) -> None:
