--- a/features/resubmission.feature
+++ b/features/resubmission.feature
@@ -56,7 +56,7 @@
     Then no look has renewed the lease
     When an entry joins, echoes the greeting's clock and adopts the run
     And it looks once
-    Then that look has renewed the lease by 1000 ms
+    Then that look has renewed the lease by 800 ms
 
   # An entry stops what runs for a caller that left, and forgets the job. If the stream goes silent
   # before the stop arrives, the agent opens a new one, and the entry's echoes on it kept the run up
@@ -100,7 +100,7 @@
     Given a run for a waiting caller, whose owner has just been heard
     When agent and runner are suspended for 2000 ms, and then the owner claims the run
     And it looks once
-    Then that look has renewed the lease by at most 1000 ms on the runner's clock
+    Then that look has renewed the lease by at most 800 ms on the runner's clock
 
   Scenario: an entry that was suspended holds no lease when it wakes
     Given an entry that holds its lease
--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -29,7 +29,7 @@
 
 TASKS, RUN_MS = 8, 4_000
 ADDRESS = EntryAddress("life", "plaine-nord", "127.0.0.1", 1)
-RENEWED_LEFT_MS = 900
+RENEWED_LEFT_MS = 700
 RENEWAL_LIMIT_S = 3
 
 
--- /dev/null
+++ b/features/steps/run_ownership_steps.py
@@ -0,0 +1,403 @@
+"""Steps on who may start, stop and renew a run, in sequences of several failures."""
+
+import asyncio
+import contextlib
+import json
+from types import SimpleNamespace
+from unittest.mock import patch
+
+import resubmission_steps as base
+from behave import given, then, when
+from caller_deadline_steps import FakeDispatch, FakeLease, FakeLog
+from core_model import ManualTimers
+from platform_core_steps import JOB, OWNER, QUEUE, RUN, TASK, hold_nothing, join
+
+from gapdrum.agent.entry_links import EntryLink
+from gapdrum.core import orders
+from gapdrum.core.models import JobState, Resources, RunEnd, RunKey, Step, TaskName
+from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
+from gapdrum.entry.admission import Overload
+from gapdrum.entry.front import Front
+from gapdrum.entry.waiting_callers import Caller, WaitingCallers
+from gapdrum.exceptions import StreamClosedError
+from gapdrum.platform.runner_calls import RunnerRejectedError
+from gapdrum.transport.http_client import NoReplyError
+from gapdrum.transport.http_messages import HttpRequest
+
+RENAMED = "entry-1/next-life"
+BODY = json.dumps(
+    {
+        "spec": "{}",
+        "steps": [{"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 900}],
+        "best_effort": True,
+    }
+).encode()
+
+
+@when("600 ms pass with echoes, and its owner is renamed and a look comes before the next echo")
+def renamed(context):
+    base.let_time_pass(context, 600)
+    context.agent.links._greeted(context.link, RENAMED)
+    context.timers.time_ms += 100
+    base.step(context)
+    base.echo(context)
+    base.step(context)
+
+
+@when("its stream ends, and the entry joins again under another name and claims the run")
+def rejoined_renamed(context):
+    context.agent.links._end_stream(context.link)
+    context.timers.time_ms += 200
+    context.link.stream = base.FakeStream()
+    context.agent.links._greeted(context.link, RENAMED)
+    base.echo(context)
+    base.claim(context)
+    base.let_time_pass(context, 600)
+
+
+@when("its owner's stream delays all by 400 ms, a stop comes, and the runner leaves it unanswered")
+def late_stop(context):
+    def echo_late():
+        message = orders.BeatEcho(context.timers.now_ms() - 400, True, False)
+        context.agent.orders.take(context.link, message)
+
+    for _ in range(2):
+        context.timers.time_ms += 200
+        echo_late()
+        base.step(context)
+    stop = orders.StopOrder("i-1", (orders.NamedRun(TASK.text, 1),))
+    context.agent.orders.take(context.link, stop)
+    for _ in range(10):
+        context.timers.time_ms += 200
+        echo_late()
+        base.step(context)
+
+
+@when("the runner deregisters, and the answer to that is lost")
+def deregistered(context):
+    base.let_time_pass(context, 200)
+    context.link.stream.sent.clear()
+    request = HttpRequest("POST", "/Instances.Deregister/i-1", {}, b"", 0, None)
+    context.agent.runners.handle(request)
+
+
+@then("the run is not told as lost while its lease may run")
+def not_told_lost(context):
+    left_ms = max(context.runner.renewals) - context.timers.now_ms()
+    told = [m for m in context.link.stream.sent if isinstance(m, orders.RunEvents)]
+    kinds = [event.kind for message in told for event in message.events]
+    assert orders.LOST not in kinds or left_ms <= 0, (kinds, left_ms)
+
+
+def build_front(context, state):
+    timers = ManualTimers()
+    context.timers = timers
+    lease = SimpleNamespace(owner=OWNER, valid=True)
+    dispatch = FakeDispatch()
+    context.callers = WaitingCallers(dispatch, lease, timers, FakeLog())
+    overload = Overload(9_000, 100, 50, 0) if state == "overloaded" else None
+    admission = SimpleNamespace(is_shut_out=lambda *_: False, judge=lambda *_: overload)
+    context.front = Front(
+        SimpleNamespace(current=SimpleNamespace(version=1)), dispatch, None, admission,
+        context.callers, SimpleNamespace(known_state=lambda _job: None),
+        SimpleNamespace(up=True), lease, SimpleNamespace(write=lambda *_a, **_k: None),
+    )  # fmt: skip
+    if state == "leaving":
+        context.front.refuse_from(timers.now_ms() + 100)
+    context.dispatch = dispatch
+
+
+@given("an entry at which a waiting job is at work, and that now is {state}")
+def job_at_work(context, state):
+    build_front(context, state)
+    context.callers._begin(JOB, QUEUE, "{}", (Step(1, Resources(500, 10, 0), 900),))
+    assert JOB in context.dispatch.jobs
+
+
+@given("an entry at which a waiting job has ended, and that now is {state}")
+def job_ended(context, state):
+    build_front(context, state)
+    context.callers._answers[JOB] = JobState.SUCCEEDED
+
+
+@when("the caller sends the job again there")
+def send_again(context):
+    async def send():
+        loop = asyncio.get_running_loop()
+        request = HttpRequest("POST", "/", {}, BODY, context.timers.now_ms(), loop.create_future())
+        asking = asyncio.ensure_future(context.front._submit(request, QUEUE, JOB))
+        await asyncio.wait({asking}, timeout=0.1)
+        return asking.result() if asking.done() else None
+
+    context.reply = asyncio.run(send())
+
+
+@then("it is not told that the job has not run")
+def not_told_not_run(context):
+    reply = context.reply
+    assert reply is None or reply.status not in (429, 503), (reply.status, reply.body)
+
+
+@given("a caller that waits for {limit_ms:d} ms for a job of 1 tasks")
+def waits(context, limit_ms):
+    context.limit_ms = limit_ms
+
+
+@when("the entry is suspended for {time_ms:d} ms, gives up its agent, and the agent joins again")
+def entry_suspended(context, time_ms):
+    timers = ManualTimers()
+    timers.time_ms = context.now_ms
+    context.log = FakeLog()
+    callers = WaitingCallers(context.dispatch, FakeLease(), timers, context.log)
+    steps = (Step(1, Resources(500, 10, 0), 900),)
+
+    async def run():
+        closed = asyncio.get_running_loop().create_future()
+        caller = Caller(closed, timers.now_ms(), context.limit_ms)
+        asking = asyncio.ensure_future(callers.run(JOB, QUEUE, "{}", steps, caller))
+        await asyncio.sleep(0)
+        context.dispatch.placer.place_waiting(context.now_ms)
+        assert any(isinstance(m, orders.StartOrder) for m in context.outside.sent)
+        timers.suspend(time_ms)
+        context.now_ms = timers.now_ms()
+        context.outside.sent.clear()
+        context.dispatch.check_silence(context.now_ms)
+        await asyncio.sleep(0.2)  # the entry has been awake for 200 ms
+        join(context)
+        hold_nothing(context)
+        asking.cancel()
+
+    asyncio.run(run())
+
+
+@then("nothing is ordered for that caller any more")
+def nothing_ordered(context):
+    sent = [m for m in context.outside.sent if isinstance(m, orders.StartOrder)]
+    assert not sent, (sent, context.log.events)
+
+
+@when('its first call is rejected as "old"')
+def rejected_old(context):
+    (run,) = context.runs
+    run.phase, run.calling = orders.HELD_STARTING, True
+    context.link.stream.sent.clear()
+
+    async def reject(*_arguments):
+        raise RunnerRejectedError(409, "old", context.timers.now_ms())
+
+    context.runner.start = reject
+    asyncio.run(context.keeper.starts._start(run, "{}", run.start_expires_ms))
+
+
+@then("its owner is told at once that it was not started")
+def told_not_started(context):
+    told = [m for m in context.link.stream.sent if isinstance(m, orders.RunEvents)]
+    kinds = [event.kind for message in told for event in message.events]
+    context.runner.running = ()
+    began_ms = context.timers.now_ms()
+    while orders.NOT_STARTED not in kinds and context.timers.now_ms() < began_ms + 3_000:
+        base.let_time_pass(context, 200)
+        told = [m for m in context.link.stream.sent if isinstance(m, orders.RunEvents)]
+        kinds = [event.kind for message in told for event in message.events]
+    assert context.timers.now_ms() == began_ms, (kinds, context.timers.now_ms() - began_ms)
+
+
+@when("another entry orders the same run, and its end is listed")
+def ordered_twice(context):
+    other = EntryLink("entry-2", base.ADDRESS)
+    context.agent.links._links["entry-2"] = other
+    other.stream = base.FakeStream()
+    context.agent.links._greeted(other, "entry-2/life")
+    row = orders.OrderedRun(0, 0, 1, 500, 10, 0, 100)
+    order = orders.StartOrder("i-1", JOB, 1, "{}", context.timers.now_ms(), False, (row,))
+    context.agent.orders.take(other, order)
+    ended = EndedRun(1, RUN, RunEnd.STOPPED)
+    look = SimpleNamespace(clock_ms=context.timers.now_ms() + 5, running=(), ended=(ended,))
+    context.keeper._take_look(look)
+
+
+@then("no room is taken")
+def no_room_taken(context):
+    ledger = context.keeper.ledger
+    assert not ledger.runs
+    assert ledger.used.cpu_milli == 0, ledger.used
+
+
+@then("work for a waiting caller may begin at all")
+def may_begin(context):
+    assert context.bounds.grant_ms(kept=False) > 0, context.bounds.grant_ms(kept=False)
+
+
+OTHER_RUN = RunKey(TaskName("00000000000000f9", 0, 0, 0), 1)
+
+
+@given(
+    "a keeper of a runner that holds two runs of an earlier life, with 300 ms left of their lease"
+)
+def two_found(context):
+    base.new_agent(context, (RunningTask(RUN, 5), RunningTask(OTHER_RUN, 5)))
+    context.lease_ends_ms = context.timers.now_ms() + 300
+
+
+@when("the owner of one of them claims it within 100 ms, and nobody claims the other")
+def one_claimed(context):
+    base.step(context)
+    base.step(context)
+    context.timers.time_ms += 50
+    base.join(context)
+    base.echo(context)
+    row = orders.AdoptedRun(TASK.text, 1, 1, True, 500, 10, 0)
+    context.agent.orders.take(context.link, orders.AdoptRuns("i-1", (row,)))
+    context.renewed_ms = None
+    for _ in range(40):
+        context.timers.time_ms += 20
+        if context.stops:  # the runner ends it within 50 ms
+            context.runner.running = (RunningTask(RUN, 5),)
+            context.keeper.ledger.drop(OTHER_RUN)
+        base.echo(context)
+        base.step(context)
+        if context.runner.renewals[-1] and context.renewed_ms is None:
+            context.renewed_ms = context.timers.now_ms()
+
+
+@then("the lease of the claimed run has been renewed before it ended")
+def renewed_in_time(context):
+    assert context.renewed_ms is not None
+    assert context.renewed_ms <= context.lease_ends_ms, (context.renewed_ms, context.lease_ends_ms)
+
+
+@given("a caller that waits for 1000 ms at an entry that is then suspended for 5000 ms")
+def wait_suspended(context):
+    timers, context.log = ManualTimers(), FakeLog()
+    callers = WaitingCallers(FakeDispatch(), FakeLease(), timers, context.log)
+    steps = (Step(1, Resources(500, 10, 0), 900),)
+
+    async def run():
+        caller = Caller(asyncio.get_running_loop().create_future(), timers.now_ms(), 1_000)
+        asking = asyncio.ensure_future(callers.run(JOB, QUEUE, "{}", steps, caller))
+        await asyncio.sleep(0)
+        timers.suspend(5_000)
+        done, _ = await asyncio.wait({asking}, timeout=0.3)
+        context.is_told = bool(done)
+        asking.cancel()
+
+    asyncio.run(run())
+
+
+@then("the entry knows within 300 ms after waking that the caller's time is over")
+def knows_over(context):
+    assert context.is_told, context.log.events
+
+
+@when("the entry sends its demand each 250 ms for 1500 ms, and echoes no beat")
+def demand_only(context):
+    links, timers = context.agent.links, context.timers
+    context.cut_ms = None
+
+    class TalkingStream(base.FakeStream):
+        closed = False
+
+        def close(self):
+            self.closed = True
+            context.cut_ms = context.cut_ms or timers.now_ms()
+
+        async def __aiter__(self):
+            yield orders.EntryGreeting(OWNER)
+            links.beat()
+            yield orders.BeatEcho(timers.now_ms(), True, False)
+            context.until_ms = context.agent.grants.until_ms(OWNER, False)
+            for _ in range(6):
+                timers.time_ms += 250
+                links.beat()
+                if self.closed:
+                    return
+                yield orders.RoomDemand(())
+
+    async def open_fake(*_arguments, **_names):
+        return TalkingStream()
+
+    async def serve():
+        links._end_stream(context.link)
+        context.agent.links._links["entry-1"] = context.link
+        opened = patch("gapdrum.agent.entry_links.open_stream", open_fake)
+        with opened, contextlib.suppress(StreamClosedError):
+            await links._serve(context.link)
+
+    asyncio.run(serve())
+
+
+@then("the stream was cut while the entry's grant still lasted")
+def cut_in_time(context):
+    assert context.cut_ms is not None, (context.cut_ms, context.until_ms)
+    assert context.cut_ms < context.until_ms, (context.cut_ms, context.until_ms)
+
+
+@when("its first call is left unanswered, a look shows it at work, and its next call is late")
+def late_after_start(context):
+    (run,) = context.runs
+    run.phase, run.calling = orders.HELD_STARTING, True
+    calls = []
+
+    async def start(*_arguments):
+        calls.append(1)
+        if len(calls) == 1:
+            look = RunnerLook(context.timers.now_ms(), (RunningTask(RUN, 5),), ())
+            context.agent.reports.report(context.keeper, context.keeper._take_look(look))
+            raise NoReplyError("lost")
+        raise RunnerRejectedError(409, "late", context.timers.now_ms() + 701)
+
+    context.runner.start = start
+    asyncio.run(context.keeper.starts._start(run, "{}", run.start_expires_ms))
+    assert len(calls) == 2, calls
+
+
+@then("its owner is not told that it was not started")
+def not_told_not_started(context):
+    told = [m for m in context.link.stream.sent if isinstance(m, orders.RunEvents)]
+    kinds = [event.kind for message in told for event in message.events]
+    assert orders.NOT_STARTED not in kinds, kinds
+
+
+@given("an idle runner that grants leases of {lease_ms:d} ms and was looked at just now")
+def idle_runner(context, lease_ms):
+    base.new_agent(context)
+    context.keeper._context.run_lease_ms = lease_ms
+    base.join(context)
+    base.step(context)
+    base.step(context)
+    context.timers.time_ms += 1_000
+    base.step(context)
+
+
+@when("an order for a waiting caller comes whose clock is {age_ms:d} ms old, and then nothing more")
+def order_comes(context, age_ms):
+    context.word_ms = context.timers.now_ms() - age_ms
+    row = orders.OrderedRun(0, 0, 1, 500, 10, 0, 100)
+    order = orders.StartOrder("i-1", JOB, 1, "{}", context.word_ms, False, (row,))
+    context.agent.orders.take(context.link, order)
+    assert len(context.runs) == 1
+
+
+@then("the runner ends that run by itself {time_ms:d} ms after its owner's word")
+def ends_by_itself(context, time_ms):
+    ends_ms = max([*context.runner.renewals, context.runs[0].start_expires_ms])
+    assert ends_ms - context.word_ms <= time_ms, ends_ms - context.word_ms
+
+
+@when("its stream ends, the run ends as done, and the same owner joins again 200 ms later")
+def done_meanwhile(context):
+    context.agent.links._end_stream(context.link)
+    ended = EndedRun(1, RUN, RunEnd.DONE)
+    look = RunnerLook(context.timers.now_ms(), (), (ended,))
+    context.agent.reports.report(context.keeper, context.keeper._take_look(look))
+    context.timers.time_ms += 200
+    base.join(context)
+
+
+@then("its owner is told on the new stream that it is done")
+def told_done(context):
+    sent = context.link.stream.sent
+    held = [row for m in sent if isinstance(m, orders.Holdings) for row in m.runs]
+    told = [event for m in sent if isinstance(m, orders.RunEvents) for event in m.events]
+    details = [one.detail for one in [*held, *told]]
+    assert RunEnd.DONE.value in details, (held, told)
--- a/src/gapdrum/agent/grants.py
+++ b/src/gapdrum/agent/grants.py
@@ -16,6 +16,11 @@
         self._bounds = bounds
         self._echoed: dict[tuple[str, bool], int] = {}
 
+    @property
+    def bounds(self) -> RunBounds:
+        """Return the spans that hold here."""
+        return self._bounds
+
     def note(self, owner: str, clock_ms: int, lease_held: bool) -> None:
         """Note a clock of ours that an owner has echoed."""
         self._note_one((owner, False), clock_ms)
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -50,12 +50,27 @@
     def lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, less if an owner is silent.
 
-        None, or less, while the lease must lapse, and while it is not known whose all runs are.
+        None, or less, while the lease must lapse, while it is not known whose all runs are, and
+        while there is nothing to keep: what starts next would have the lease that is there.
         """
-        if self.ledger.must_lapse() or not self.ledger.looked:
+        ledger = self.ledger
+        if ledger.must_lapse() or not ledger.looked or not (ledger.runs or ledger.ends):
             return 0
-        limits = [self.grants.lease_limit_ms(run) - now_ms for run in self.ledger.runs.values()]
-        return min([self.run_lease_ms, *limits])
+        limits = [self.grants.lease_limit_ms(run) - now_ms for run in ledger.runs.values()]
+        return min([self.longest_lease_ms, *limits])
+
+    @property
+    def longest_lease_ms(self) -> int:
+        """Return the longest lease that is asked for."""
+        return self.grants.bounds.lease_ms(self.run_lease_ms)
+
+    def lease_outlasts(self, owner: str, kept: bool, now_ms: int) -> bool:
+        """Tell whether the lease that is there may last for longer than an owner's word allows.
+
+        A run that started now could not be ended in time but by a stop, which may be lost.
+        """
+        allowed_ms = self.grants.hold_until_ms(owner, kept) - now_ms
+        return self.lease_until_ms > self.ledger.clock_floor(self.timers.awake_ms()) + allowed_ms
 
     def lease_until(self, left_ms: int) -> int:
         """Return until when a lease runs on the runner's clock, 0 for no renewal."""
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -220,6 +220,8 @@
             clock_ms = error.clock_ms
         self.ledger.note_clock(clock_ms, self._timers.awake_ms())
         self._context.fence = max(1, clock_ms)
+        # What an earlier life of this agent may have asked for.
+        self._context.lease_until_ms = clock_ms + self._context.longest_lease_ms
 
     def _take_rejection(self, error: RunnerRejectedError) -> None:
         self._log.write(
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -60,6 +60,8 @@
             return orders.ORDER_EXPIRED
         if now_ms >= self._context.grants.until_ms(owner, order.kept):
             return orders.ORDER_EXPIRED
+        if self._context.lease_outlasts(owner, order.kept, now_ms):
+            return orders.ORDER_EXPIRED
         if not self._context.free_for(owner, now_ms).holds(room):
             return orders.NO_ROOM
         return None
--- a/src/gapdrum/core/run_bounds.py
+++ b/src/gapdrum/core/run_bounds.py
@@ -22,6 +22,10 @@
 # What runs for a caller is over this much before the caller may submit the job again: its owner
 # notices late that the caller has gone (75 ms), the runner's clock is slow and stops take a while.
 RESUBMIT_MARGIN_MS = 150
+# A lease is one for all that runs at a runner and never shortens, so a run that starts has the one
+# that is there. Leases are asked for so much shorter than a hold that orders of this age still fit:
+# a beat and a busy entry.
+ORDER_AGE_MS = 350
 
 
 @attrs.frozen
@@ -45,6 +49,10 @@
         longest_ms = GRANT_MS + STOP_ALLOWANCE_MS
         return longest_ms if kept else min(longest_ms, self.resubmit_ms - RESUBMIT_MARGIN_MS)
 
+    def lease_ms(self, run_lease_ms: int) -> int:
+        """Return the longest lease to ask for at a runner that grants so much."""
+        return min(run_lease_ms, self.hold_ms(kept=False) - ORDER_AGE_MS)
+
     def grant_ms(self, kept: bool) -> int:
         """Return how long after its owner's last word a run is to be stopped."""
         return self.hold_ms(kept) - STOP_ALLOWANCE_MS
