Count the hold of a run that is to be stopped from the last word before the stop

What callers saw: a task of theirs could be at work at two runners where a stream is slow and a runner leaves stops unanswered. Cause: the hold counted from the stop's arrival at the agent, while the caller's pause counts from its leaving. Change: an owner's stop ends its words for the run, as a new stream does, so the last one that came before it on the stream counts. Why it holds: echoes and stops keep their order on a stream, so that word was sent before the stop.

--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -167,9 +167,8 @@
         """
         for keeper in self._keepers.values():
             for run in keeper.ledger.runs.values():
-                if run.owner == link.owner and run.claimed:
-                    run.word_ms = self._grants.word_ms(run.owner, run.kept)
-                    run.claimed = False
+                if run.owner == link.owner:
+                    self._grants.end_words(run)
 
     def rename_owner(self, former: str, owner: str) -> None:
         """Let what runs for callers that wait go on for the same entry's new life.
--- a/src/gapdrum/agent/grants.py
+++ b/src/gapdrum/agent/grants.py
@@ -53,12 +53,13 @@
     def lease_limit_ms(self, run: Run) -> int:
         """Return when the lease of a run must have ended, 0 if it must not be renewed at all."""
         word_ms = self._word_for(run)
-        if word_ms is None:
-            return 0
-        if run.stopping and not run.kept:
-            # Its caller has left, and submits the job again whether the stop takes effect or not.
-            word_ms = min(word_ms, run.stopping_ms)
-        return word_ms + self._bounds.hold_ms(run.kept)
+        return word_ms + self._bounds.hold_ms(run.kept) if word_ms is not None else 0
+
+    def end_words(self, run: Run) -> None:
+        """Let no later word of a run's owner count for it, until the owner claims it anew."""
+        if run.claimed:
+            run.word_ms = self.word_ms(run.owner, run.kept)
+            run.claimed = False
 
     def silent_ms(self, run: Run, now_ms: int) -> int | None:
         """Return how long ago the last word came that counts for a run, None if not known."""
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -177,6 +177,9 @@
             now_ms = self._context.timers.now_ms()
             if not run.stopping:
                 run.stopping_ms = now_ms
+                if not run.kept:
+                    # Its caller submits it again, whether the stop takes effect or not.
+                    self._context.grants.end_words(run)
             self._send_stop(key, now_ms)
 
     def next_stop_ms(self, now_ms: int) -> int:
