Take a rejected start for one that never began only if no earlier call of it was left open

What callers saw: a task could be placed anew beside a run that was seen at work, and one that a runner rejected as old waited 0.7 s to be placed again. Cause: "late" counted as proof although an earlier call, left unanswered, might have been done; and "old" was never taken as proof. Change: a rejection settles a start if no earlier call of it was left without an answer, whatever its reason; else a later look tells. A run that was seen at work is never dropped. Why it holds: a runner that rejects a call has done nothing with it, and no other call of that start was made.

--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -6,12 +6,7 @@
 from gapdrum.core import orders
 from gapdrum.core.models import Resources, RunKey
 from gapdrum.core.runner_ledger import Run, not_started
-from gapdrum.platform.runner_calls import (
-    REASON_LATE,
-    REASON_SUPERSEDED,
-    RunnerRejectedError,
-    RunnerReplacedError,
-)
+from gapdrum.platform.runner_calls import RunnerRejectedError, RunnerReplacedError
 from gapdrum.transport.http_client import NoReplyError, NotSentError
 
 # The runner is on the same machine; it answers in about a millisecond.
@@ -141,7 +136,10 @@
     def _judge_rejection(
         self, run: Run, error: RunnerRejectedError, unanswered: bool
     ) -> str | None:
-        """Return whether a rejected start is settled; an earlier call of it may still come."""
+        """Return whether a rejected start is settled; an earlier call of it may have been done.
+
+        Then a later look tells. A start that was rejected at its first call has never begun.
+        """
         self._context.log.write(
             "start_rejected",
             request=run.key.task.job_id,
@@ -150,16 +148,12 @@
             status=error.status,
             reason=error.reason,
         )
-        if error.reason == REASON_LATE:
-            return orders.NOT_STARTED
-        if error.reason == REASON_SUPERSEDED or unanswered:
-            return ""  # a later look tells
-        return orders.NOT_STARTED
+        return "" if unanswered else orders.NOT_STARTED
 
     def _settle_start(self, run: Run, settled: str | None) -> None:
         if self.ledger.runs.get(run.key) is not run or self.ledger.gone:
             return
-        if settled == orders.NOT_STARTED:
+        if settled == orders.NOT_STARTED and run.phase == orders.HELD_STARTING:
             self.ledger.drop(run.key)
             event = not_started(run.key, run.epoch, orders.RUNNER_REJECTED)
             self._context.report([(run, event)])
--- a/src/gapdrum/platform/runner_calls.py
+++ b/src/gapdrum/platform/runner_calls.py
@@ -39,8 +39,6 @@
 
 # Reasons of a rejection.
 REASON_FENCED = "fence"
-REASON_SUPERSEDED = "old"
-REASON_LATE = "late"
 
 
 class RunnerCalls:
