--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -4,7 +4,8 @@
 runs with their times, and the most room that was ever held, so that a test can check that no
 task ran twice at once and that the capacity held, ``GET /lease`` for how long the lease still
 lasts. ``POST /faults`` takes ``{"mode": "hang" |
-"errors" | "unanswered" | "late", "count": N, "delay_ms": M}``.
+"errors" | "unanswered" | "late", "count": N, "delay_ms": M}``; with ``"paths": ["/run-stop"]``
+only these calls are left unanswered or carried out late.
 """
 
 import asyncio
@@ -93,8 +94,14 @@
         self.ended = [row for row in self.ended if row[0] > seen_end]
 
     def _note(self, task: str, attempt: int, how: str) -> None:
-        wall_ms = time.time_ns() // 1_000_000
-        row = {"task": task, "attempt": attempt, "how": how, "wall_ms": wall_ms}
+        row = {
+            "task": task,
+            "attempt": attempt,
+            "how": how,
+            "wall_ms": time.time_ns() // 1_000_000,
+            # Orders what happens at several runners within a millisecond: all share this clock.
+            "steady_ns": time.monotonic_ns(),
+        }
         self.history.append(row)
         if self.history_path is not None:
             with self.history_path.open("a") as file:
@@ -209,9 +216,10 @@
 
     async def _command(self, path: str, body: dict[str, Any]) -> HttpResponse:
         state = self.state
-        if state.use_fault("unanswered"):
+        struck = path in state.fault.get("paths", (path,))
+        if struck and state.use_fault("unanswered"):
             await asyncio.sleep(FOREVER_S)
-        if state.use_fault("late"):
+        if struck and state.use_fault("late"):
             await asyncio.sleep(state.fault["delay_ms"] / MS_PER_S)
             self._carry_out(path, body)
             await asyncio.sleep(FOREVER_S)
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -76,8 +76,8 @@
             )
 
     def signal(self, number: int) -> None:
-        """Send it a signal."""
-        os.kill(self.popen.pid, number)
+        """Send it a signal, unless it has ended: its id may be another process's by now."""
+        self.popen.send_signal(number)
 
     def wait(self, timeout_s: float = 30) -> int:
         """Wait for its end and return the exit code."""
--- /dev/null
+++ b/tools/soak_callers.py
@@ -0,0 +1,209 @@
+"""Callers of the soak: they submit, wait, leave or give up, and submit the same job again."""
+
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+
+import attrs
+from local_system import HOST
+from platform_system import CALLER_HOST, RESUBMIT_MS, PlatformSystem
+
+TASK_CPU_MILLI = 2_000
+TRIES = 5
+CONNECT_TIMEOUT_S = 1.0
+CONNECT_PAUSE_S = 0.02  # between tries to reach any entry, while all are away
+CONNECT_LIMIT_S = 10.0
+LEAVING_SHARE = 0.35  # of the submissions whose caller leaves before its deadline
+DEAF_SHARE = 0.3  # of the callers that give up and leave their connection open
+LEAVE_S = (0.2, 3.0)
+DEADLINE_MS = (600, 6_000)
+UNSETTLED = (0, 502, 504)  # what a caller answers by submitting its job again
+
+
+@attrs.frozen
+class Submission:
+    """One submission of a job, and how its wait ended; times are of the wall clock."""
+
+    entry: int
+    sent_ms: int
+    over_ms: int
+    how: str
+
+
+@attrs.define
+class Submitted:
+    """A job as its caller knows it."""
+
+    job_id: str
+    stored: bool
+    statuses: list[int] = attrs.Factory(list)
+    state: str = ""
+    submissions: list[Submission] = attrs.Factory(list)
+
+
+@attrs.frozen
+class Patience:
+    """When a caller stops waiting, in seconds of the steady clock, and what it does then."""
+
+    deadline_ms: int
+    deadline_s: float
+    leaves_s: float | None
+    stays_open: bool
+
+    @property
+    def until_s(self) -> float:
+        """Return when it stops waiting."""
+        return self.deadline_s if self.leaves_s is None else min(self.leaves_s, self.deadline_s)
+
+
+class Callers:
+    """Threads that each submit one job after the other, until told to stop.
+
+    A submission that ends without a settled answer is made again ``RESUBMIT_MS`` after the moment
+    at which it ended for its caller, at any entry: its connection broke, it closed the connection
+    itself, or its deadline passed. An entry that refuses the connection was told nothing, so the
+    next one is tried at once.
+    """
+
+    def __init__(self, system: PlatformSystem, seeds: list[float]) -> None:
+        self.jobs: list[Submitted] = []
+        self._system = system
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._waiting: dict[http.client.HTTPConnection, int] = {}
+        self._left_open: list[http.client.HTTPConnection] = []
+        self._threads = [threading.Thread(target=self._call, args=(seed,)) for seed in seeds]
+
+    def start(self) -> None:
+        """Begin to submit."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Submit no new jobs."""
+        self._stop.set()
+
+    def join(self) -> None:
+        """Wait until the last has left."""
+        for thread in self._threads:
+            thread.join()
+        for connection in self._left_open:
+            connection.close()
+
+    def leave(self, entries: set[int], chooser: random.Random) -> int:
+        """Let about half of those who wait at these entries leave now; return how many."""
+        with self._lock:
+            there = [c for c, entry in self._waiting.items() if entry in entries]
+        leaving = [connection for connection in there if chooser.random() < 0.5]
+        for connection in leaving:
+            try:
+                connection.sock.shutdown(socket.SHUT_RDWR)
+            except (OSError, AttributeError):
+                continue  # it was answered, or closed, meanwhile
+        return len(leaving)
+
+    def _call(self, seed: float) -> None:
+        chooser = random.Random(seed)
+        # Drawn by itself, so that seeds submit the same jobs whatever callers do then.
+        patience = random.Random(f"patience {seed}")
+        while not self._stop.is_set():
+            job = Submitted(f"{chooser.getrandbits(64):016x}", chooser.random() < 0.5)
+            self.jobs.append(job)
+            self._submit(job, chooser, patience)
+            time.sleep(chooser.uniform(0.0, 0.3))
+
+    def _submit(self, job: Submitted, chooser: random.Random, patience: random.Random) -> None:
+        """Hand a job in, and again while nothing is known of it, as callers do."""
+        steps = [{"count": chooser.randint(1, 6), "cpu": TASK_CPU_MILLI, "estimate_ms": 200}]
+        # The longest outlast the silence after which an entry takes a run for over.
+        run_ms = chooser.choice((30, 150, 400, 1_500, 4_000))
+        document = {"spec": json.dumps({"run_ms": run_ms}), "steps": steps}
+        if not job.stored:
+            document["best_effort"] = True
+        body = json.dumps(document).encode()
+        for _ in range(TRIES):
+            reached = self._connect(chooser.randrange(len(self._system.entries)))
+            if reached is None:
+                return
+            status, over_s = self._wait(job, body, *reached, patience)
+            job.statuses.append(status)
+            if status not in UNSETTLED or (self._stop.is_set() and not job.stored):
+                return
+            time.sleep(max(0.0, over_s + RESUBMIT_MS / 1_000 - time.monotonic()))
+
+    def _connect(self, entry: int) -> tuple[http.client.HTTPConnection, int] | None:
+        """Return a connection to an entry, the next one if it is away; None if all stay away."""
+        entries = self._system.entries
+        limit_s = time.monotonic() + CONNECT_LIMIT_S
+        while time.monotonic() < limit_s:
+            for number in range(entry, entry + len(entries)):
+                port = entries[number % len(entries)].port
+                connection = http.client.HTTPConnection(HOST, port, timeout=CONNECT_TIMEOUT_S)
+                try:
+                    connection.connect()
+                except OSError:
+                    continue
+                return connection, number % len(entries)
+            time.sleep(CONNECT_PAUSE_S)
+        return None
+
+    def _wait(
+        self,
+        job: Submitted,
+        body: bytes,
+        connection: http.client.HTTPConnection,
+        entry: int,
+        chooser: random.Random,
+    ) -> tuple[int, float]:
+        """Submit once; return the status, 0 without an answer, and when the wait was over."""
+        sent_ms = time.time_ns() // 1_000_000
+        patience = _draw_patience(chooser)
+        with self._lock:
+            self._waiting[connection] = entry
+        status = 0
+        try:
+            status = self._ask(job, body, connection, patience)
+            over_s, how = time.monotonic(), f"answered {status}"
+        except TimeoutError:
+            if patience.leaves_s is not None and patience.leaves_s < patience.deadline_s:
+                over_s, how = time.monotonic(), "left"
+            else:
+                over_s, how = patience.deadline_s, "gave up"
+        except (OSError, http.client.HTTPException, AttributeError):
+            over_s, how = time.monotonic(), "broke"
+        with self._lock:
+            del self._waiting[connection]
+        if how == "gave up" and patience.stays_open:
+            how = "gave up, left open"
+            self._left_open.append(connection)
+        else:
+            connection.close()
+        over_ms = time.time_ns() // 1_000_000 - round((time.monotonic() - over_s) * 1_000)
+        job.submissions.append(Submission(entry, sent_ms, over_ms, how))
+        return status, over_s
+
+    @staticmethod
+    def _ask(
+        job: Submitted, body: bytes, connection: http.client.HTTPConnection, patience: Patience
+    ) -> int:
+        headers = {"Host": CALLER_HOST, "X-Deadline": str(patience.deadline_ms)}
+        connection.request("POST", f"/flags/{job.job_id}", body, headers)
+        connection.sock.settimeout(max(0.001, patience.until_s - time.monotonic()))
+        reply = connection.getresponse()
+        answer = json.loads(reply.read() or b"{}")
+        if reply.status not in UNSETTLED:
+            job.state = answer.get("state", "")
+        return reply.status
+
+
+def _draw_patience(chooser: random.Random) -> Patience:
+    now_s = time.monotonic()
+    deadline_ms = chooser.randint(*DEADLINE_MS)
+    leaves = chooser.random() < LEAVING_SHARE
+    leaves_s = now_s + chooser.uniform(*LEAVE_S)
+    stays_open = chooser.random() < DEAF_SHARE
+    deadline_s = now_s + deadline_ms / 1_000
+    return Patience(deadline_ms, deadline_s, leaves_s if leaves else None, stays_open)
--- /dev/null
+++ b/tools/soak_checks.py
@@ -0,0 +1,127 @@
+"""What runners saw in a soak, held against the promises: the runners are the witnesses."""
+
+import math
+from collections import defaultdict
+from itertools import combinations
+
+import attrs
+from platform_system import RUNNER_CPU_MILLI
+from soak_callers import TASK_CPU_MILLI, Submitted
+
+ENDS = ("done", "failed", "stopped", "lapsed")
+NS_PER_MS = 1_000_000
+REFUSED = {429, 503}
+
+
+@attrs.define
+class SeenRun:
+    """A run as its runner saw it; times are of the machine's steady clock, which all share."""
+
+    task: str
+    attempt: int
+    life: int
+    began_ns: int
+    ended_ns: float = math.inf  # still at work when the runners were last asked
+    how: str = ""
+
+    def overlap_ms(self, other: "SeenRun") -> float:
+        """Return for how long both were at work, negative if one was over before the other."""
+        first_end_ns = min(self.ended_ns, other.ended_ns)
+        return (first_end_ns - max(self.began_ns, other.began_ns)) / NS_PER_MS
+
+    def describe(self) -> str:
+        """Tell where it ran, and from when to when."""
+        began_ms, ended_ms = self.began_ns / NS_PER_MS, self.ended_ns / NS_PER_MS
+        return (
+            f"attempt {self.attempt} at runner life {self.life} "
+            f"from {began_ms:.3f} to {ended_ms:.3f} {self.how}"
+        )
+
+
+def list_runs(history: list[dict], killed_ns: dict[int, int]) -> list[SeenRun]:
+    """Return the runs of one life of a runner; what was at work when it was killed ended then."""
+    runs: list[SeenRun] = []
+    at_work: dict[str, SeenRun] = {}
+    for row in history:
+        if row["how"] == "started":
+            run = SeenRun(row["task"], row["attempt"], row["life"], row["steady_ns"])
+            runs.append(run)
+            at_work[run.task] = run
+        elif row["how"] in ENDS:
+            run = at_work.pop(row["task"])
+            run.ended_ns, run.how = row["steady_ns"], row["how"]
+    for run in at_work.values():
+        if run.life in killed_ns:
+            run.ended_ns, run.how = killed_ns[run.life], "killed"
+    return runs
+
+
+def check_runs(
+    histories: list[list[dict]], jobs: list[Submitted], killed_ns: dict[int, int]
+) -> list[str]:
+    """Return the promises that the histories of all lives of runners show to be broken."""
+    by_task: dict[str, list[SeenRun]] = defaultdict(list)
+    broken = []
+    for history in histories:
+        runs = list_runs(history, killed_ns)
+        broken += over_room(runs)
+        for run in runs:
+            by_task[run.task].append(run)
+    by_id = {job.job_id: job for job in jobs}
+    for task, runs in by_task.items():
+        broken += find_overlaps(task, runs, by_id.get(_job_id(task)))
+    stored = {job.job_id for job in jobs if job.stored}
+    counted = {
+        (row["task"], row["attempt"])
+        for history in histories
+        for row in history
+        if row["how"] == "forgotten"
+    }
+    for task, runs in by_task.items():
+        if _job_id(task) in stored:
+            broken += find_starts_after_end(task, runs, counted)
+    started = {_job_id(task) for task in by_task}
+    broken += [
+        f"{job.job_id} was refused and ran"
+        for job in jobs
+        if job.job_id in started and set(job.statuses) <= REFUSED
+    ]
+    return broken
+
+
+def _job_id(task: str) -> str:
+    return task.partition(".")[0]
+
+
+def find_overlaps(task: str, runs: list[SeenRun], job: Submitted | None) -> list[str]:
+    """Return all pairs of runs of a task that were at work at once, however shortly."""
+    return [
+        f"overlap of {one.overlap_ms(other):.3f} ms: {task} {one.describe()}, beside "
+        f"{other.describe()}; {'stored' if job and job.stored else 'waiting'}, "
+        f"{job and job.submissions}"
+        for one, other in combinations(runs, 2)
+        if one.overlap_ms(other) >= 0
+    ]
+
+
+def find_starts_after_end(
+    task: str, runs: list[SeenRun], counted: set[tuple[str, int]]
+) -> list[str]:
+    """Return the starts of a stored task after an end as done that counts."""
+    done = [run for run in runs if run.how == "done" and (task, run.attempt) in counted]
+    return [
+        f"{task} {run.describe()} after {end.describe()}"
+        for end in done
+        for run in runs
+        if run.began_ns > end.ended_ns
+    ]
+
+
+def over_room(runs: list[SeenRun]) -> list[str]:
+    """Return the starts that brought one life of a runner over its room."""
+    over = []
+    for run in runs:
+        beside = [other for other in runs if other.began_ns <= run.began_ns < other.ended_ns]
+        if len(beside) * TASK_CPU_MILLI > RUNNER_CPU_MILLI:
+            over.append(f"room: {run.task} {run.describe()} beside {len(beside) - 1} others")
+    return over
