--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,7 +1,11 @@
-"""Steps that run the soak of ``tools/soak.py`` with a fixed seed."""
+"""Steps that run the soak of ``tools/soak.py`` with a fixed seed, and that check its witness."""
 
-from behave import then, when
+from behave import given, then, when
 from soak import Soak
+from soak_callers import Submitted
+from soak_checks import NS_PER_MS, check_runs
+
+JOB = "00000000000000b1"
 
 
 @when("the soak runs seed {seed:d} for {seconds:d} s")
@@ -14,3 +18,59 @@
 def nothing_broken(context):
     assert not context.broken, (context.broken, context.soak.faults, context.soak.system.folder)
     assert any(200 in job.statuses for job in context.soak.jobs)
+
+
+# Without processes: what the checks make of histories.
+
+
+@given('runner {number:d} saw "{rows}"')
+@given('its next life saw "{rows}"')
+def add_life(context, rows, number=0):
+    histories = context.histories = getattr(context, "histories", [])
+    killed_ns = context.killed_ns = getattr(context, "killed_ns", {})
+    life = len(histories) + 1
+    history = []
+    for row in rows.split():
+        how, _, time_ms = row.partition("@")
+        time_ns = int(float(time_ms) * NS_PER_MS)
+        if how == "killed":
+            killed_ns[life] = time_ns
+        else:
+            history.append(row_of(f"{JOB}.0.0.0", how, time_ns, life))
+    histories.append(history)
+
+
+def row_of(task, how, time_ns, life):
+    return {"task": task, "attempt": 1, "how": how, "steady_ns": time_ns, "life": life}
+
+
+@given("runner 1 saw {count:d} tasks at once")
+def add_full_life(context, count):
+    rows = [row_of(f"{JOB}.0.0.{number}", "started", number + 1, 1) for number in range(count)]
+    context.histories, context.killed_ns = [rows], {}
+
+
+@when("the runs of a {kind} job are checked")
+def check_histories(context, kind):
+    job = Submitted(JOB, kind == "stored", [200])
+    context.broken = check_runs(context.histories, [job], context.killed_ns)
+
+
+@then("overlaps found: {count:d}")
+def overlaps_found(context, count):
+    assert_found(context, "overlap", count)
+
+
+@then("starts after an end found: {count:d}")
+def starts_found(context, count):
+    assert_found(context, " after ", count)
+
+
+@then("starts over the room found: {count:d}")
+def over_room_found(context, count):
+    assert_found(context, "room: ", count)
+
+
+def assert_found(context, what, count):
+    found = [text for text in context.broken if what in text]
+    assert len(found) == count == len(context.broken), context.broken
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,8 +23,8 @@
 
 from local_system import wait_for
 from platform_system import ZONES, PlatformSystem
-from soak_callers import Callers, Submitted
-from soak_checks import REFUSED, check_runs
+from soak_callers import REFUSED, Callers, Submitted
+from soak_checks import check_runs
 from soak_faults import CALM_S, Faults, Proxies
 
 ENTRIES, AGENTS, CALLERS = 2, 3, 6
@@ -166,7 +166,7 @@
             "seed": seed,
             "jobs": len(soak.jobs),
             "answered": sum(200 in job.statuses for job in soak.jobs),
-            "refused": sum(set(job.statuses) <= REFUSED for job in soak.jobs),
+            "refused": sum(set(job.statuses) <= set(REFUSED) for job in soak.jobs),
             "again": sum(len(job.submissions) > 1 for job in soak.jobs),
             "faults": len(soak.faults),
             "overlaps": sum(text.startswith("overlap") for text in broken),
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -20,7 +20,9 @@
 DEAF_SHARE = 0.3  # of the callers that give up and leave their connection open
 LEAVE_S = (0.2, 3.0)
 DEADLINE_MS = (600, 6_000)
+REFUSED_PAUSE_S = 0.1  # before a caller that was turned away with a job submitted again tries again
 UNSETTLED = (0, 502, 504)  # what a caller answers by submitting its job again
+REFUSED = (429, 503)
 
 
 @attrs.frozen
@@ -130,9 +132,14 @@
                 return
             status, over_s = self._wait(job, body, *reached, patience)
             job.statuses.append(status)
-            if status not in UNSETTLED or (self._stop.is_set() and not job.stored):
+            if self._stop.is_set() and not job.stored:
+                return
+            if status in UNSETTLED:
+                time.sleep(max(0.0, over_s + RESUBMIT_MS / 1_000 - time.monotonic()))
+            elif status in REFUSED and len(job.statuses) > 1:
+                time.sleep(REFUSED_PAUSE_S)  # the refusal is of this submission, not of the first
+            else:
                 return
-            time.sleep(max(0.0, over_s + RESUBMIT_MS / 1_000 - time.monotonic()))
 
     def _connect(self, entry: int) -> tuple[http.client.HTTPConnection, int] | None:
         """Return a connection to an entry, the next one if it is away; None if all stay away."""
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -6,11 +6,10 @@
 
 import attrs
 from platform_system import RUNNER_CPU_MILLI
-from soak_callers import TASK_CPU_MILLI, Submitted
+from soak_callers import REFUSED, TASK_CPU_MILLI, Submitted
 
 ENDS = ("done", "failed", "stopped", "lapsed")
 NS_PER_MS = 1_000_000
-REFUSED = {429, 503}
 
 
 @attrs.define
@@ -84,7 +83,7 @@
     broken += [
         f"{job.job_id} was refused and ran"
         for job in jobs
-        if job.job_id in started and set(job.statuses) <= REFUSED
+        if job.job_id in started and set(job.statuses) <= set(REFUSED)
     ]
     return broken
 
