Soak: callers answered at once pause, faults strike together, a soak that is ended ends its processes

They wait 0.2 to 1.2 s now. Half of the herds strike with no time between their faults; a runner may fail tasks just before all is killed.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,12 +18,13 @@
 import json
 import os
 import random
+import signal
 import sys
 import time
 
 from local_system import wait_for
 from platform_system import ZONES, PlatformSystem
-from soak_callers import REFUSED, Callers, Submitted
+from soak_callers import Callers, Submitted
 from soak_checks import check_runs
 from soak_faults import CALM_S, Faults, Proxies
 
@@ -150,6 +151,8 @@
     size_fault = find_size_fault(options.entries, options.agents)
     if size_fault:
         parser.error(size_fault)
+    # A soak that is ended from outside ends the processes it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         soak = Soak(
@@ -166,7 +169,7 @@
             "seed": seed,
             "jobs": len(soak.jobs),
             "answered": sum(200 in job.statuses for job in soak.jobs),
-            "refused": sum(set(job.statuses) <= set(REFUSED) for job in soak.jobs),
+            "refused": sum(job.refused for job in soak.jobs),
             "again": sum(len(job.submissions) > 1 for job in soak.jobs),
             "faults": len(soak.faults),
             "overlaps": sum(text.startswith("overlap") for text in broken),
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -21,8 +21,9 @@
 LEAVE_S = (0.2, 3.0)
 DEADLINE_MS = (600, 6_000)
 REFUSED_PAUSE_S = 0.1  # before a caller that was turned away with a job submitted again tries again
-UNSETTLED = (0, 502, 504)  # what a caller answers by submitting its job again
+QUICK_PAUSE_S = (0.2, 1.2)  # before the next job of a caller that was answered at once
 REFUSED = (429, 503)
+UNSETTLED = (0, 502, 504)  # what a caller answers by submitting its job again
 
 
 @attrs.frozen
@@ -45,6 +46,11 @@
     state: str = ""
     submissions: list[Submission] = attrs.Factory(list)
 
+    @property
+    def refused(self) -> bool:
+        """Tell whether each submission was refused: then it must never run."""
+        return set(self.statuses) <= set(REFUSED)
+
 
 @attrs.frozen
 class Patience:
@@ -116,6 +122,9 @@
             self.jobs.append(job)
             self._submit(job, chooser, patience)
             time.sleep(chooser.uniform(0.0, 0.3))
+            if job.stored or job.refused:
+                # Else those whose jobs are answered at once pile up what nobody else finds room by.
+                time.sleep(patience.uniform(*QUICK_PAUSE_S))
 
     def _submit(self, job: Submitted, chooser: random.Random, patience: random.Random) -> None:
         """Hand a job in, and again while nothing is known of it, as callers do."""
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -6,7 +6,7 @@
 
 import attrs
 from platform_system import RUNNER_CPU_MILLI
-from soak_callers import REFUSED, TASK_CPU_MILLI, Submitted
+from soak_callers import TASK_CPU_MILLI, Submitted
 
 ENDS = ("done", "failed", "stopped", "lapsed")
 NS_PER_MS = 1_000_000
@@ -81,9 +81,7 @@
             broken += find_starts_after_end(task, runs, counted)
     started = {_job_id(task) for task in by_task}
     broken += [
-        f"{job.job_id} was refused and ran"
-        for job in jobs
-        if job.job_id in started and set(job.statuses) <= set(REFUSED)
+        f"{job.job_id} was refused and ran" for job in jobs if job.job_id in started and job.refused
     ]
     return broken
 
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -215,14 +215,22 @@
         return f"kill in series {_names(victims)}"
 
     def _kill_herd(self, _callers: Callers) -> str:
-        """Kill entries and agents together, as when a machine or a zone goes away."""
+        """Kill entries and agents together, as when a machine or a zone goes away.
+
+        A runner may fail what it starts just before, so that its ends are told to other lives.
+        """
+        failing = ""
+        if self._herd_random.random() < 0.5:
+            number = self._herd_random.randrange(len(self._system.runners))
+            failing = self._set_runner_fault(number, mode="errors", count=10) + ", "
+            time.sleep(self._herd_random.uniform(0.0, 0.5))
         victims = [*self._draw(self._system.entries), *self._draw(self._system.agents)]
         if self._herd_random.random() < 0.4:
             victims = self._processes
         self._kill_all(victims)
         for process in victims:
             self._start_later(process)
-        return f"kill together {_names(victims)}"
+        return f"{failing}kill together {_names(victims)}"
 
     def _start_later(self, process: Process) -> None:
         self._later(self._herd_random.uniform(0.1, 1.5), lambda: self._start(process))
@@ -238,7 +246,7 @@
         """Let entries stand still while callers leave, just before, during or just after."""
         victims = self._draw(self._system.entries)
         self._freeze(victims)
-        time.sleep(self._herd_random.uniform(0.0, 1.0))
+        self._hesitate(1.0)
         left = callers.leave(self._numbers(victims), self._herd_random)
         return f"freeze {_names(victims)}, {left} callers left"
 
@@ -258,7 +266,7 @@
             proxy.mode = self._herd_random.choice((SILENT, ONE_WAY))
             ends_s = self._herd_random.uniform(1.0, 2.0)
             self._later(ends_s, lambda proxy=proxy: setattr(proxy, "mode", PASS))
-        time.sleep(self._herd_random.uniform(0.0, 0.5))
+        self._hesitate(0.5)
         if self._herd_random.random() < 0.5:
             left = callers.leave(self._numbers(self._system.entries), self._herd_random)
             return f"{len(proxies)} streams cut, {left} callers left"
@@ -280,6 +288,11 @@
         left = callers.leave(self._numbers(self._system.entries), self._herd_random)
         return f"{what}, {left} callers left"
 
+    def _hesitate(self, most_s: float) -> None:
+        """Let two faults follow each other at once, which leaves least time, or after a while."""
+        if self._herd_random.random() < 0.5:
+            time.sleep(self._herd_random.uniform(0.0, most_s))
+
     def _numbers(self, entries: list[Process]) -> set[int]:
         return {self._system.entries.index(entry) for entry in entries}
 
