--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,9 +1,13 @@
 Feature: a short soak with faults from outside
+  Processes, links, the store and runners fail alone, in series and in herds; callers leave, give up,
+  and submit again as soon as they may.
 
-  Scenario Outline: the promises hold while processes, links, store and runners fail
-    When the soak runs seed <seed> for <seconds> s
+  Scenario: the promises hold, a small system
+    When the soak runs seed 10 for 10 s
     Then no promise was broken
+    And callers have submitted again
 
-    Examples:
-      | seed | seconds |
-      | 10   | 10      |
+  Scenario: the promises hold, more processes and callers
+    When the soak runs seed 600 for 10 s with 4 entries, 8 agents and 20 callers
+    Then no promise was broken
+    And callers have submitted again
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,6 +14,15 @@
     context.broken = context.soak.run()
 
 
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} s with {entries:d} entries, {agents:d} agents "
+    "and {callers:d} callers"
+)
+def run_larger_soak(context, seed, seconds, entries, agents, callers):
+    context.soak = Soak(seed, seconds, entries=entries, agents=agents, callers=callers)
+    context.broken = context.soak.run()
+
+
 @then("no promise was broken")
 def nothing_broken(context):
     assert not context.broken, (context.broken, context.soak.faults, context.soak.system.folder)
