--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -3,23 +3,29 @@
 import asyncio
 import signal
 import time
+from unittest.mock import patch
 
 from behave import given, then, when
 from core_model import ManualTimers
-from platform_core_steps import JOB, OWNER, RUN, TASK
+from platform_core_steps import JOB, OWNER, RUN, TASK, FakeStore, new_lease
 from platform_steps import steps_of
 from platform_system import RESUBMIT_MS
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.agent.program import Agent
 from gapdrum.agent.runner_keeper import LOOK_WAIT_MS, RunnerKeeper
+from gapdrum.agent.runner_starts import START_WINDOW_MS
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import Resources
+from gapdrum.core.orders import BEAT_INTERVAL_MS
 from gapdrum.core.records import EntryAddress
+from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS
 from gapdrum.core.runner_models import RunnerLook, RunningTask
 from gapdrum.event_log import EventLog
 from gapdrum.platform.boot import Boot, StoreLimits
+from gapdrum.timers import Timers
+from gapdrum.transport.http_client import NoReplyError
 
 TASKS, RUN_MS = 8, 4_000
 ADDRESS = EntryAddress("life", "plaine-nord", "127.0.0.1", 1)
@@ -97,13 +103,13 @@
     """Answers looks, and remembers until when each renewed; its clock is the agent's."""
 
     def __init__(self, timers, running=()):
-        self.timers = timers
+        self.read_clock = timers.now_ms
         self.running = running
         self.renewals = []
 
     async def look(self, until_ms, _seen, _fence, _wait_ms, _timeout_ms):
         self.renewals.append(until_ms)
-        return RunnerLook(self.timers.now_ms(), self.running, ())
+        return RunnerLook(self.read_clock(), self.running, ())
 
 
 class FakeStream:
@@ -123,7 +129,8 @@
     store = Endpoint("127.0.0.1", 1)
     boot = Boot(
         instance="side-1", zone="plaine-nord", host="127.0.0.1", streams_port=1, store=store,
-        store_limits=StoreLimits(800, 2_000, 65_536), run_lease_ms=1_000, shutdown_ms=6_000,
+        store_limits=StoreLimits(800, 2_000, 65_536), run_lease_ms=1_000,
+        resubmit_ms=RESUBMIT_MS, shutdown_ms=6_000,
         callers=None, readiness=None, runner_reports=None, runner=None, machine_list=None,
     )  # fmt: skip
     log = EventLog("side-1", timers)
@@ -169,6 +176,28 @@
         step(context)
 
 
+@when("it looks once")
+def look_once(context):
+    step(context)
+
+
+@when("an entry joins, echoes the greeting's clock and adopts the run")
+def entry_adopts(context):
+    join(context)
+    echo(context)
+    claim(context)
+
+
+def claim(context):
+    row = orders.AdoptedRun(TASK.text, 1, 1, False, 500, 10, 0)
+    context.agent.orders.take(context.link, orders.AdoptRuns("i-1", (row,)))
+
+
+@then("that look has renewed the lease by {time_ms:d} ms")
+def renewed_by(context, time_ms):
+    assert context.runner.renewals[-1] - context.timers.now_ms() == time_ms
+
+
 @then("no look has renewed the lease")
 def nothing_renewed(context):
     assert not any(context.runner.renewals), context.runner.renewals
@@ -198,14 +227,39 @@
         step(context)
 
 
-@when("its stream ends, and the same owner joins again 200 ms later and echoes on")
-def stream_replaced(context):
+def replace_stream(context):
     context.agent.links._end_stream(context.link)
     context.timers.time_ms += 200
     join(context)
+
+
+@when("its stream ends, and the same owner joins again 200 ms later and echoes on")
+def stream_replaced(context):
+    replace_stream(context)
     let_time_pass(context, 2_000)
 
 
+@when("its stream ends, and the same owner joins again 200 ms later, claims it and echoes on")
+def stream_replaced_and_claimed(context):
+    replace_stream(context)
+    claim(context)
+    let_time_pass(context, 2_000)
+
+
+@when("its entry loses its lease, and greets with the name of a new life on the same stream")
+def entry_renamed(context):
+    context.timers.time_ms += BEAT_INTERVAL_MS + RESTART_ALLOWANCE_MS
+    echo(context)
+    context.agent.links._greeted(context.link, "entry-1/next-life")
+
+
+@then("the run has not been stopped")
+def not_stopped(context):
+    assert not context.stops, context.stops
+    last_ms = max(context.runner.renewals)
+    assert last_ms > context.timers.now_ms(), (last_ms, context.timers.now_ms())
+
+
 @when("its owner stops it, the runner leaves that unanswered, and the owner echoes on")
 def stop_unanswered(context):
     named = orders.NamedRun(TASK.text, 1)
@@ -213,8 +267,86 @@
     let_time_pass(context, 2_000)
 
 
+@when("its start is left unanswered, and its owner stops it")
+def stop_unanswered_start(context):
+    (run,) = context.runs
+    context.runner.starts = 0
+    stop = orders.StopOrder("i-1", (orders.NamedRun(TASK.text, 1),))
+
+    async def leave_unanswered(*_arguments):
+        context.runner.starts += 1
+        context.agent.orders.take(context.link, stop)
+        raise NoReplyError("lost")
+
+    context.runner.start = leave_unanswered
+    ends_ms = context.timers.now_ms() + START_WINDOW_MS
+    asyncio.run(asyncio.wait_for(context.keeper.starts._start(run, "{}", ends_ms), 1.0))
+
+
+@then("its start was called once")
+def called_once(context):
+    assert context.runner.starts == 1, context.runner.starts
+
+
 @then("the run is over {time_ms:d} ms after its owner was heard on the earlier stream")
 @then("the run is over {time_ms:d} ms after its stop")
 def over_in_time(context, time_ms):
     last_ms = max(context.runner.renewals)
     assert last_ms - context.since_ms <= time_ms, (last_ms, context.since_ms)
+
+
+# Instances that are suspended.
+
+
+@when("the agent is suspended for {time_ms:d} ms and then looks once")
+def suspended(context, time_ms):
+    context.timers.suspend(time_ms)
+    context.runner.renewals.clear()
+    step(context)
+
+
+@then("the run has been stopped, and not been renewed since the agent woke")
+def stopped_at_once(context):
+    assert context.stops == [context.timers.now_ms()], context.stops
+    assert not any(context.runner.renewals), context.runner.renewals
+
+
+@when("agent and runner are suspended for {time_ms:d} ms, and then the owner claims the run")
+def both_suspended(context, time_ms):
+    context.runner.read_clock = context.timers.awake_ms
+    context.timers.suspend(time_ms)
+    replace_stream(context)
+    echo(context)
+    claim(context)
+
+
+@then("that look has renewed the lease by at most {time_ms:d} ms on the runner's clock")
+def renewed_by_at_most(context, time_ms):
+    assert 0 < context.runner.renewals[-1] - context.timers.awake_ms() <= time_ms
+
+
+@given("an entry that holds its lease")
+def entry_with_lease(context):
+    context.timers = ManualTimers()
+    context.lease = new_lease(FakeStore(), context.timers, "entry-1")
+    asyncio.run(context.lease.keep())
+    assert context.lease.valid
+
+
+@when("its instance is suspended for {time_ms:d} ms")
+def instance_suspended(context, time_ms):
+    context.timers.suspend(time_ms)
+
+
+@then("it does not act for its jobs")
+def does_not_act(context):
+    assert not context.lease.valid
+
+
+@then("the clocks of a process count what they should")
+def clocks_count(_context):
+    with (
+        patch("time.clock_gettime_ns", {time.CLOCK_BOOTTIME: 7_000_000_000}.get),
+        patch("time.monotonic_ns", lambda: 5_000_000_000),
+    ):
+        assert (Timers.now_ms(), Timers.awake_ms()) == (7_000, 5_000)
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -159,8 +159,27 @@
         for owner in former:
             self.stop_unwaited(owner)
 
+    def await_claims(self, link: EntryLink) -> None:
+        """Let runs of an entry that has joined anew count as its own once it has claimed them.
+
+        A stop that was lost with the former stream would not end a run that the echoes on the new
+        one keep up.
+        """
+        for keeper in self._keepers.values():
+            for run in keeper.ledger.runs.values():
+                if run.owner == link.owner and run.claimed:
+                    run.word_ms = self._grants.word_ms(run.owner, run.kept)
+                    run.claimed = False
+
     def rename_owner(self, former: str, owner: str) -> None:
-        """Let what runs for callers that wait go on for the same entry's new life."""
+        """Let what runs for callers that wait go on for the same entry's new life.
+
+        The former name's last word counts for the new one, which has echoed nothing yet: without
+        it all of that would be stopped at once.
+        """
+        word_ms = self._grants.word_ms(former, kept=False)
+        if word_ms is not None:
+            self._grants.note(owner, word_ms, lease_held=False)
         for keeper in self._keepers.values():
             for run in keeper.ledger.runs.values():
                 if run.owner == former and not run.kept:
--- a/src/gapdrum/agent/grants.py
+++ b/src/gapdrum/agent/grants.py
@@ -1,20 +1,20 @@
 """For how long the agent may act for each entry, by the clocks that entries echo."""
 
-from gapdrum.core import orders
-from gapdrum.core.runner_ledger import UNKNOWN_OWNER, Run
+from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS, STOP_ALLOWANCE_MS, RunBounds
+from gapdrum.core.runner_ledger import Run
 
 
 class Grants:
     """The last echoed clock of each owner.
 
     For jobs that are stored only the echoes count that were sent while the owner held its
-    lease. After a start of the agent, owners of what runs are unknown; that is kept alive for a
-    short time only, which entries allow for before they take a run for dead.
+    lease. After a start of the agent, the owners of what runs are unknown, and so is when they
+    were heard last: none of that is renewed, and it is stopped unless its owner claims it soon.
     """
 
-    def __init__(self, now_ms: int) -> None:
-        unknown_ms = now_ms + orders.RESTART_ALLOWANCE_MS - orders.GRANT_MS
-        self._echoed = {(UNKNOWN_OWNER, True): unknown_ms}
+    def __init__(self, bounds: RunBounds) -> None:
+        self._bounds = bounds
+        self._echoed: dict[tuple[str, bool], int] = {}
 
     def note(self, owner: str, clock_ms: int, lease_held: bool) -> None:
         """Note a clock of ours that an owner has echoed."""
@@ -25,20 +25,41 @@
     def _note_one(self, key: tuple[str, bool], clock_ms: int) -> None:
         self._echoed[key] = max(self._echoed.get(key, 0), clock_ms)
 
-    def end(self, owner: str) -> None:
-        """End the grants of an owner that is known to be gone."""
-        for kept in (False, True):
-            self._echoed.pop((owner, kept), None)
-
     def until_ms(self, owner: str, kept: bool) -> int:
         """Return until when the agent may act for an owner, 0 if it never was granted."""
-        echoed_ms = self._echoed.get((owner, kept))
-        return echoed_ms + orders.GRANT_MS if echoed_ms is not None else 0
+        word_ms = self.word_ms(owner, kept)
+        return word_ms + self._bounds.grant_ms(kept) if word_ms is not None else 0
+
+    def word_ms(self, owner: str, kept: bool) -> int | None:
+        """Return the last clock that an owner has echoed, None if it never did."""
+        return self._echoed.get((owner, kept))
+
+    def hold_until_ms(self, owner: str, kept: bool) -> int:
+        """Return when the lease of what runs for an owner must have ended at the latest."""
+        return self.until_ms(owner, kept) + STOP_ALLOWANCE_MS
+
+    def stop_due_ms(self, run: Run) -> int:
+        """Return when a run must be stopped, unless its owner is heard before."""
+        word_ms = self._word_for(run)
+        if word_ms is None:
+            return run.since_ms + RESTART_ALLOWANCE_MS
+        return word_ms + self._bounds.grant_ms(run.kept)
+
+    def lease_limit_ms(self, run: Run) -> int:
+        """Return when the lease of a run must have ended, 0 if it must not be renewed at all."""
+        word_ms = self._word_for(run)
+        if word_ms is None:
+            return 0
+        if run.stopping and not run.kept:
+            # Its caller has left, and submits the job again whether the stop takes effect or not.
+            word_ms = min(word_ms, run.stopping_ms)
+        return word_ms + self._bounds.hold_ms(run.kept)
 
-    def is_over(self, run: Run, now_ms: int) -> bool:
-        """Tell whether a run must be stopped, as its owner is silent."""
-        return now_ms >= self.until_ms(run.owner, run.kept)
+    def silent_ms(self, run: Run, now_ms: int) -> int | None:
+        """Return how long ago the last word came that counts for a run, None if not known."""
+        word_ms = self._word_for(run)
+        return now_ms - word_ms if word_ms is not None else None
 
-    def lease_limit_ms(self, owner: str, kept: bool) -> int:
-        """Return when a lease of a run of this owner must have ended at the latest."""
-        return self.until_ms(owner, kept) + orders.STOP_ALLOWANCE_MS
+    def _word_for(self, run: Run) -> int | None:
+        """Return the last word that counts for a run: none of a stream where it isn't claimed."""
+        return self.word_ms(run.owner, run.kept) if run.claimed else run.word_ms
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -9,7 +9,7 @@
 from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
-from gapdrum.core.models import Resources
+from gapdrum.core.models import Resources, RunEnd
 from gapdrum.core.room_offers import RoomOffers
 from gapdrum.core.runner_health import REST_MS
 from gapdrum.core.runner_ledger import Run, RunnerLedger
@@ -26,8 +26,9 @@
 
 # A look waits so long for an end: five renewals fit into a lease of 1 s.
 LOOK_WAIT_MS = 200
-LOOK_TIMEOUT_MS = LOOK_WAIT_MS + 150
+LOOK_ANSWER_MS = 150  # how much later than it waits a look is answered at most
 FIRST_LOOK_TIMEOUT_MS = 300
+CUT_SHORT = (RunEnd.STOPPED.value, RunEnd.LEASE_LAPSED.value)
 # Storing an end takes about 10 ms; looking again before that shows the same.
 UNSTORED_PAUSE_MS = 10
 
@@ -113,7 +114,7 @@
         self._check_rest(now_ms)
         self.starts.stop_what_must(now_ms)
         left_ms = self._context.lease_left_ms(now_ms)
-        look = await self._look(left_ms, LOOK_WAIT_MS if self.ledger.looked else 0)
+        look = await self._look(left_ms, self._wait_ms(now_ms))
         first = not self.ledger.looked
         events = self._take_look(look)
         if first:
@@ -124,14 +125,25 @@
             # Ends that are not stored yet are shown at once, again and again.
             await asyncio.sleep(UNSTORED_PAUSE_MS / MS_PER_S)
 
+    def _wait_ms(self, now_ms: int) -> int:
+        """Return how long a look may wait for an end: not beyond the next stop that is due.
+
+        A stop that waited for the end of a look took up to 200 ms of the time that is left
+        before the caller submits its job again.
+        """
+        if not self.ledger.looked:
+            return 0
+        return max(0, min(LOOK_WAIT_MS, self.starts.next_stop_ms(now_ms) - now_ms))
+
     def _take_look(self, look: RunnerLook) -> list[tuple[Run, orders.RunEvent]]:
         """Bring the ledger up to a look; return what happened to runs."""
         now_ms = self._timers.now_ms()
         ledger = self.ledger
         was_resting = bool(ledger.health.resting_until_ms)
-        ledger.note_clock(look.clock_ms, now_ms)
+        ledger.note_clock(look.clock_ms, self._timers.awake_ms())
         self._note_reachable()
         events = ledger.take_look(look, now_ms)
+        self._note_cut_short(events, now_ms)
         if ledger.must_lapse() and look.clock_ms > self._context.lease_until_ms:
             ledger.note_lapse()
             self._log.write("lease_let_lapse", runner=self.runner_id, clock_ms=look.clock_ms)
@@ -139,6 +151,24 @@
             self._log.write("runner_suspect", runner=self.runner_id, rest_ms=REST_MS)
         return events
 
+    def _note_cut_short(self, events: list[tuple[Run, orders.RunEvent]], now_ms: int) -> None:
+        """Write how each run ended that was stopped, or whose lease has lapsed.
+
+        Its owner may have let go of the job, so nobody else tells when it was really over.
+        """
+        for run, event in events:
+            if event.kind == orders.ENDED and event.detail in CUT_SHORT:
+                self._log.write(
+                    "run_cut_short",
+                    request=run.key.task.job_id,
+                    task=event.task,
+                    attempt=event.attempt,
+                    end=event.detail,
+                    owner=run.owner,
+                    silent_ms=self._context.grants.silent_ms(run, now_ms),
+                    stop_ms=now_ms - run.stopping_ms if run.stopping else None,
+                )
+
     def _note_first(self, look: RunnerLook) -> None:
         self._log.write(
             "runner_looked",
@@ -152,11 +182,15 @@
     async def _look(self, left_ms: int, wait_ms: int) -> RunnerLook:
         """Look, and renew the lease by so much; raises what the call raises."""
         until_ms = self._context.lease_until(left_ms)
-        call = self._context.bound.propose(self._timers.now_ms() + left_ms + LAPSE_SLACK_MS)
+        call = self._context.bound.propose(self._timers.awake_ms() + left_ms + LAPSE_SLACK_MS)
         sent = True
         try:
             return await self._context.calls.look(
-                until_ms, self.ledger.advance_seen(), self._context.fence, wait_ms, LOOK_TIMEOUT_MS
+                until_ms,
+                self.ledger.advance_seen(),
+                self._context.fence,
+                wait_ms,
+                wait_ms + LOOK_ANSWER_MS,
             )
         except NotSentError:
             sent = False
@@ -184,7 +218,7 @@
             if error.clock_ms is None:
                 raise
             clock_ms = error.clock_ms
-        self.ledger.note_clock(clock_ms, self._timers.now_ms())
+        self.ledger.note_clock(clock_ms, self._timers.awake_ms())
         self._context.fence = max(1, clock_ms)
 
     def _take_rejection(self, error: RunnerRejectedError) -> None:
@@ -209,8 +243,10 @@
 
     def _check_lapse(self) -> None:
         """Take a runner that can't be reached as gone once everything there has lapsed."""
-        if self.ledger.runs and self._timers.now_ms() > self._context.bound.ends_ms:
+        if self.ledger.runs and self._timers.awake_ms() > self._context.bound.ends_ms:
             settled = [run for run in self.ledger.runs.values() if not run.calling]
+            if settled:
+                self._log.write("runs_lapsed_unseen", runner=self.runner_id, runs=len(settled))
             self._context.report(self.ledger.lose(settled, orders.LEASE_LAPSED))
 
     def set_gone(self, reason: str) -> None:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -17,13 +17,14 @@
 # The runner is on the same machine; it answers in about a millisecond.
 START_TIMEOUT_MS = 120
 STOP_TIMEOUT_MS = 150
-STOP_REPEAT_MS = 300
+STOP_REPEAT_MS = STOP_TIMEOUT_MS
 # An unanswered start holds its room until then, as it may take effect so late.
 START_WINDOW_MS = 700
 # Pauses before a call to the runner is tried again: a lost answer costs little, and a runner
 # that resets every connection is not flooded with new ones, which are dear there.
 RETRY_FIRST_MS = 10
 RETRY_MOST_MS = 160
+IDLE_MS = 60_000  # with no run there is nothing to stop
 
 
 class RunnerStarts:
@@ -67,7 +68,7 @@
         self, owner: str, order: orders.StartOrder, row: orders.OrderedRun, now_ms: int
     ) -> None:
         # The start also renews the lease of all, so it is bound by the same limits.
-        limit_ms = self._context.grants.lease_limit_ms(owner, order.kept) - now_ms
+        limit_ms = self._context.grants.hold_until_ms(owner, order.kept) - now_ms
         left_ms = max(1, min(START_WINDOW_MS, self._context.lease_left_ms(now_ms), limit_ms))
         expires_ms = self._context.lease_until(left_ms)
         run = Run(
@@ -83,7 +84,8 @@
         )
         self.ledger.begin(run)
         self._context.offers.use(owner, row.room)
-        self._call_start(run, order.spec, now_ms + left_ms + LAPSE_SLACK_MS)
+        lease_ends_ms = self._context.timers.awake_ms() + left_ms + LAPSE_SLACK_MS
+        self._call_start(run, order.spec, lease_ends_ms)
 
     def _call_start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
         """Begin to call the runner; a replay in virtual time puts its own runner here."""
@@ -92,8 +94,8 @@
     async def _start(self, run: Run, spec: str, lease_ends_ms: int) -> None:
         """Call until the start is answered; the same start again is the same run.
 
-        In a zone that has been drained meanwhile it is not sent again: the call that was left
-        unanswered may never have come.
+        Once it is to be stopped, or in a zone that has been drained meanwhile, it is not sent
+        again: the call that was left unanswered may never have come.
         """
         settled = None
         unanswered = False
@@ -105,7 +107,7 @@
                 clock_ms = await self._context.calls.start(
                     run.key, spec, run.start_expires_ms, self._context.fence, START_TIMEOUT_MS
                 )
-                self.ledger.note_clock(clock_ms, self._context.timers.now_ms())
+                self.ledger.note_clock(clock_ms, self._context.timers.awake_ms())
                 settled = orders.STARTED
                 sent = True
             except NoReplyError:
@@ -130,7 +132,9 @@
     def _may_still_start(self, run: Run) -> bool:
         if self.ledger.gone or self.ledger.zone_closed or run.key not in self.ledger.runs:
             return False
-        return self.ledger.clock_floor(self._context.timers.now_ms()) < run.start_expires_ms
+        if run.stopping:
+            return False  # where the stop was lost, the repeated start would run
+        return self.ledger.clock_floor(self._context.timers.awake_ms()) < run.start_expires_ms
 
     def _judge_rejection(
         self, run: Run, error: RunnerRejectedError, unanswered: bool
@@ -168,22 +172,36 @@
         """Stop a run; its end is listed like any other."""
         run = self.ledger.runs.get(key)
         if run is not None:
-            run.stopping = True
-            self._send_stop(key, self._context.timers.now_ms())
+            now_ms = self._context.timers.now_ms()
+            if not run.stopping:
+                run.stopping_ms = now_ms
+            self._send_stop(key, now_ms)
+
+    def next_stop_ms(self, now_ms: int) -> int:
+        """Return when the next stop is due, or to be repeated, if no owner is heard before."""
+        return min(
+            (self._stop_due_ms(run) for run in self.ledger.runs.values()), default=now_ms + IDLE_MS
+        )
+
+    def _stop_due_ms(self, run: Run) -> int:
+        if run.stopping:
+            return self._stops_sent.get(run.key, 0) + STOP_REPEAT_MS
+        return self._context.grants.stop_due_ms(run)
 
     def stop_what_must(self, now_ms: int) -> None:
         """Stop what runs for owners that are silent, and repeat stops without effect."""
         for run in list(self.ledger.runs.values()):
-            if not run.stopping and self._context.grants.is_over(run, now_ms):
-                run.stopping = True
+            if not run.stopping and now_ms >= self._stop_due_ms(run):
+                run.stopping_ms = now_ms
                 self._context.log.write(
                     "run_stopped_for_silence",
                     request=run.key.task.job_id,
                     task=run.key.task.text,
                     attempt=run.key.attempt,
                     owner=run.owner,
+                    silent_ms=self._context.grants.silent_ms(run, now_ms),
                 )
-            if run.stopping and now_ms - self._stops_sent.get(run.key, 0) > STOP_REPEAT_MS:
+            if run.stopping and now_ms >= self._stop_due_ms(run):
                 self._send_stop(run.key, now_ms)
         for key in [key for key in self._stops_sent if key not in self.ledger.runs]:
             del self._stops_sent[key]
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -35,7 +35,9 @@
     """A run at the runner; ``room`` is None after a restart until its owner tells it.
 
     ``start_expires_ms`` is the reading of the runner's clock from which on the start can't
-    take effect any more, and ``calling`` tells whether the call is still under way.
+    take effect any more, and ``calling`` tells whether the call is still under way. One that is
+    not ``claimed`` was found at the runner, or its owner has joined anew, and has not said yet
+    that the run is its own; ``word_ms`` is the owner's last word before that, None if not known.
     """
 
     key: RunKey
@@ -46,14 +48,21 @@
     since_ms: int
     phase: str = orders.HELD_STARTING
     kept: bool = True
+    claimed: bool = True
+    word_ms: int | None = None
     calling: bool = False
-    stopping: bool = False
+    stopping_ms: int | None = None  # since when it is to be stopped
     percent: int = 0
     percent_ms: int = 0
     estimate_ms: int = 0
     started_ms: int = 0
     straggles_ms: int = 0
 
+    @property
+    def stopping(self) -> bool:
+        """Tell whether it is to be stopped, and its end is not listed yet."""
+        return self.stopping_ms is not None
+
 
 @attrs.define
 class NotedEnd:
@@ -133,18 +142,18 @@
             return NOTHING
         return self.capacity - self.used
 
-    def clock_floor(self, now_ms: int) -> int:
-        """Return a lower bound of the runner's clock now."""
-        return self.clock_ms + int((now_ms - self.clock_read_ms) * CLOCK_RATE_FLOOR)
+    def clock_floor(self, awake_ms: int) -> int:
+        """Return a lower bound of the runner's clock now, also after both were suspended."""
+        return self.clock_ms + int((awake_ms - self.clock_read_ms) * CLOCK_RATE_FLOOR)
 
-    def note_clock(self, clock_ms: int | None, now_ms: int) -> None:
+    def note_clock(self, clock_ms: int | None, awake_ms: int) -> None:
         """Take a reading of the runner's clock from an answer that came just now.
 
         The reading was made before now, so counting on from now gives a lower bound.
         """
         if clock_ms is not None and clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
-            self.clock_read_ms = now_ms
+            self.clock_read_ms = awake_ms
 
     def begin(self, run: Run) -> None:
         """Take room for a run that is about to be started."""
@@ -177,6 +186,7 @@
         run.owner = owner
         run.epoch = epoch
         run.kept = kept
+        run.claimed = True
 
     def take_look(self, look: RunnerLook, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
         """Bring the ledger up to what the runner shows; return what changed, run by run."""
@@ -212,7 +222,8 @@
     ) -> list[tuple[Run, orders.RunEvent]]:
         run = self.runs.get(key)
         if run is None:
-            run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=orders.HELD_RUNNING)
+            found = orders.HELD_RUNNING
+            run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=found, claimed=False)
             self.begin(run)
         if percent != run.percent:
             run.percent = percent
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -124,6 +124,10 @@
     "job_ended", "The job has ended, and callers are told so.",
     "request", "state", "epoch", "store_ms", "total_ms", "objective_ms",
 )  # fmt: skip
+_add(
+    "caller_gone", "A caller that waited for the job has closed its connection, or waited it out.",
+    "request", "reason", "waited_ms",
+)  # fmt: skip
 _add("job_dropped", "This entry lets go of the job.", "request", "epoch", "reason")
 _add("end_unsettled", "The store has not said whether the end is stored.", "request", "code")
 _add("progress_stored", "Ends of tasks of a long job are stored.", "request", "ends")
@@ -151,13 +155,29 @@
     "task_ended", "The runner lists the end of a run.",
     "request", "task", "attempt", "end", "runner", "ran_ms",
 )  # fmt: skip
+_add(
+    "event_of_earlier_submission", "A run that an earlier submission of the job left behind.",
+    "request", "task", "attempt", "kind", "reason", "runner",
+)  # fmt: skip
 _add("order_refused", "The agent does not start the run.", "request", "task", "attempt", "reason")
 _add(
     "start_rejected", "The runner does not start the run.",
     "request", "task", "attempt", "status", "reason",
 )  # fmt: skip
 _add("stop_unanswered", "The runner has not answered a stop.", "task", "attempt", "code")
-_add("run_stopped_for_silence", "The run's owner is silent.", "request", "task", "attempt", "owner")
+_add(
+    "run_stopped_for_silence",
+    "The run's owner is silent, for ``silent_ms`` if the agent has heard it in this life.",
+    "request", "task", "attempt", "owner", "silent_ms",
+)  # fmt: skip
+_add(
+    "run_cut_short",
+    "A run was stopped or its lease lapsed; its owner was silent for so long, its stop so old.",
+    "request", "task", "attempt", "end", "owner", "silent_ms", "stop_ms",
+)  # fmt: skip
+_add(
+    "runs_lapsed_unseen", "A runner can't be reached; all leases there are over.", "runner", "runs"
+)
 _add(
     "run_stopped_for_owner", "The entry at which the caller waited is gone.",
     "request", "task", "attempt", "owner",
