--- a/tools/planted.py
+++ b/tools/planted.py
@@ -12,7 +12,9 @@
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.core import fleet
+from gapdrum.core.jobs import Job
 from gapdrum.core.models import NOTHING
+from gapdrum.core.run_bounds import RunBounds
 from gapdrum.core.runner_ledger import RunnerLedger
 from gapdrum.core.zone_drains import ZoneDrains
 from gapdrum.entry.acceptance import Acceptance, Acceptor
@@ -38,6 +40,7 @@
 def grants() -> None:
     """Act for entries that are silent, so that a run may go on at two places."""
     Grants.until_ms = lambda _self, _owner, _kept: FOREVER_MS
+    Grants.stop_due_ms = Grants.lease_limit_ms = lambda _self, _run: FOREVER_MS
 
 
 @mechanism
@@ -59,7 +62,7 @@
     """Let go on what runs for a caller who has left."""
     EntryOrders.stop_unwaited = lambda _self, _owner: None
     WaitingCallers._leave = lambda _self, _job_id, _ended: None
-    Grants.is_over = lambda _self, _run, _now_ms: False
+    Grants.stop_due_ms = lambda _self, _run: FOREVER_MS
 
 
 @mechanism
@@ -101,6 +104,25 @@
     RunnerLedger.held_runs = lambda _self, _jobs=None: ()
 
 
+@mechanism
+def identity() -> None:
+    """Take an event for a waiting caller's run whatever runner it comes from."""
+    Job.knows_run = lambda *_arguments: True
+
+
+@mechanism
+def resubmission() -> None:
+    """Hold what runs for a waiting caller as long as what runs for a stored job."""
+    hold_ms = RunBounds.hold_ms
+    RunBounds.hold_ms = lambda self, _kept: hold_ms(self, kept=True)
+
+
+@mechanism
+def deadline() -> None:
+    """Let callers wait for as long as their connection is open."""
+    WaitingCallers._left_s = lambda _self, _caller: None
+
+
 def main() -> None:
     """Switch the named mechanism off and run the named program."""
     MECHANISMS[sys.argv[1]]()
