Soak: a caller that is refused after a break tries again for 3 s

A refusal counted as one of its five tries, so that three at once ended most jobs that had something left of them at runners.

--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -20,7 +20,8 @@
 DEAF_SHARE = 0.3  # of the callers that give up and leave their connection open
 LEAVE_S = (0.2, 3.0)
 DEADLINE_MS = (600, 6_000)
-REFUSED_PAUSE_S = 0.1  # before a caller that was turned away with a job submitted again tries again
+REFUSED_PAUSE_S = 0.1  # before a caller whose job was submitted before tries again
+REFUSED_TRIES = 30
 QUICK_PAUSE_S = (0.2, 1.2)  # before the next job of a caller that was answered at once
 REFUSED = (429, 503)
 UNSETTLED = (0, 502, 504)  # what a caller answers by submitting its job again
@@ -135,7 +136,8 @@
         if not job.stored:
             document["best_effort"] = True
         body = json.dumps(document).encode()
-        for _ in range(TRIES):
+        unsettled = refused = 0
+        while unsettled < TRIES and refused < REFUSED_TRIES:
             reached = self._connect(chooser.randrange(len(self._system.entries)))
             if reached is None:
                 return
@@ -144,9 +146,12 @@
             if self._stop.is_set() and not job.stored:
                 return
             if status in UNSETTLED:
+                unsettled += 1
                 time.sleep(max(0.0, over_s + RESUBMIT_MS / 1_000 - time.monotonic()))
-            elif status in REFUSED and len(job.statuses) > 1:
-                time.sleep(REFUSED_PAUSE_S)  # the refusal is of this submission, not of the first
+            elif status in REFUSED and unsettled:
+                # Only this submission is refused: what is left of others must still meet a new one.
+                refused += 1
+                time.sleep(REFUSED_PAUSE_S)
             else:
                 return
 
