Refuse an order for a run that is in the ledger already

What callers saw: a runner that took less and less work. Cause: an order whose run has the name of one that an earlier submission had left there, and that is being stopped, replaced it in the ledger, and the room of the first was never given back. Change: such an order is refused (run_present), and placed anew with the next attempt.

--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -4,7 +4,7 @@
 from gapdrum.background import Background
 from gapdrum.backoff import Backoff
 from gapdrum.core import orders
-from gapdrum.core.models import Resources, RunKey
+from gapdrum.core.models import RunKey
 from gapdrum.core.runner_ledger import Run, not_started
 from gapdrum.platform.runner_calls import RunnerRejectedError, RunnerReplacedError
 from gapdrum.transport.http_client import NoReplyError, NotSentError
@@ -35,7 +35,7 @@
         """Begin the starts that may begin; return the events of those that may not."""
         refused = []
         for row in order.runs:
-            reason = self._refuse(owner, order, row.room, now_ms)
+            reason = self._refuse(owner, order, row, now_ms)
             if reason:
                 refused.append(not_started(order.key_of(row), order.epoch, reason))
             else:
@@ -43,10 +43,12 @@
         return refused
 
     def _refuse(
-        self, owner: str, order: orders.StartOrder, room: Resources, now_ms: int
+        self, owner: str, order: orders.StartOrder, row: orders.OrderedRun, now_ms: int
     ) -> str | None:
         if self.ledger.gone:
             return orders.RUNNER_GONE
+        if order.key_of(row) in self.ledger.runs:
+            return orders.RUN_PRESENT
         if self.ledger.draining:
             return orders.RUNNER_DRAINING
         if self.ledger.zone_closed:
@@ -57,7 +59,7 @@
             return orders.ORDER_EXPIRED
         if self._context.lease_outlasts(owner, order.kept, now_ms):
             return orders.ORDER_EXPIRED
-        if not self._context.free_for(owner, now_ms).holds(room):
+        if not self._context.free_for(owner, now_ms).holds(row.room):
             return orders.NO_ROOM
         return None
 
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -43,6 +43,7 @@
 RUNNER_REJECTED = "runner_rejected"
 ZONE_CLOSED = "zone_closed"
 START_UNANSWERED = "start_unanswered"
+RUN_PRESENT = "run_present"  # one that an earlier submission of the job has left there
 
 # Why a run was lost, beside that its runner is gone.
 LEASE_LAPSED = "lease_lapsed"
