Let a caller that comes back join its job, or hear its end, before anything is refused

What callers saw: 429 or 503 with not_run for a job that was at work, or had ended, at the same entry. Cause: a submission was judged by load and shutdown before it was looked up. Change: a job that is open here, or whose end was told lately, is not refused. "Not run" is true again, and a caller whose first connection broke unnoticed is not sent to another entry while its tasks run here. Found by review.

--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -144,7 +144,9 @@
         if known and not job.answered_at_end:
             self._log.write("job_known", request=job_id, queue=queue.name, store_ms=0)
             return json_response(200, {})
-        refusal = self._refuse(request, queue, job_id, job)
+        # A caller that comes back to a job of this entry must not be told that it has not run.
+        is_back = job.answered_at_end and self._callers.knows(job_id)
+        refusal = None if is_back else self._refuse(request, queue, job_id, job)
         if refusal is not None:
             return refusal
         if job.answered_at_end:
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -125,6 +125,10 @@
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job_id, "caller_gone")
 
+    def knows(self, job_id: str) -> bool:
+        """Tell whether a job is open here, or its callers were told its end lately."""
+        return job_id in self._dispatch.jobs or self.has_ended(job_id)
+
     def has_ended(self, job_id: str) -> bool:
         """Tell whether a job's callers were told its end lately."""
         return job_id in self._answers
