End callers' waits by the clock that counts suspensions, and start nothing after them

What callers saw: a task of theirs could start at an entry that had been suspended, after their time was over and they had submitted the job again elsewhere. Cause: waits ended by the event loop's timers, which stand still meanwhile. Change: a job knows until when its callers wait, and is not placed after that; each tick ends the waits that are over. Why it holds: a start is ordered only if the clock that counts all time is before the end that the caller stated.

Scenarios, suspended for 5 s, a caller that waits for 1 s: attempt 2 ordered at 6.0 s and no word to the caller 0.3 s after waking before; nothing ordered, told at the first tick after.

--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -110,7 +110,8 @@
 @given("an entry at which a waiting job is at work, and that now is {state}")
 def job_at_work(context, state):
     build_front(context, state)
-    context.callers._begin(JOB, QUEUE, "{}", (Step(1, Resources(500, 10, 0), 900),))
+    caller = Caller(None, context.timers.now_ms())
+    context.callers._begin(JOB, QUEUE, "{}", (Step(1, Resources(500, 10, 0), 900),), caller)
     assert JOB in context.dispatch.jobs
 
 
@@ -277,6 +278,7 @@
         asking = asyncio.ensure_future(callers.run(JOB, QUEUE, "{}", steps, caller))
         await asyncio.sleep(0)
         timers.suspend(5_000)
+        callers.end_overdue()  # the entry's tick after it wakes
         done, _ = await asyncio.wait({asking}, timeout=0.3)
         context.is_told = bool(done)
         asking.cancel()
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -113,6 +113,7 @@
     progress_dirty_ms: int = 0
     unstored_ends: list[StoredEnd] = attrs.Factory(list)
     unknown_until_ms: int = 0
+    wait_until_ms: int | None = None  # when its last caller will have stopped waiting, if known
 
     @property
     def latest_start_ms(self) -> int:
@@ -139,6 +140,20 @@
         """Return from when on an end of the job is worth nothing to its caller."""
         return self.accepted_ms + LATE_FACTOR * self.objective_ms
 
+    def wait_for_caller(self, until_ms: int | None) -> None:
+        """Note one more caller that waits, for ever if it has not said until when."""
+        if until_ms is None or self.wait_until_ms is None:
+            self.wait_until_ms = None
+        else:
+            self.wait_until_ms = max(self.wait_until_ms, until_ms)
+
+    def may_start(self, now_ms: int) -> bool:
+        """Tell whether somebody may still wait for what would start now.
+
+        Callers whose time is over may have submitted the job again elsewhere.
+        """
+        return self.wait_until_ms is None or now_ms < self.wait_until_ms
+
     def knows_run(self, task: Task, attempt: int, place: Place) -> bool:
         """Tell whether a run at a place is one of this job's.
 
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -135,6 +135,8 @@
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
             if job.kept and not may_act or held[job.upstream] >= HELD_JOBS_TRIED:
                 continue
+            if not job.may_start(now_ms):
+                continue
             field = fields[job.upstream]
             if job.ending is not None or not self._place_job(job, field, now_ms):
                 self.waiting.discard(job.job_id)
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -241,6 +241,7 @@
 
     def _tick(self) -> None:
         now_ms = self.timers.now_ms()
+        self.callers.end_overdue()
         self.dispatch.check_silence(now_ms)
         self.dispatch.settle_unknown(now_ms)
         self._place_waiting()
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -29,6 +29,11 @@
     received_ms: int
     wait_limit_ms: int | None = None
 
+    @property
+    def until_ms(self) -> int | None:
+        """Return until when it waits, None if it has not said so."""
+        return None if self.wait_limit_ms is None else self.received_ms + self.wait_limit_ms
+
 
 @attrs.frozen
 class WaitEnd:
@@ -53,6 +58,7 @@
         self._log = log
         self._callers: dict[str, set[asyncio.Future[WaitEnd]]] = {}
         self._answers: OrderedDict[str, JobState] = OrderedDict()
+        self._waits: dict[asyncio.Future, int] = {}  # until when callers wait
 
     async def run(
         self,
@@ -70,13 +76,19 @@
         if left_s == 0:  # whatever began now could overlap with what is sent again
             self._note_gone(job_id, caller)
             return WaitEnd()
-        ended = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        ended, over = loop.create_future(), loop.create_future()
         self._callers.setdefault(job_id, set()).add(ended)
         if job_id not in self._dispatch.jobs:
-            self._begin(job_id, queue, spec, steps)
+            self._begin(job_id, queue, spec, steps, caller)
+        else:
+            self._dispatch.jobs[job_id].wait_for_caller(caller.until_ms)
+        if caller.until_ms is not None:
+            self._waits[over] = caller.until_ms
         await asyncio.wait(
-            {ended, caller.closed}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            {ended, caller.closed, over}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
         )
+        self._waits.pop(over, None)
         if ended.done():
             return ended.result()
         self._note_gone(job_id, caller)
@@ -84,10 +96,19 @@
         return WaitEnd()
 
     def _left_s(self, caller: Caller) -> float | None:
-        if caller.wait_limit_ms is None:
+        if caller.until_ms is None:
             return None
-        end_ms = caller.received_ms + caller.wait_limit_ms
-        return max(0, end_ms - self._timers.now_ms()) / MS_PER_S
+        return max(0, caller.until_ms - self._timers.now_ms()) / MS_PER_S
+
+    def end_overdue(self) -> None:
+        """End the waits whose time is over.
+
+        The loop's timers stand still while the instance is suspended, so they end waits too late.
+        """
+        now_ms = self._timers.now_ms()
+        for over, until_ms in self._waits.items():
+            if now_ms >= until_ms and not over.done():
+                over.set_result(None)
 
     def _note_gone(self, job_id: str, caller: Caller) -> None:
         self._log.write(
@@ -97,10 +118,13 @@
             waited_ms=self._timers.now_ms() - caller.received_ms,
         )
 
-    def _begin(self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...]) -> None:
+    def _begin(
+        self, job_id: str, queue: Queue, spec: str, steps: tuple[Step, ...], caller: Caller
+    ) -> None:
         now_ms = self._timers.now_ms()
         record = first_record(queue, spec, steps, self._lease.owner, self._timers.wall_ms())
         job = job_of_queue(job_id, record, 0, queue, now_ms, kept=False)
+        job.wait_until_ms = caller.until_ms
         self._log.write(
             "job_begun",
             request=job_id,
