Stop unclaimed runs sooner after an agent's start, and count echoes alone as a sign of an entry

What callers saw: work that began anew after a restart of an agent, or on a stream whose way to the entry was cut. Cause: a run that nobody claims kept the lease, which is one for all, from being renewed for 400 ms, longer than a lease lasts after a restart; and any message kept a stream, while only echoes keep the grant. Change: 200 ms; echoes alone count. The limit of silence stays at 2,150 ms.

--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -299,7 +299,8 @@
         link.heard_ms = self._timers.now_ms()
         stream.send(self._greeting())
         async for message in stream:
-            link.heard_ms = self._timers.now_ms()
+            if isinstance(message, (orders.BeatEcho, orders.EntryGreeting)):
+                link.heard_ms = self._timers.now_ms()  # what else comes keeps no grant up
             if link.leaving:
                 continue  # the entry has taken back by now whatever it had ordered here
             if isinstance(message, orders.EntryGreeting):
--- a/src/gapdrum/core/run_bounds.py
+++ b/src/gapdrum/core/run_bounds.py
@@ -13,10 +13,11 @@
 # After a grant has ended, a run is stopped; its lease ends this much later at the latest.
 STOP_ALLOWANCE_MS = 300
 # An agent that has just started waits so long for owners to claim what runs, then stops it. Until
-# then it renews nothing: what it can't know is how long ago the owner was heard.
-RESTART_ALLOWANCE_MS = 400
-# Runners' clocks may be 2% slow, timers a little late.
-CLOCK_SLACK_MS = 150
+# then it renews nothing, as it can't know how long ago the owner was heard; what is claimed must
+# not lapse meanwhile.
+RESTART_ALLOWANCE_MS = 200
+# Runners' clocks may be 2% slow, timers a little late, entries busy.
+CLOCK_SLACK_MS = 350
 # After this long without a word of an agent, nothing runs there for the entry any more.
 SILENCE_LIMIT_MS = GRANT_MS + STOP_ALLOWANCE_MS + RESTART_ALLOWANCE_MS + CLOCK_SLACK_MS
 # What runs for a caller is over this much before the caller may submit the job again: its owner
