Take a runner that says that it ends for gone only once nobody listens there

What callers saw: a task of theirs could be at work for a moment at a runner that was ending and at another one. Cause: a runner's word that it ends was taken as proof that nothing runs there, and its tasks were placed anew before it had even been answered. Change: it is draining and renewed no more from then on, and gone when a call to its address is refused, another incarnation answers, or all leases there are over.

--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -50,11 +50,14 @@
     def lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, less if an owner is silent.
 
-        None, or less, while the lease must lapse, while it is not known whose all runs are, and
-        while there is nothing to keep: what starts next would have the lease that is there.
+        None, or less, while the lease must lapse, while it is not known whose all runs are, once
+        the runner ends, and while there is nothing to keep: what starts next would have the lease
+        that is there.
         """
         ledger = self.ledger
-        if ledger.must_lapse() or not ledger.looked or not (ledger.runs or ledger.ends):
+        if ledger.must_lapse() or ledger.leaving or not ledger.looked:
+            return 0
+        if not ledger.runs and not ledger.ends:
             return 0
         return self.allowed_lease_ms(now_ms)
 
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -22,7 +22,7 @@
     RunnerReplacedError,
 )
 from gapdrum.timers import MS_PER_S, Timers
-from gapdrum.transport.http_client import NoReplyError, NotSentError
+from gapdrum.transport.http_client import NoReplyError, NotSentError, RefusedConnectionError
 
 # A look waits so long for an end: five renewals fit into a lease of 1 s.
 LOOK_WAIT_MS = 200
@@ -99,6 +99,9 @@
                 self._take_rejection(error)
                 await backoff.pause()
             except (NotSentError, NoReplyError) as error:
+                if self.ledger.leaving and isinstance(error, RefusedConnectionError):
+                    self.set_gone("deregistered")
+                    continue
                 self._note_unreachable(error.code)
                 self._check_lapse()
                 await backoff.pause()
@@ -255,6 +258,16 @@
         """Note that this incarnation is gone, and everything that ran there with it."""
         self._context.set_gone(reason)
 
+    def set_leaving(self) -> None:
+        """Note that the runner has said that it ends; it is gone once nobody listens there.
+
+        Until then it may be at work: what was started elsewhere now would run twice.
+        """
+        if not self.ledger.leaving:
+            self.ledger.leaving = self.ledger.draining = True
+            self._log.write("runner_leaving", runner=self.runner_id, runs=len(self.ledger.runs))
+            self._context.report([])
+
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take the runner's report about itself, unless a newer one came before."""
         if heartbeat.sequence < self._sequence:
--- a/src/gapdrum/agent/runner_registry.py
+++ b/src/gapdrum/agent/runner_registry.py
@@ -74,7 +74,7 @@
         if request.path.startswith(DEREGISTER_PREFIX):
             keeper = self._keepers.get(request.path[len(DEREGISTER_PREFIX) :])
             if keeper is not None:
-                keeper.set_gone("deregistered")
+                keeper.set_leaving()
             return json_response(200, {})
         return json_response(404, {"code": "no_such_path"})
 
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -105,6 +105,7 @@
     draining: bool = False
     zone_closed: bool = False
     gone: bool = False
+    leaving: bool = False  # it has said that it ends, and may still be at work
     looked: bool = False
     reachable: bool = True
     clock_ms: int = 0
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -205,6 +205,7 @@
 _add("runner_reachable", "The runner answers looks again.", "runner")
 _add("runner_suspect", "The runner fails what it starts; it rests.", "runner", "rest_ms")
 _add("runner_on_trial", "The runner gets one run at a time.", "runner")
+_add("runner_leaving", "The runner has said that it ends.", "runner", "runs")
 _add("runner_gone", "This life of the runner is over.", "runner", "reason")
 _add(
     "heartbeat_outdated", "A heartbeat came after a newer one, or its sender's successor.",
