A late heartbeat does not make a runner that ends take work again

A heartbeat that was under way when the runner said that it ends set draining back; it stays draining.

--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -281,7 +281,7 @@
         ledger.upstream = heartbeat.upstream
         ledger.labels = heartbeat.labels
         ledger.capacity = heartbeat.capacity
-        ledger.draining = heartbeat.draining
+        ledger.draining = heartbeat.draining or ledger.leaving
         if changed:
             self._log.write(
                 "runner_reported",
