Count a caller's time from when its request may have come, where the entry had stood still

Cause: X-Deadline was counted from when the request was read, which a pause of the entry puts off; the caller gave up by its own time, with its connection left open, and its job ran elsewhere beside the first run. Change: a tick that comes late shows a pause; what is read within 200 ms after one counts from its beginning. Why it holds: nothing that the process reads then can have come before it was last awake; at worst a caller is told earlier that nothing is known.

--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -28,6 +28,7 @@
 from gapdrum.entry.writer import Writer
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
 from gapdrum.operator_feed import OperatorFeed
+from gapdrum.pauses import TICK_MS
 from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import MS_PER_S, Timers
@@ -39,7 +40,6 @@
 # The port that agents are told, where it is not the one that is listened at: behind a port
 # mapping, or a proxy in a test.
 ADVERTISED_PORT_VARIABLE = "GAPDRUM_STREAMS_ADVERTISED_PORT"
-TICK_INTERVAL_MS = 50
 LINK_CHECK_INTERVAL_MS = 500
 TAKEOVER_INTERVAL_MS = 100
 REACH_INTERVAL_MS = 250
@@ -241,7 +241,7 @@
 
     def _tick(self) -> None:
         now_ms = self.timers.now_ms()
-        self.callers.end_overdue()
+        self.callers.tick()
         self.dispatch.check_silence(now_ms)
         self.dispatch.settle_unknown(now_ms)
         self._place_waiting()
@@ -286,7 +286,7 @@
         self.background.keep(self._keep_lease)
         await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
-        self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
+        self.timers.subscribe(TICK_MS, self._tick)
         self.timers.subscribe(LINK_CHECK_INTERVAL_MS, self.links.cut_silent)
         self.timers.subscribe(REACH_INTERVAL_MS, self._judge_reach)
         self.timers.subscribe(TAKEOVER_INTERVAL_MS, self.takeover.scan_if_wanted)
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -12,6 +12,7 @@
 from gapdrum.entry.acceptance import first_record, job_of_queue
 from gapdrum.entry.lease import Lease
 from gapdrum.event_log import EventLog
+from gapdrum.pauses import PauseWatch
 from gapdrum.timers import MS_PER_S, Timers
 
 # A job that is sent again after its answer gets the same answer here.
@@ -58,6 +59,7 @@
         self._log = log
         self._callers: dict[str, set[asyncio.Future[WaitEnd]]] = {}
         self._answers: OrderedDict[str, JobState] = OrderedDict()
+        self._pauses = PauseWatch(timers.now_ms())
         self._waits: dict[asyncio.Future, int] = {}  # until when callers wait
 
     async def run(
@@ -72,6 +74,8 @@
         known = self._answers.get(job_id)
         if known is not None:
             return WaitEnd(known)
+        # The caller's time began before the request was read, if this entry stood still.
+        caller = attrs.evolve(caller, received_ms=self._pauses.earliest_ms(caller.received_ms))
         left_s = self._left_s(caller)
         if left_s == 0:  # whatever began now could overlap with what is sent again
             self._note_gone(job_id, caller)
@@ -100,12 +104,13 @@
             return None
         return max(0, caller.until_ms - self._timers.now_ms()) / MS_PER_S
 
-    def end_overdue(self) -> None:
-        """End the waits whose time is over.
+    def tick(self) -> None:
+        """End the waits whose time is over; called every ``TICK_MS``.
 
         The loop's timers stand still while the instance is suspended, so they end waits too late.
         """
         now_ms = self._timers.now_ms()
+        self._pauses.tick(now_ms)
         for over, until_ms in self._waits.items():
             if now_ms >= until_ms and not over.done():
                 over.set_result(None)
