--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -50,7 +50,7 @@
     def lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, less if an owner is silent.
 
-        None, or less, while the lease must lapse, while it is not known whose all runs are, once
+        0, or less, while the lease must lapse, while it is not known whose all runs are, once
         the runner ends, and while there is nothing to keep: what starts next would have the lease
         that is there.
         """
