Let an entry that joins under another name claim what runs under its former one

What callers saw: work that had begun was thrown away and began anew when their entry had lost its lease while its stream to an agent was down: the run was stopped at the moment at which the entry joined again ([1200, 1400, ...] ms in the scenario that was known red).

Cause: the agent took the other name for a process that had begun anew, and stopped all of the former name at once, before the entry could answer what it was told to be held there.

Change: both kinds of joining have the same 200 ms to claim (the time that owners have after an agent's start); what is claimed goes on, the rest is stopped then. The hold of an unclaimed run is unchanged: it counts from the last word under the former name, so no bound moves.

The scenario fails before and passes after; a new one shows that what is not claimed is stopped 200 ms after the joining, not sooner and not later.

--- a/features/run_ownership.feature
+++ b/features/run_ownership.feature
@@ -8,11 +8,20 @@
     When 600 ms pass with echoes, and its owner is renamed and a look comes before the next echo
     Then the run has not been stopped
 
+  # An entry whose lease was taken while its stream was down joins under the name of its next life.
+  # The agent stopped at once what ran under the former name, before the entry could claim it:
+  # callers waited for work that began anew. Such an entry can't be told by its greeting from one
+  # that has begun anew and knows nothing of the runs, so both have the same time to claim them.
   Scenario: a run goes on when its owner was renamed while its stream was down, and claims it
     Given a run for a waiting caller, whose owner has just been heard
     When its stream ends, and the entry joins again under another name and claims the run
     Then the run has not been stopped
 
+  Scenario: a run that the next life of its entry does not claim is stopped soon after it has joined
+    Given a run for a waiting caller, whose owner has just been heard
+    When its stream ends, and the entry joins again under another name and claims nothing
+    Then the run has been stopped 200 ms after the entry has joined
+
   # The hold of a run that is to be stopped counts from the stop's arrival, not from the last word
   # that came before it. The caller's pause counts from its leaving.
   Scenario: a stop that comes late on its stream does not lengthen the hold
--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -45,17 +45,45 @@
     base.step(context)
 
 
-@when("its stream ends, and the entry joins again under another name and claims the run")
-def rejoined_renamed(context):
+def join_renamed(context):
+    """Let the entry join under another name; what is planned then is called when its time comes."""
     context.agent.links._end_stream(context.link)
     context.timers.time_ms += 200
     context.link.stream = base.FakeStream()
-    context.agent.links._greeted(context.link, RENAMED)
+    planned = []
+    with patch.object(context.timers, "call_after", lambda *plan: planned.append(plan)):
+        context.agent.links._greeted(context.link, RENAMED)
     base.echo(context)
+    return planned
+
+
+def let_planned_come(context, planned):
+    for delay_ms, callback in planned:
+        context.timers.time_ms += delay_ms
+        callback()
+
+
+@when("its stream ends, and the entry joins again under another name and claims the run")
+def rejoined_renamed(context):
+    planned = join_renamed(context)
     base.claim(context)
+    let_planned_come(context, planned)
     base.let_time_pass(context, 600)
 
 
+@when("its stream ends, and the entry joins again under another name and claims nothing")
+def rejoined_unclaimed(context):
+    planned = join_renamed(context)
+    context.joined_ms = context.timers.now_ms()
+    assert not context.stops, context.stops
+    let_planned_come(context, planned)
+
+
+@then("the run has been stopped {time_ms:d} ms after the entry has joined")
+def stopped_after_joining(context, time_ms):
+    assert context.stops == [context.joined_ms + time_ms], (context.stops, context.joined_ms)
+
+
 @when("its owner's stream delays all by 400 ms, a stop comes, and the runner leaves it unanswered")
 def late_stop(context):
     def echo_late():
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
 from gapdrum.agent.grants import Grants
@@ -9,6 +10,7 @@
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
 from gapdrum.core.models import RunKey, TaskName
+from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS
 from gapdrum.core.runner_ledger import not_started
 from gapdrum.event_log import EventLog
 from gapdrum.timers import Timers
@@ -148,8 +150,10 @@
             link.send(orders.RunEvents(message.runner_id, tuple(missed)))
         self._reports.room_changed(message.runner_id)
 
-    def end_former_lives(self, link: EntryLink) -> None:
-        """Stop what runs for callers that waited at earlier lives of an entry that has joined."""
+    def _end_former_lives(self, link: EntryLink) -> None:
+        """Stop what runs for callers that waited at earlier names of an entry, unless claimed."""
+        if not link.owner:
+            return
         former = {
             run.owner
             for keeper in self._keepers.values()
@@ -163,12 +167,14 @@
         """Let runs of an entry that has joined anew count as its own once it has claimed them.
 
         A stop that was lost with the former stream would not end a run that the echoes on the new
-        one keep up.
+        one keep up. A process that has lost its lease joins under a new name and claims what
+        runs under its former one; a process that has begun anew claims nothing.
         """
         for keeper in self._keepers.values():
             for run in keeper.ledger.runs.values():
                 if run.owner == link.owner:
                     self._grants.end_words(run)
+        self._timers.call_after(RESTART_ALLOWANCE_MS, partial(self._end_former_lives, link))
 
     def rename_owner(self, former: str, owner: str) -> None:
         """Let what runs for callers that wait go on for the same entry's new life.
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -90,10 +90,9 @@
             yield from keeper.ledger.held_owners(now_ms)
 
     def _welcome(self, link: EntryLink) -> None:
-        """Tell an entry that has just joined what is held here; its earlier lives are over."""
+        """Tell an entry that has just joined what is held here, and let it claim its runs."""
         if self.zones.drains.known:
             link.send(self.zones.drains_told())
-        self.orders.end_former_lives(link)
         self.orders.await_claims(link)
         self.reports.tell_everything(link)
 
