Tell an entry that joins anew what has ended while its stream was down

What callers saw: a task that was done was done again (the scenario that was known red: the end is not among the holdings), because the end came while the owner's stream was down.

Cause: the runner's ends of jobs that are not stored are let go as soon as they are listed, whether the owner has heard of them or not. On the next stream the owner found the run missing among what is held, and placed the task anew.

What is sent just before a stream fails is covered, too, as it is told again whether it was sent or not. An owner takes an end that it knows as nothing new, and one of a submission that has ended is passed over.

The scenario fails before and passes after; two new ones show that an end told twice starts nothing, and that it is not told after the owner has given the run up.

--- a/features/run_ownership.feature
+++ b/features/run_ownership.feature
@@ -113,12 +113,27 @@
       | 1000     | 600    |
       | 2000     | 0      |
 
-  # Ends of runs for waiting callers are let go at once, whether their owner has heard of them or not.
+  # Ends of runs for waiting callers are let go at the runner at once, whether their owner has heard
+  # of them or not. One that came while the stream was down, or was sent just before it failed, was
+  # never told: the owner found the run missing among the holdings and had the task done again. The
+  # agent now tells it once more when the same entry joins.
   Scenario: what was done while a stream was down is told on the next one
     Given a run for a waiting caller, whose owner has just been heard
     When its stream ends, the run ends as done, and the same owner joins again 200 ms later
     Then its owner is told on the new stream that it is done
 
+  Scenario: an owner that is told once more of an end does not start the task again
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 2 tasks whose caller waits
+    When one of them ends as done, and the agent joins again and holds only that end
+    Then only the other task is placed anew
+
+  Scenario: an end is not told once more after its owner has given the run up
+    Given a run for a waiting caller, whose owner has just been heard
+    When its stream ends, the run ends as done, and the same owner joins again 2200 ms later
+    Then its owner is not told of that end
+
   # The lease of an idle runner is not renewed. A start there was given the nothing that was left of it
   # as its expiry: 12,932 starts of one task were rejected as "late" within 12 s until one was fast
   # enough ({"event":"start_rejected","reason":"late"}, 1 ms apart).
--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -422,23 +422,54 @@
     assert ends_ms - context.word_ms <= time_ms, ends_ms - context.word_ms
 
 
-@when("its stream ends, the run ends as done, and the same owner joins again 200 ms later")
-def done_meanwhile(context):
+@when("its stream ends, the run ends as done, and the same owner joins again {time_ms:d} ms later")
+def done_meanwhile(context, time_ms):
     context.agent.links._end_stream(context.link)
     ended = EndedRun(1, RUN, RunEnd.DONE)
     look = RunnerLook(context.timers.now_ms(), (), (ended,))
     context.agent.reports.report(context.keeper, context.keeper._take_look(look))
-    context.timers.time_ms += 200
+    context.timers.time_ms += time_ms
     base.join(context)
 
 
-@then("its owner is told on the new stream that it is done")
-def told_done(context):
+def told_details(context):
     sent = context.link.stream.sent
     held = [row for m in sent if isinstance(m, orders.Holdings) for row in m.runs]
     told = [event for m in sent if isinstance(m, orders.RunEvents) for event in m.events]
-    details = [one.detail for one in [*held, *told]]
-    assert RunEnd.DONE.value in details, (held, told)
+    return [one.detail for one in [*held, *told]]
+
+
+@then("its owner is told on the new stream that it is done")
+def told_done(context):
+    assert RunEnd.DONE.value in told_details(context), told_details(context)
+
+
+@then("its owner is not told of that end")
+def end_not_told(context):
+    assert RunEnd.DONE.value not in told_details(context), told_details(context)
+
+
+@when("one of them ends as done, and the agent joins again and holds only that end")
+def end_told_again(context):
+    (order,) = (m for m in context.outside.sent if isinstance(m, orders.StartOrder))
+    done, context.other = (order.key_of(row) for row in order.runs)
+    task, kind = done.task.text, orders.ENDED
+    event = orders.RunEvent(task, 1, 1, kind, RunEnd.DONE.value, 1, kept=False)
+    context.dispatch.take_events(context.view, orders.RunEvents("i-1", (event,)), context.now_ms)
+    join(context)
+    held = orders.HeldRun(task, 1, 1, orders.HELD_ENDED, RunEnd.DONE.value)
+    context.dispatch.take_holdings(
+        context.view, orders.Holdings("i-1", (), (held,)), context.now_ms
+    )
+    context.outside.sent.clear()
+    context.dispatch.placer.place_waiting(context.now_ms)
+
+
+@then("only the other task is placed anew")
+def other_placed(context):
+    sent = [m for m in context.outside.sent if isinstance(m, orders.StartOrder)]
+    names = [order.key_of(row).task for order in sent for row in order.runs]
+    assert names == [context.other.task], names
 
 
 @given("an entry that has stood still for {time_ms:d} ms")
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -203,7 +203,9 @@
     def _tell_held(self, keeper: RunnerKeeper, link: EntryLink) -> None:
         self.tell_one(keeper, link)
         if keeper.ledger.looked:
-            link.send(orders.Holdings(keeper.runner_id, (), keeper.ledger.held_runs()))
+            ended = keeper.ledger.recent_ends_of(link.entry, self._timers.now_ms())
+            rows = (*keeper.ledger.held_runs(), *ended)
+            link.send(orders.Holdings(keeper.runner_id, (), rows))
 
     def tell_orphans(self) -> None:
         """Tell some entries of ends that nobody has stored for long.
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -5,10 +5,14 @@
 proven that the start will never take effect.
 """
 
+from collections import deque
+
 import attrs
 
 from gapdrum.core import orders
 from gapdrum.core.models import NOTHING, Resources, RunEnd, RunKey
+from gapdrum.core.records import entry_of_owner
+from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_models import EndedRun, RunnerLook
 
@@ -80,6 +84,11 @@
     stored: bool = False
     outrun: bool = False
 
+    def to_row(self, number: int) -> orders.HeldRun:
+        """Return the row that tells of it among what is held."""
+        task, phase = self.key.task.text, orders.HELD_ENDED
+        return orders.HeldRun(task, self.key.attempt, self.epoch, phase, self.end.value, number)
+
     def to_event(self, number: int) -> orders.RunEvent:
         """Return the event that tells of it, under its number at the runner."""
         task, kind = self.key.task.text, orders.ENDED
@@ -114,6 +123,8 @@
     last_end: int = 0
     runs: dict[RunKey, Run] = attrs.Factory(dict)
     ends: dict[int, NotedEnd] = attrs.Factory(dict)
+    # Ends that nobody stores; the owner's stream may have failed before it heard of them.
+    recent_ends: deque[NotedEnd] = attrs.Factory(deque)
     used: Resources = NOTHING
     health: RunnerHealth = attrs.Factory(RunnerHealth)
     unknown_runs: int = 0
@@ -215,9 +226,26 @@
         self._judge_end(run, ended.end, now_ms)
         noted.stored = not (run.kept and ended.end in (RunEnd.DONE, RunEnd.FAILED))
         self.ends[ended.number] = noted
+        if noted.stored and run.owner:
+            self._keep_recent(noted)
         event = _event(run, orders.ENDED, ended.end.value, ended.number)
         return run, event
 
+    def _keep_recent(self, noted: NotedEnd) -> None:
+        """Keep an end for as long as its owner may still count on the run."""
+        recent = self.recent_ends
+        recent.append(noted)
+        while recent[0].noted_ms < noted.noted_ms - SILENCE_LIMIT_MS:
+            recent.popleft()
+
+    def recent_ends_of(self, entry: str, now_ms: int) -> tuple[orders.HeldRun, ...]:
+        """Return what ended lately for callers that wait at an entry, told once more on a join."""
+        return tuple(
+            noted.to_row(0)
+            for noted in self.recent_ends
+            if entry_of_owner(noted.owner) == entry and now_ms - noted.noted_ms <= SILENCE_LIMIT_MS
+        )
+
     def _note_running(
         self, key: RunKey, percent: int, now_ms: int
     ) -> list[tuple[Run, orders.RunEvent]]:
@@ -313,12 +341,7 @@
         ]
         for number, end in self.ends.items():
             if (job_ids is None or end.key.task.job_id in job_ids) and not end.stored:
-                task = end.key.task.text
-                rows.append(
-                    orders.HeldRun(
-                        task, end.key.attempt, end.epoch, orders.HELD_ENDED, end.end.value, number
-                    )
-                )
+                rows.append(end.to_row(number))
         return tuple(rows)
 
     def held_owners(self, now_ms: int) -> frozenset[HeldOwner]:
