Tell agents the queue and priority of what they start, and entries how far data may be

No decision changes yet: the parts on uneven runners, stragglers and room for urgent work need to know, at agents, whose work a run is, and, at entries, how much longer a task takes away from the rack of its data, which the settings state. Without the field in the settings the factor is 1.

--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -80,6 +80,8 @@
             kept=order.kept,
             calling=True,
             estimate_ms=row.estimate_ms,
+            queue=order.queue,
+            priority=order.priority,
         )
         self.ledger.begin(run)
         self._context.offers.use(owner, row.room)
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -382,9 +382,11 @@
     may_act: Callable[[], bool],
     now_ms: int,
     rng: random.Random | None = None,
+    far_factor: float = 1.0,
 ) -> Dispatch:
     """Return an owner without jobs; ``may_act`` tells whether the lease in the store is held."""
     jobs: dict[str, Job] = {}
     fleet = Fleet(outside)
-    placer = Placer(zone, outside, may_act, fleet, jobs, now_ms, rng or random.Random())
+    rng = rng or random.Random()
+    placer = Placer(zone, outside, may_act, fleet, jobs, now_ms, rng, far_factor)
     return Dispatch(outside, jobs, fleet, placer)
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -246,7 +246,8 @@
 class StartOrder:
     """Tasks of a job to start at a runner; ``clock_ms`` is the last clock heard of the agent.
 
-    ``kept`` tells whether the job is stored.
+    ``kept`` tells whether the job is stored. The queue and its priority, 0 for the most urgent
+    one, let the agent weigh the work of all entries.
     """
 
     runner_id: str = text_field()
@@ -256,6 +257,8 @@
     clock_ms: int = count_field()
     kept: bool = attrs.field(validator=attrs.validators.instance_of(bool))
     runs: tuple[OrderedRun, ...] = rows_field(OrderedRun, MAX_ROWS)
+    queue: str = text_field(default="")
+    priority: int = count_field(default=0)
 
     def key_of(self, row: OrderedRun) -> RunKey:
         """Return the key of one of the runs."""
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -49,6 +49,7 @@
     jobs: dict[str, Job]
     started_ms: int
     rng: random.Random
+    far_factor: float = 1.0  # how much longer a task takes away from its data's rack
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
     _untried: bool = False
@@ -209,6 +210,8 @@
             runner.agent.clock_ms,
             job.kept,
             runs,
+            job.queue,
+            job.priority,
         )
         sent = self.outside.send(runner.place.agent, order)
         for task in tasks:
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -59,6 +59,8 @@
     percent: int = 0
     percent_ms: int = 0
     estimate_ms: int = 0
+    queue: str = ""
+    priority: int = 0
     started_ms: int = 0
     straggles_ms: int = 0
 
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -77,7 +77,13 @@
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
         self.demand = Demand(self.links, timers)
-        self.dispatch = build_dispatch(boot.zone, self, lambda: self.lease.valid, timers.now_ms())
+        self.dispatch = build_dispatch(
+            boot.zone,
+            self,
+            lambda: self.lease.valid,
+            timers.now_ms(),
+            far_factor=boot.far_factor,
+        )
         peers = PeerNotices(self.store, self.background, log, self.sent, self.received)
         self.endings = Endings(
             self.store, self.writer, self.dispatch, self.links, peers, timers, log
--- a/src/gapdrum/platform/boot.py
+++ b/src/gapdrum/platform/boot.py
@@ -41,6 +41,7 @@
     runner: Endpoint | None
     machine_list: Endpoint | None
     seeds: tuple[Endpoint, ...] = ()
+    far_factor: float = 1.0
 
 
 def load_boot(path: str | None = None) -> Boot:
@@ -86,6 +87,8 @@
         # ``cloud_api`` lists the machines of the runners.
         machine_list=_optional(document.get("cloud_api", {}).get("address")),
         # ``control`` addresses of some entries; they may be stale, or down.
+        # ``far_x`` is how many times as long a task takes on a rack without its data.
+        far_factor=max(1.0, float(bounds.get("far_x", 1.0))),
         seeds=tuple(parse_endpoint(text) for text in document.get("seeds", ())),
     )
 
