Soak: runners of several speeds, data on a rack, competing queues, answers that are lost

What was missing: all runners of the soak were alike, all jobs went to one queue and stated the same time, and no answer of a runner was lost after the call had been carried out.

Change: runners work at 1.0, 0.6 and 1.6 of the usual pace, 0.4 of the jobs have their data on one rack and take three times as long elsewhere, short, medium and long jobs go to queues of three priorities with estimates that are 40% off, 3% of the short ones take seven times as long; a runner may lose the answer to each, each second or each fourth call.

--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -1,11 +1,13 @@
 """Stand-in for a runner of the platform: leases, starts, stops, ends, and faults.
 
-A task's ``spec`` is JSON text: ``{"run_ms": 80, "fail": false}``. ``GET /history`` tells all
+A task's ``spec`` is JSON text: ``{"run_ms": 80, "fail": false}``, with ``"rack"`` where its data
+lie: away from there it takes longer, and so it does at a slow runner. ``GET /history`` tells all
 runs with their times, and the most room that was ever held, so that a test can check that no
 task ran twice at once and that the capacity held, ``GET /lease`` for how long the lease still
 lasts. ``POST /faults`` takes ``{"mode": "hang" |
-"errors" | "unanswered" | "late", "count": N, "delay_ms": M}``; with ``"paths": ["/run-stop"]``
-only these calls are left unanswered or carried out late.
+"errors" | "unanswered" | "late" | "answers_lost", "count": N, "delay_ms": M}``; with
+``"paths": ["/run-stop"]`` only these calls are left unanswered or carried out late. Of the answers
+that are lost, the calls have been carried out: each ``every``-th call, ``count`` times.
 """
 
 import asyncio
@@ -43,10 +45,25 @@
     began_ms: int
 
 
+@attrs.frozen
+class Pace:
+    """How fast a runner works, in which rack, and how many times as long far work takes."""
+
+    speed: float = 1.0
+    rack: str = "r1"
+    far_factor: float = 1.0
+
+    def duration_ms(self, spec: dict[str, Any]) -> int:
+        """Return how long a task takes here."""
+        is_far = spec.get("rack", self.rack) != self.rack
+        return round(spec["run_ms"] * (self.far_factor if is_far else 1.0) / self.speed)
+
+
 @attrs.define
 class RunHost:
     """The state of one incarnation of a runner; ``now_ms`` is its steady clock."""
 
+    pace: Pace = attrs.Factory(Pace)
     started_ns: int = attrs.Factory(time.monotonic_ns)
     fence: int = 0
     lease_ms: int = 0
@@ -123,7 +140,7 @@
         run = HostedRun(
             task,
             attempt,
-            5 if mode == "errors" else spec["run_ms"],
+            5 if mode == "errors" else self.pace.duration_ms(spec),
             bool(spec.get("fail")) or mode == "errors",
             mode == "hang",
             self.now_ms,
@@ -140,6 +157,14 @@
         self.fault["count"] = self.fault.get("count", 1) - 1
         return self.fault["mode"]
 
+    def loses_answer(self) -> bool:
+        """Tell whether the answer of this call is lost."""
+        if self.fault.get("mode") != "answers_lost":
+            return False
+        self.fault["calls"] = self.fault.get("calls", 0) + 1
+        due = self.fault["calls"] % self.fault.get("every", 1) == 0
+        return due and bool(self.use_fault("answers_lost"))
+
     def extend(self, until_ms: int) -> None:
         """Extend the lease of all runs; it never gets shorter."""
         self.lease_ms = max(self.lease_ms, min(until_ms, self.now_ms + LEASE_MAX_MS))
@@ -177,8 +202,9 @@
         control_port: int,
         report: dict[str, Any],
         history_path: Path | None = None,
+        pace: Pace | None = None,
     ) -> None:
-        self.state = RunHost(history_path=history_path)
+        self.state = RunHost(pace or Pace(), history_path=history_path)
         self.runner_id = f"i-{os.getpid():08x}"
         self._report = {**report, "address": f"{host}:{port}"}
         self._control = HttpClient(host, control_port)
@@ -223,7 +249,13 @@
             await asyncio.sleep(state.fault["delay_ms"] / MS_PER_S)
             self._carry_out(path, body)
             await asyncio.sleep(FOREVER_S)
-        if body.get("fencing_token", 0) < state.fence:
+        answer = await self._answer_command(path, body)
+        if struck and state.loses_answer():
+            await asyncio.sleep(FOREVER_S)
+        return answer
+
+    async def _answer_command(self, path: str, body: dict[str, Any]) -> HttpResponse:
+        if body.get("fencing_token", 0) < self.state.fence:
             return self._answer(409, reason="fence")
         if path == "/hold":
             return await self._hold(body)
@@ -279,11 +311,16 @@
 
 
 async def serve(
-    host: str, port: int, control_port: int, report: dict[str, Any], history_path: Path | None
+    host: str,
+    port: int,
+    control_port: int,
+    report: dict[str, Any],
+    history_path: Path | None,
+    pace: Pace,
 ) -> None:
     """Serve until the process ends."""
     timers = Timers()
-    runner = RunnerStandIn(host, port, control_port, report, history_path)
+    runner = RunnerStandIn(host, port, control_port, report, history_path, pace)
     limits = HttpLimits(idle_timeout_ms=3_600_000)
     await HttpListener(runner.handle, limits, timers).open(host, port)
     timers.subscribe(SWEEP_INTERVAL_MS, runner.sweep)
@@ -303,6 +340,9 @@
         cpu_milli: int = 16_000,
         host: str = "127.0.0.1",
         history: Path | None = None,
+        speed: float = 1.0,
+        rack: str = "r1",
+        far_factor: float = 1.0,
     ) -> None:
         report = {
             "service": upstream,
@@ -312,9 +352,10 @@
             "state": "ready",
             "cold_left_ms": 0,
             "capacity": {"cpu": cpu_milli, "mem_mb": 65_536, "gpu": 0},
-            "labels": ["a", "r1"],
+            "labels": ["a", rack],
         }
-        asyncio.run(serve(host, port, control_port, report, history))
+        pace = Pace(speed, rack, far_factor)
+        asyncio.run(serve(host, port, control_port, report, history, pace))
 
     typer.run(run)
 
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -5,29 +5,39 @@
 import os
 import sys
 import tempfile
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from pathlib import Path
 
+import attrs
 import urllib3
 from local_system import HOST, Process, find_port, wait_for
 
 ZONES = ("plaine-nord", "moka-hall", "curepipe-hall")
 UPSTREAM = "inspect-desk"
 CALLER_HOST = "inspections.example"
-QUEUES = (("flags", "/flags/", 0, 3), ("tags", "/tags/", 1, 2))
+QUEUES = (("flags", "/flags/", 0, 3), ("tags", "/tags/", 1, 2), ("certs", "/certs/", 2, 3))
 RUNNER_CPU_MILLI = 16_000
 RESUBMIT_MS = 1_300  # how long after its connection broke a caller submits its job again
 CALL_TIMEOUT_S = 30
 PLANTED = Path(__file__).parent / "planted.py"
 
 
+@attrs.frozen
+class RunnerPace:
+    """How fast a runner works, and the rack that it stands in."""
+
+    speed: float = 1.0
+    rack: str = "r1"
+
+
 class PlatformSystem:
     """A row store, entries, and agents with their runners; leaving it ends all it started.
 
     ``store_ports`` may put something between a process and the store, such as a proxy: it is
     called with the store's port for each process and returns the port to use. ``stream_ports``
     does the same for the streams of agents to each entry. ``planted`` names a mechanism that
-    ``planted.py`` switches off in all entries and agents.
+    ``planted.py`` switches off in all entries and agents. Runners take ``paces`` by turns; all
+    work ``far_factor`` times as long away from the rack of a task's data.
 
     ::
 
@@ -42,7 +52,11 @@
         store_ports: Callable[[int], int] = lambda port: port,
         stream_ports: Callable[[int], int] = lambda port: port,
         planted: str = "",
+        paces: Sequence[RunnerPace] = (RunnerPace(),),
+        far_factor: float = 1.0,
     ) -> None:
+        self._paces = paces
+        self._far_factor = far_factor
         self.folder = Path(tempfile.mkdtemp(prefix="gapdrum-platform-"))
         self.pool = urllib3.PoolManager(maxsize=64, retries=False, timeout=CALL_TIMEOUT_S)
         self.metrics_ports: dict[str, int] = {}
@@ -256,6 +270,9 @@
         arguments = ["--port", str(port), "--control-port", str(control)]
         arguments += ["--upstream", UPSTREAM, "--cpu-milli", str(RUNNER_CPU_MILLI)]
         arguments += ["--history", str(self.folder / f"runner-{number}.history")]
+        pace = self._paces[number % len(self._paces)]
+        arguments += ["--speed", str(pace.speed), "--rack", pace.rack]
+        arguments += ["--far-factor", str(self._far_factor)]
         self.runners.append(
             self._module(f"runner-{number}", "gapdrum_standins.run_host", port, arguments)
         )
@@ -297,6 +314,7 @@
 hold_max_ms = 1000
 grace_s = 6
 retransmit_ms = {RESUBMIT_MS}
+far_x = {self._far_factor}
 [platform]
 address = "{HOST}:{self._store_ports(self.store.port)}"
 writes_per_s = 800
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,12 +23,15 @@
 import time
 
 from local_system import wait_for
-from platform_system import ZONES, PlatformSystem
-from soak_callers import Callers, Submitted
+from platform_system import ZONES, PlatformSystem, RunnerPace
+from soak_callers import HOT_RACK, Callers, Submitted
 from soak_checks import check_runs
 from soak_faults import CALM_S, Faults, Proxies
 
 ENTRIES, AGENTS, CALLERS = 2, 3, 6
+# Runners are uneven, and part of the jobs have their data on one rack.
+PACES = tuple(RunnerPace(speed, HOT_RACK if speed == 1.0 else "r2") for speed in (1.0, 0.6, 1.6))
+FAR_FACTOR = 3.0
 END_TIMEOUT_S = 40
 PROCESSES_LIMIT = 300
 PROCESS_MB = 50  # of an entry, an agent or a stand-in, measured and rounded up
@@ -56,6 +59,8 @@
             store_ports=proxies.add,
             stream_ports=proxies.add_stream,
             planted=planted,
+            paces=PACES,
+            far_factor=FAR_FACTOR,
         )
         self._callers = Callers(self.system, [chooser.random() for _ in range(callers)])
         self._faults = Faults(seed, chooser, self.system, proxies)
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import math
 import random
 import socket
 import threading
@@ -23,6 +24,13 @@
 REFUSED_PAUSE_S = 0.1  # before a caller whose job was submitted before tries again
 REFUSED_TRIES = 30
 QUICK_PAUSE_S = (0.2, 1.2)  # before the next job of a caller that was answered at once
+HOT_RACK = "r1"
+HOT_SHARE = 0.4  # of the jobs, whose data lie on one rack
+LONG_TASK_SHARE = 0.03  # of the jobs that take many times as long as they state
+LONG_TASK_FACTOR = 7
+ESTIMATE_SPREAD = 0.4  # of the logarithm of what is stated by what is true
+# Short work is urgent and long work patient; all compete for the same runners.
+QUEUES_BY_RUN_MS = ((150, "flags"), (400, "tags"), (math.inf, "certs"))
 REFUSED = (429, 503)
 UNSETTLED = (0, 502, 504)  # what a caller answers by submitting its job again
 
@@ -43,6 +51,7 @@
 
     job_id: str
     stored: bool
+    queue: str = "flags"
     statuses: list[int] = attrs.Factory(list)
     state: str = ""
     submissions: list[Submission] = attrs.Factory(list)
@@ -129,10 +138,11 @@
 
     def _submit(self, job: Submitted, chooser: random.Random, patience: random.Random) -> None:
         """Hand a job in, and again while nothing is known of it, as callers do."""
-        steps = [{"count": chooser.randint(1, 6), "cpu": TASK_CPU_MILLI, "estimate_ms": 200}]
+        step = {"count": chooser.randint(1, 6), "cpu": TASK_CPU_MILLI}
         # The longest outlast the silence after which an entry takes a run for over.
         run_ms = chooser.choice((30, 150, 400, 1_500, 4_000))
-        document = {"spec": json.dumps({"run_ms": run_ms}), "steps": steps}
+        job.queue = next(name for most_ms, name in QUEUES_BY_RUN_MS if run_ms <= most_ms)
+        document = _describe(step, run_ms, random.Random(f"shape {job.job_id}"))
         if not job.stored:
             document["best_effort"] = True
         body = json.dumps(document).encode()
@@ -211,7 +221,7 @@
         job: Submitted, body: bytes, connection: http.client.HTTPConnection, patience: Patience
     ) -> int:
         headers = {"Host": CALLER_HOST, "X-Deadline": str(patience.deadline_ms)}
-        connection.request("POST", f"/flags/{job.job_id}", body, headers)
+        connection.request("POST", f"/{job.queue}/{job.job_id}", body, headers)
         connection.sock.settimeout(max(0.001, patience.until_s - time.monotonic()))
         reply = connection.getresponse()
         answer = json.loads(reply.read() or b"{}")
@@ -220,6 +230,17 @@
         return reply.status
 
 
+def _describe(step: dict, run_ms: int, shape: random.Random) -> dict:
+    """Return a job of one step: how long its tasks take is stated roughly, and at times wrongly."""
+    step["estimate_ms"] = max(1, round(run_ms * shape.lognormvariate(0.0, ESTIMATE_SPREAD)))
+    spec = {"run_ms": run_ms}
+    if run_ms <= QUEUES_BY_RUN_MS[0][0] and shape.random() < LONG_TASK_SHARE:
+        spec["run_ms"] *= LONG_TASK_FACTOR
+    if shape.random() < HOT_SHARE:
+        spec["rack"] = step["affinity"] = HOT_RACK
+    return {"spec": json.dumps(spec), "steps": [step]}
+
+
 def _draw_patience(chooser: random.Random) -> Patience:
     now_s = time.monotonic()
     deadline_ms = chooser.randint(*DEADLINE_MS)
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -162,10 +162,11 @@
         number = self.random.randrange(len(self._system.runners))
         if self._system.runners[number].popen.poll() is not None:
             return "runner away"
-        mode = self.random.choice(("unanswered", "late", "hang", "errors"))
+        mode = self.random.choice(("unanswered", "late", "hang", "errors", "answers_lost"))
         # Before and after the time at which a start that was left unanswered expires.
         delay_ms = self.random.choice((200, 500, 2_500))
-        return self._set_runner_fault(number, mode=mode, count=10, delay_ms=delay_ms)
+        every = self.random.choice((1, 2, 4))
+        return self._set_runner_fault(number, mode=mode, count=10, delay_ms=delay_ms, every=every)
 
     def _set_runner_fault(self, number: int, **fault: object) -> str:
         try:
