Soak: give a job's queue as its last field

The scenarios on the soak's checks build a job by position: all 18 of them failed after the queue had been put before the statuses (47 scenarios passed, 18 failed). They pass again, unchanged.

--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -51,10 +51,10 @@
 
     job_id: str
     stored: bool
-    queue: str = "flags"
     statuses: list[int] = attrs.Factory(list)
     state: str = ""
     submissions: list[Submission] = attrs.Factory(list)
+    queue: str = "flags"
 
     @property
     def refused(self) -> bool:
