Look at a runner with several looks at once while its answers get lost

LookSchedule (core) decides when a look begins, how long it waits, which answers are news and whether the runner can be reached; RunnerLooks (agent) makes the calls. An older picture that comes after a newer one is passed over. A start is not called again once a look has shown its run.

Two scenarios are replaced: 'a runner that leaves a look unanswered has no room' by one of three looks in a row and one that a single one keeps its room; 'a run that was seen at work is not told as never started' had a look during its first call and asserted a second call, which is no longer made: the look now comes during the second call, and a scenario says that there is none after the first.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -283,11 +283,16 @@
     When it keeps looking for 300 ms
     Then it has looked at most 30 times
 
-  Scenario: a runner that leaves a look unanswered has no room until it answers again
-    Given a keeper of a runner that leaves its second look unanswered
+  Scenario: a runner that leaves three looks in a row unanswered has no room until it answers again
+    Given a keeper of a runner that leaves three looks in a row unanswered
     When it keeps looking for 300 ms
     Then entries are told of its room, of none, and of its room again
 
+  Scenario: a runner that leaves one look unanswered keeps its room
+    Given a keeper of a runner that leaves its second look unanswered
+    When it keeps looking for 300 ms
+    Then entries are told of its room once, and never of none
+
   Scenario Outline: malformed answers of store and runner are errors and no crashes
     Given a server that answers <status> with <body>
     Then a read of rows fails as "store_outcome_unknown"
--- a/features/run_ownership.feature
+++ b/features/run_ownership.feature
@@ -96,9 +96,15 @@
 
   Scenario: a run that was seen at work is not told as never started
     Given a run for a waiting caller, whose owner has just been heard
-    When its first call is left unanswered, a look shows it at work, and its next call is late
+    When its first call is left unanswered, a look shows it at work during the next, which is late
     Then its owner is not told that it was not started
 
+  Scenario: a run that was seen at work is not started again
+    Given a run for a waiting caller, whose owner has just been heard
+    When its first call is left unanswered, and a look shows it at work meanwhile
+    Then it is not called for again
+    And its owner is not told that it was not started
+
   # A lease is one for all at a runner and never shortens. An idle runner, or one with stored runs
   # alone, is renewed by the whole lease; a run that starts there has that lease, whatever its
   # owner's word allows. Only the agent's stop bounds it then, not the runner.
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -602,6 +602,11 @@
     new_keeper(context, lambda look: look == 3)
 
 
+@given("a keeper of a runner that leaves three looks in a row unanswered")
+def three_unanswered(context):
+    new_keeper(context, lambda look: 3 <= look <= 5)
+
+
 class TellingLinks(list):
     """Links to entries that remember what was sent; each is named like its owner."""
 
@@ -728,6 +733,11 @@
     assert context.room_told == [True, False, True], context.room_told
 
 
+@then("entries are told of its room once, and never of none")
+def told_of_room_once(context):
+    assert context.room_told == [True], context.room_told
+
+
 @given("a runner that leaves the first start unanswered and rejects the second")
 def reject_second(context):
     rejection = RunnerRejectedError(503, "", None)
--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -363,23 +363,42 @@
     assert context.cut_ms < context.until_ms, (context.cut_ms, context.until_ms)
 
 
-@when("its first call is left unanswered, a look shows it at work, and its next call is late")
+@when("its first call is left unanswered, a look shows it at work during the next, which is late")
 def late_after_start(context):
+    assert call_start(context, shown_at=2) == 2
+
+
+@when("its first call is left unanswered, and a look shows it at work meanwhile")
+def shown_after_start(context):
+    context.calls = call_start(context, shown_at=1)
+
+
+@then("it is not called for again")
+def not_called_again(context):
+    assert context.calls == 1, context.calls
+
+
+def call_start(context, shown_at):
+    """Start a run whose first call is unanswered, the next late; return how many calls it took.
+
+    During one of them a look shows it at work.
+    """
     (run,) = context.runs
     run.phase, run.calling = orders.HELD_STARTING, True
     calls = []
 
     async def start(*_arguments):
         calls.append(1)
-        if len(calls) == 1:
+        if len(calls) == shown_at:
             look = RunnerLook(context.timers.now_ms(), (RunningTask(RUN, 5),), ())
             context.agent.reports.report(context.keeper, context.keeper._take_look(look))
+        if len(calls) == 1:
             raise NoReplyError("lost")
         raise RunnerRejectedError(409, "late", context.timers.now_ms() + 701)
 
     context.runner.start = start
     asyncio.run(context.keeper.starts._start(run, "{}", run.start_expires_ms))
-    assert len(calls) == 2, calls
+    return len(calls)
 
 
 @then("its owner is not told that it was not started")
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -6,6 +6,7 @@
 
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
+from gapdrum.core.look_schedule import LookSchedule
 from gapdrum.core.models import Resources
 from gapdrum.core.orders import RunEvent
 from gapdrum.core.room_offers import RoomOffers
@@ -37,6 +38,7 @@
     lease_until_ms: int = 0
     offers: RoomOffers = attrs.Factory(RoomOffers)
     bound: LeaseBound = attrs.Factory(LeaseBound)
+    schedule: LookSchedule = attrs.Factory(LookSchedule)
 
     @property
     def runner_id(self) -> str:
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -4,17 +4,20 @@
 from collections.abc import Callable
 
 from gapdrum.agent.grants import Grants
-from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
+from gapdrum.agent.runner_context import RunnerContext
+from gapdrum.agent.runner_looks import RunnerLooks
 from gapdrum.agent.runner_starts import RETRY_FIRST_MS, RETRY_MOST_MS, RunnerStarts
 from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.endpoints import Endpoint
+from gapdrum.core.look_schedule import LOOK_WAIT_MS
 from gapdrum.core.models import Resources, RunEnd
 from gapdrum.core.room_offers import RoomOffers
 from gapdrum.core.runner_health import REST_MS
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.core.runner_models import Heartbeat, ListedRunner, RunnerLook
 from gapdrum.event_log import EventLog
+from gapdrum.exceptions import GapdrumError
 from gapdrum.platform.runner_calls import (
     REASON_FENCED,
     RunnerCalls,
@@ -22,12 +25,15 @@
     RunnerReplacedError,
 )
 from gapdrum.timers import MS_PER_S, Timers
-from gapdrum.transport.http_client import NoReplyError, NotSentError, RefusedConnectionError
+from gapdrum.transport.http_client import (
+    NoReplyError,
+    NotSentError,
+    RefusedConnectionError,
+    TimedOutError,
+)
 
-# A look waits so long for an end: five renewals fit into a lease of 1 s.
-LOOK_WAIT_MS = 200
-LOOK_ANSWER_MS = 150  # how much later than it waits a look is answered at most
 FIRST_LOOK_TIMEOUT_MS = 300
+UNHEARD = "unheard"  # why a runner can't be reached of which no look has failed just now
 CUT_SHORT = (RunEnd.STOPPED.value, RunEnd.LEASE_LAPSED.value)
 # Storing an end takes about 10 ms; looking again before that shows the same.
 UNSTORED_PAUSE_MS = 10
@@ -66,6 +72,8 @@
             lambda events: report(self, events),
         )
         self.starts = RunnerStarts(self._context)
+        self._schedule = self._context.schedule
+        self._looks = RunnerLooks(self._context)
         self._timers = timers
         self._log = log
         self._on_looked = on_looked
@@ -92,7 +100,8 @@
         backoff = Backoff(RETRY_FIRST_MS, RETRY_MOST_MS)
         while not self.ledger.gone:
             try:
-                await self._step()
+                if await self._step():
+                    backoff.reset()
             except RunnerReplacedError:
                 self.set_gone("replaced")
             except RunnerRejectedError as error:
@@ -102,22 +111,34 @@
                 if self.ledger.leaving and isinstance(error, RefusedConnectionError):
                     self.set_gone("deregistered")
                     continue
-                self._note_unreachable(error.code)
+                self._judge_reachable(error.code)
                 self._check_lapse()
-                await backoff.pause()
-            else:
-                backoff.reset()
+                if self._must_pause(error):
+                    await backoff.pause()
+        self._looks.close()
         self._context.calls.close()
 
-    async def _step(self) -> None:
+    def _must_pause(self, error: GapdrumError) -> bool:
+        """Tell whether to wait before the next look, so that no runner is flooded with calls.
+
+        An answer that did not come in time has taken its time already.
+        """
+        if self._schedule.any_under_way:
+            return False
+        return not self.ledger.reachable or not isinstance(error, TimedOutError)
+
+    async def _step(self) -> bool:
+        """Do what is due, and look; return whether a look was taken."""
         if not self._context.fence:
             await self._learn_clock()
-            return
+            return True
         now_ms = self._timers.now_ms()
         self._check_rest(now_ms)
         self.starts.stop_what_must(now_ms)
-        left_ms = self._context.lease_left_ms(now_ms)
-        look = await self._look(left_ms, self._wait_ms(now_ms))
+        look = await self._looks.next(self._wait_ms(now_ms))
+        if look is None:
+            self._judge_reachable(UNHEARD)
+            return False
         first = not self.ledger.looked
         events = self._take_look(look)
         if first:
@@ -127,6 +148,7 @@
         elif look.ended:
             # Ends that are not stored yet are shown at once, again and again.
             await asyncio.sleep(UNSTORED_PAUSE_MS / MS_PER_S)
+        return True
 
     def _wait_ms(self, now_ms: int) -> int:
         """Return how long a look may wait for an end: not beyond the next stop that is due.
@@ -182,25 +204,6 @@
         )
         self._on_looked(self)
 
-    async def _look(self, left_ms: int, wait_ms: int) -> RunnerLook:
-        """Look, and renew the lease by so much; raises what the call raises."""
-        until_ms = self._context.lease_until(left_ms)
-        call = self._context.bound.propose(self._timers.awake_ms() + left_ms + LAPSE_SLACK_MS)
-        sent = True
-        try:
-            return await self._context.calls.look(
-                until_ms,
-                self.ledger.advance_seen(),
-                self._context.fence,
-                wait_ms,
-                wait_ms + LOOK_ANSWER_MS,
-            )
-        except NotSentError:
-            sent = False
-            raise
-        finally:
-            self._context.bound.settle(call, sent)
-
     def _check_rest(self, now_ms: int) -> None:
         """Tell the entries when a suspect runner may be tried again."""
         was_resting = bool(self.ledger.health.resting_until_ms)
@@ -222,6 +225,7 @@
                 raise
             clock_ms = error.clock_ms
         self.ledger.note_clock(clock_ms, self._timers.awake_ms())
+        self._schedule.note_heard(self._timers.now_ms())
         self._context.fence = max(1, clock_ms)
         # What an earlier life of this agent may have asked for.
         self._context.lease_until_ms = clock_ms + self._context.longest_lease_ms
@@ -233,16 +237,21 @@
         if error.reason == REASON_FENCED and error.clock_ms is not None:
             self._context.fence = max(self._context.fence, error.clock_ms)
 
-    def _note_unreachable(self, reason: str) -> None:
-        """Tell entries that there is no room until the runner answers a look again."""
-        if self.ledger.reachable:
+    def _judge_reachable(self, reason: str) -> None:
+        """Tell entries that there is no room at a silent runner until it answers a look again.
+
+        One lost answer beside others that come takes no room away.
+        """
+        if self.ledger.reachable and self._schedule.is_silent(self._timers.now_ms()):
             self.ledger.reachable = False
+            self._schedule.unreachable = True
             self._log.write("runner_unreachable", runner=self.runner_id, reason=reason)
             self._context.report([])
 
     def _note_reachable(self) -> None:
         if not self.ledger.reachable:
             self.ledger.reachable = True
+            self._schedule.unreachable = False
             self._log.write("runner_reachable", runner=self.runner_id)
             self._context.report([])
 
@@ -315,6 +324,6 @@
             return
         left_ms = self._context.lease_left_ms(self._timers.now_ms())
         try:
-            await self._look(left_ms, 0)
+            await self._looks.look(left_ms, 0)
         except (NoReplyError, NotSentError, RunnerRejectedError, RunnerReplacedError) as error:
             self._log.write("last_renewal_failed", runner=self.runner_id, code=error.code)
--- /dev/null
+++ b/src/gapdrum/agent/runner_looks.py
@@ -0,0 +1,132 @@
+"""Calls one runner to look at it, several times at once while its answers get lost."""
+
+import asyncio
+from collections import deque
+
+from gapdrum.agent.runner_context import LAPSE_SLACK_MS, RunnerContext
+from gapdrum.background import Background
+from gapdrum.core.look_schedule import LOOK_ANSWER_MS, LookTurn
+from gapdrum.core.runner_models import RunnerLook
+from gapdrum.platform.runner_calls import RunnerRejectedError
+from gapdrum.transport.http_client import NoReplyError, NotSentError, TimedOutError
+
+
+class RunnerLooks:
+    """The looks under way; each renews the lease and is on a connection of its own.
+
+    ::
+
+        look = await looks.next(wait_ms=200)
+        if look is not None:
+            ...     # it shows something newer than all before
+    """
+
+    def __init__(self, context: RunnerContext) -> None:
+        self._context = context
+        self._schedule = context.schedule
+        self._background = Background(context.log)
+        self._tasks: dict[int, asyncio.Task] = {}
+        self._outcomes: deque[tuple[int, RunnerLook | Exception]] = deque()
+        self._waiter: asyncio.Future | None = None
+        self._schedule.on_lost = self._note_lossy
+
+    async def next(self, wait_ms: int) -> RunnerLook | None:
+        """Return the next look that is news; raises what its call raises.
+
+        Returns None if there is none yet, and something else may have become due.
+        """
+        if not self._outcomes:
+            now_ms = self._context.timers.now_ms()
+            for number in self._schedule.list_overtaken(now_ms):
+                self._give_up(number, now_ms)
+            due_ms = self._schedule.next_ms(now_ms)
+            if due_ms is not None and due_ms <= now_ms:
+                self._begin(self._schedule.begin(wait_ms, now_ms))
+            await self._pause(now_ms)
+        return self._take()
+
+    def close(self) -> None:
+        """Give up what is under way."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._outcomes.clear()
+
+    async def _pause(self, now_ms: int) -> None:
+        """Wait until a look has ended, or another one is due."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        change_ms = self._schedule.next_change_ms(now_ms)
+        timer = None
+        if change_ms is not None:
+            timer = self._context.timers.call_after(change_ms - now_ms, self._wake)
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _note_lossy(self) -> None:
+        self._context.log.write("runner_answer_lost", runner=self._context.runner_id)
+        self._wake()
+
+    def _take(self) -> RunnerLook | None:
+        if not self._outcomes:
+            return None
+        number, outcome = self._outcomes.popleft()
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome if self._schedule.is_news(number, outcome.clock_ms) else None
+
+    def _begin(self, turn: LookTurn) -> None:
+        left_ms = self._context.lease_left_ms(turn.began_ms)
+        self._tasks[turn.number] = self._background.spawn(self._run(turn, left_ms))
+
+    def _give_up(self, number: int, now_ms: int) -> None:
+        self._schedule.end(number)
+        self._schedule.note_lost(now_ms)
+        self._tasks[number].cancel()
+
+    async def _run(self, turn: LookTurn, left_ms: int) -> None:
+        outcome: RunnerLook | Exception | None = None
+        try:
+            outcome = await self.look(left_ms, turn.wait_ms)
+            self._schedule.note_answer(turn.number, self._context.timers.now_ms())
+        except RunnerRejectedError as error:
+            self._schedule.note_answer(turn.number, self._context.timers.now_ms())
+            outcome = error
+        except (NoReplyError, NotSentError) as error:
+            self._schedule.note_failure()
+            if isinstance(error, TimedOutError):
+                self._schedule.note_lost(self._context.timers.now_ms())
+            outcome = error
+        except Exception as error:  # whoever waits for the look is to have it
+            outcome = error
+        finally:
+            self._schedule.end(turn.number)
+            self._tasks.pop(turn.number, None)
+        self._outcomes.append((turn.number, outcome))
+        self._wake()
+
+    async def look(self, left_ms: int, wait_ms: int) -> RunnerLook:
+        """Look once, and renew the lease by so much; raises what the call raises."""
+        context = self._context
+        until_ms = context.lease_until(left_ms)
+        call = context.bound.propose(context.timers.awake_ms() + left_ms + LAPSE_SLACK_MS)
+        sent = True
+        try:
+            return await context.calls.look(
+                until_ms,
+                context.ledger.advance_seen(),
+                context.fence,
+                wait_ms,
+                wait_ms + LOOK_ANSWER_MS,
+            )
+        except NotSentError:
+            sent = False
+            raise
+        finally:
+            context.bound.settle(call, sent)
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -7,7 +7,7 @@
 from gapdrum.core.models import RunKey
 from gapdrum.core.runner_ledger import Run, not_started
 from gapdrum.platform.runner_calls import RunnerRejectedError, RunnerReplacedError
-from gapdrum.transport.http_client import NoReplyError, NotSentError
+from gapdrum.transport.http_client import NoReplyError, NotSentError, TimedOutError
 
 # The runner is on the same machine; it answers in about a millisecond.
 START_TIMEOUT_MS = 120
@@ -109,9 +109,11 @@
                     run.key, spec, run.start_expires_ms, self._context.fence, START_TIMEOUT_MS
                 )
                 self.ledger.note_clock(clock_ms, self._context.timers.awake_ms())
+                self._note_heard()
                 settled = orders.STARTED
                 sent = True
-            except NoReplyError:
+            except NoReplyError as error:
+                self._note_unanswered(error)
                 unanswered = True
                 sent = True
                 await backoff.pause()
@@ -130,9 +132,19 @@
             settled = orders.NOT_STARTED
         self._settle_start(run, settled)
 
+    def _note_heard(self) -> None:
+        self._context.schedule.note_heard(self._context.timers.now_ms())
+
+    def _note_unanswered(self, error: NoReplyError) -> None:
+        """Let the runner be looked at for what the lost answer would have told."""
+        if isinstance(error, TimedOutError):
+            self._context.schedule.note_lost(self._context.timers.now_ms())
+
     def _may_still_start(self, run: Run) -> bool:
         if self.ledger.gone or self.ledger.zone_closed or run.key not in self.ledger.runs:
             return False
+        if run.phase != orders.HELD_STARTING:
+            return False  # a look has shown it at work
         if run.stopping:
             return False  # where the stop was lost, the repeated start would run
         return self.ledger.clock_floor(self._context.timers.awake_ms()) < run.start_expires_ms
@@ -216,9 +228,12 @@
     async def _stop(self, key: RunKey) -> None:
         try:
             await self._context.calls.stop(key, self._context.fence, STOP_TIMEOUT_MS)
+            self._note_heard()
         except RunnerReplacedError:
             self._context.set_gone("replaced")
         except (NoReplyError, NotSentError, RunnerRejectedError) as error:
+            if isinstance(error, NoReplyError):
+                self._note_unanswered(error)
             self._context.log.write(
                 "stop_unanswered", task=key.task.text, attempt=key.attempt, code=error.code
             )
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -202,6 +202,7 @@
     "runner_unreachable", "The runner leaves looks unanswered; it has no room.",
     "runner", "reason",
 )  # fmt: skip
+_add("runner_answer_lost", "Answers of the runner get lost; it is looked at more often.", "runner")
 _add("runner_reachable", "The runner answers looks again.", "runner")
 _add("runner_suspect", "The runner fails what it starts; it rests.", "runner", "rest_ms")
 _add("runner_on_trial", "The runner gets one run at a time.", "runner")
