Send long jobs that a leaving entry can't finish to another one

What callers saw: entries were stopped in turn; 28 of 20,112 jobs were refused with 503 "leaving", 20 of them of the queue with the longest work.

Change: `core/departure.py` decides by the time left, the stated work and the objective. A job that would be late elsewhere for certain is tried if its stated work fits. Stored jobs are taken until the lease is given up, whatever their length: they are handed over. `job_refused` tells the status and Retry-After.

Why it holds: 502 promises nothing about the job, so a later start breaks no word that was given; a caller that comes back to a job which is at work here is let in as before.

--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -14,6 +14,7 @@
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.core import orders
+from gapdrum.core.departure import Departure
 from gapdrum.core.models import JobState, Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.runner_ledger import CLOCK_RATE_FLOOR
 from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
@@ -132,7 +133,7 @@
         SimpleNamespace(up=True), lease, SimpleNamespace(write=lambda *_a, **_k: None),
     )  # fmt: skip
     if state == "leaving":
-        context.front.refuse_from(timers.now_ms() + 100)
+        context.front.leave(Departure(timers.now_ms() + 100, base.RESUBMIT_MS))
     context.dispatch = dispatch
 
 
--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -30,6 +30,10 @@
     latency_slack_ms: int = count_field()
     timeout_ms: int = count_field()
 
+    def objective_ms(self, chain_ms: int) -> int:
+        """Return the objective of a job with so much stated work in its longest chain."""
+        return int(self.latency_factor * chain_ms) + self.latency_slack_ms
+
 
 @attrs.frozen
 class Configuration:
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -5,6 +5,7 @@
 import random
 
 from gapdrum.core.configuration import Queue
+from gapdrum.core.departure import Departure
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import Job, longest_chain_ms
 from gapdrum.core.models import JobState
@@ -36,11 +37,6 @@
 # How callers name one call, as opposed to the job; they complain with either.
 CALL_HEADER = "request-id"
 CANCEL_TRIES = 8
-# A job is taken during a shutdown if this many times its stated work, and a bit, still fits:
-# stated work is 40% off, and the slowest runners take a quarter longer. One that does not end
-# in time is answered 504 and sent again, so a refusal is no safer.
-LEAVING_FACTOR = 1.5
-LEAVING_SLACK_MS = 200
 CANCEL_PAUSE_MS = 50
 
 
@@ -68,11 +64,11 @@
         self._store = store
         self._lease = lease
         self._log = log
-        self._ends_ms: int | None = None
+        self._departure: Departure | None = None
 
-    def refuse_from(self, time_ms: int) -> None:
-        """Refuse jobs that would not have ended by a time, as the process ends then."""
-        self._ends_ms = time_ms
+    def leave(self, departure: Departure) -> None:
+        """Send callers to other entries whose jobs would not end before this process does."""
+        self._departure = departure
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -174,11 +170,9 @@
         self, request: HttpRequest, queue: Queue, job_id: str, job: SubmittedJob
     ) -> HttpResponse | None:
         """Refuse a job of which nothing was written yet, with the reason and when to come back."""
-        if self._ends_ms is not None:
-            left_ms = self._ends_ms - request.received_ms
-            needed_ms = LEAVING_FACTOR * longest_chain_ms(job.steps) + LEAVING_SLACK_MS
-            if left_ms < needed_ms:
-                return self._note_refusal(job_id, queue, 503, "leaving", RETRY_AFTER_S)
+        if self._departure is not None and not self._may_take(request, queue, job):
+            # 503 would end the job for good, though other entries can serve it.
+            return self._note_refusal(job_id, queue, 502, "leaving", RETRY_AFTER_S)
         if not job.answered_at_end and not self._store.up:
             return self._note_refusal(job_id, queue, 503, "store_unavailable", RETRY_AFTER_S)
         if not job.answered_at_end and not self._lease.valid:
@@ -199,6 +193,17 @@
             return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s)
         return None
 
+    def _may_take(self, request: HttpRequest, queue: Queue, job: SubmittedJob) -> bool:
+        """Tell whether this entry takes a job though it is about to end.
+
+        A stored job is handed over with whatever runs of it, as long as its row can be written.
+        """
+        if not job.answered_at_end:
+            return self._lease.valid
+        chain_ms = longest_chain_ms(job.steps)
+        objective_ms = queue.objective_ms(chain_ms)
+        return self._departure.has_time(request.received_ms, chain_ms, objective_ms)
+
     def _note_refusal(
         self,
         job_id: str,
@@ -207,7 +212,14 @@
         reason: str,
         retry_after_s: int,
     ) -> HttpResponse:
-        self._log.write("job_refused", request=job_id, queue=queue.name, reason=reason)
+        self._log.write(
+            "job_refused",
+            request=job_id,
+            queue=queue.name,
+            reason=reason,
+            status=status,
+            retry_after_s=retry_after_s,
+        )
         return _refusal(status, reason, retry_after_s)
 
     # Asking.
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -9,6 +9,7 @@
 from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.configuration import Configuration
+from gapdrum.core.departure import Departure
 from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import Job, Place
 from gapdrum.core.reach import Reach, View
@@ -316,14 +317,15 @@
         self.leaving = True
         self.log.write("stopping", open=len(self.dispatch.jobs))
         end_ms = began_ms + self.boot.shutdown_ms
-        self.front.refuse_from(end_ms - ANSWER_BEFORE_END_MS)
+        answered_ms = end_ms - ANSWER_BEFORE_END_MS
+        self.front.leave(Departure(answered_ms, self.boot.resubmit_ms))
         self.listener.start_closing()
         await asyncio.sleep(KEEP_SERVING_MS / MS_PER_S)
         self.listener.close_idle()
         await self._wait_while(lambda: self.dispatch.jobs, end_ms - HAND_OVER_BEFORE_END_MS)
         jobs_left = sum(job.kept for job in self.dispatch.jobs.values())
         await self.lease.leave()
-        await self._wait_while(self.listener.busy_connections, end_ms - ANSWER_BEFORE_END_MS)
+        await self._wait_while(self.listener.busy_connections, answered_ms)
         self.callers.give_up()
         # Nothing may be read any more that would not be answered.
         self.listener.close()
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -105,7 +105,10 @@
     "latency_factor",
 )
 _add("job_known", "The job was handed in before.", "request", "queue", "store_ms")
-_add("job_refused", "The job has not run and will not.", "request", "queue", "reason")
+_add(
+    "job_refused", "The job has not run here; its caller is told when to come back.",
+    "request", "queue", "reason", "status", "retry_after_s",
+)  # fmt: skip
 _add(
     "wait_estimated", "The job would wait for longer than it may; it is refused.",
     "request", "wait_ms", "begin_within_ms", "waiting_jobs", "free_cpu_milli",
