Let an entry that starts while the store is away ask another one for the configuration

What callers saw: an entry that was restarted while the store was away refused all callers until the store was back, though other entries had the configuration and agents joined it by the settings.

Change: while an entry has no configuration and its feed of the operators' table fails, it asks the entries that its settings name, every 500 ms, on a stream of its own (`ConfigurationAsked`, `ConfigurationTold`). Nothing is sent otherwise.

Why it holds: the version in force never falls, so neither an older word nor an older row replaces a newer one; the table's whole content is read as soon as the store answers, and wins. An entry that asks has been started without contact to the store, and one that is cut off with an old configuration can only tell it to such a one.

--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -132,3 +132,48 @@
       | returns    | reason                                                   |
       | stays away | refused at once: leaving                                 |
       | comes back | late: its first task started late                        |
+
+  # An entry that was restarted while the store was away refused all callers until the store was back,
+  # though others had the configuration, and agents joined it.
+  Scenario: an entry that starts while the store is away gets the configuration from another entry
+    Given an entry without a configuration, which the store does not tell
+    And another entry with version 7 of the configuration
+    When it asks the other entry
+    Then a caller that hands in a waiting job of 100 ms is not refused
+
+  Scenario: an entry asks no other one while the store may tell the configuration
+    Given an entry without a configuration, which is on its way
+    And another entry with version 7 of the configuration
+    When it asks the other entry
+    Then it has version 0 of the configuration
+
+  Scenario Outline: what another entry tells never replaces what is as new, and the store's word wins
+    Given an entry without a configuration, which the store does not tell
+    And another entry with version 7 of the configuration
+    When it asks the other entry, and then the store tells version <read>
+    Then it has version <version> of the configuration
+
+    Examples:
+      | read | version |
+      | 6    | 7       |
+      | 8    | 8       |
+
+  Scenario: an entry that got its configuration meanwhile takes no older one from another
+    Given an entry without a configuration, which the store does not tell
+    And another entry with version 7 of the configuration
+    When the store tells version 8, and the other entry's word comes after that
+    Then it has version 8 of the configuration
+
+  Scenario Outline: an entry without a sound answer goes on without a configuration
+    Given an entry without a configuration, which the store does not tell
+    And another entry that <answers>
+    When it asks the other entry
+    Then it has version 0 of the configuration
+    And a line "<event>" tells why
+
+    Examples:
+      | answers                         | event                  |
+      | tells a malformed configuration | configuration_rejected |
+      | tells more than may be told     | configuration_not_told |
+      | is away                         | configuration_not_told |
+      | does not answer                 | configuration_not_told |
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -3,26 +3,32 @@
 import asyncio
 import json
 import random
+from collections import Counter
 from types import SimpleNamespace
 from unittest.mock import patch
 
 import attrs
+import msgpack
 from behave import given, then, when
 from caller_deadline_steps import FakeDispatch
 from core_model import ManualTimers
 from platform_core_steps import JOB, OWNER, QUEUE
 from platform_system import RESUBMIT_MS
 
+from gapdrum.codec import Decoder, encode
 from gapdrum.core.departure import Departure
+from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import JobState
 from gapdrum.core.rows import Committed, Row
-from gapdrum.entry import configuration_watch
+from gapdrum.entry import configuration_inquiry, configuration_watch
 from gapdrum.entry.acceptance import Acceptor
+from gapdrum.entry.configuration_inquiry import ConfigurationInquiry
 from gapdrum.entry.configuration_watch import ConfigurationWatch
 from gapdrum.entry.front import Front
+from gapdrum.entry.links import AgentLinks
 from gapdrum.entry.waiting_callers import WaitingCallers
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreRejectedError
+from gapdrum.exceptions import StoreRejectedError, StreamClosedError
 from gapdrum.losses import sum_up_losses
 from gapdrum.operator_feed import TableNews
 from gapdrum.platform.operator_table import CONFIGURATION_ROW
@@ -32,6 +38,7 @@
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 
 ANSWER_WAIT_S = 0.05
+CONFIGURATION_TOLD = 76  # on the wire
 LIMITS = {
     "max_header_bytes": 2_000,
     "max_body_bytes": 1_000,
@@ -501,3 +508,128 @@
     losses = {loss.reason: loss for loss in sum_up_losses(context.lines)}
     assert {reason: loss.jobs for reason, loss in losses.items()} == {first: count, second: 1}
     assert losses[first].zones == {"moka-hall": count} and losses[first].seconds == {2: count}
+
+
+# The configuration of another entry.
+
+
+class PeerStream:
+    """A stream to another entry, which gives its answers as if they had come over the wire."""
+
+    def __init__(self, links):
+        self.links = links
+        self.answers = []
+
+    def send(self, message):
+        self.serving = self.links._serve(PeerSide(message, self.answers))
+
+    async def __aiter__(self):
+        await self.serving
+        for answer in self.answers:
+            for message in Decoder().feed(answer):
+                yield message
+
+    def close(self):
+        pass
+
+
+class PeerSide:
+    """The other entry's side: one message comes, and what is sent is kept."""
+
+    def __init__(self, message, answers):
+        self.message = message
+        self.answers = answers
+
+    def send(self, message):
+        self.answers.append(encode(message))
+
+    async def __aiter__(self):
+        for message in Decoder().feed(encode(self.message)):
+            yield message
+
+
+class RawStream:
+    """A stream on which given bytes come, or nothing at all."""
+
+    def __init__(self, frame=None):
+        self.frame = frame
+
+    def send(self, message):
+        pass
+
+    def close(self):
+        pass
+
+    async def __aiter__(self):
+        if self.frame is None:
+            await asyncio.sleep(60)
+        for message in Decoder().feed(self.frame):
+            yield message
+
+
+def build_inquiry(context, value):
+    """Let the entry ask one other entry, whose configuration has a value."""
+    links = AgentLinks(context.timers, context.log, Counter(), Counter())
+    links.configuration_value = lambda: value
+    context.open_stream = lambda: PeerStream(links)
+    peers = (Endpoint("10.0.0.2", 7720),)
+    context.inquiry = ConfigurationInquiry(
+        context.configuration, peers, context.log, Counter(), Counter()
+    )
+    context.inquiry.is_store_away = lambda: not context.configuration.is_expected()
+
+
+@given("another entry with version {version:d} of the configuration")
+def other_entry(context, version):
+    build_inquiry(context, document_of(version))
+
+
+@given("another entry that {answers}")
+def other_entry_that(context, answers):
+    value = b"{}" if answers == "tells a malformed configuration" else b"x" * 2 * 1024 * 1024
+    build_inquiry(context, value)
+    if answers == "is away":
+        context.open_stream = None
+    elif answers == "does not answer":
+        context.open_stream = RawStream
+    elif answers == "tells more than may be told":
+        context.open_stream = lambda: RawStream(msgpack.packb([CONFIGURATION_TOLD, value]))
+
+
+@when("it asks the other entry")
+def asks(context):
+    async def open_fake(*_address, **_options):
+        if context.open_stream is None:
+            raise StreamClosedError("no connection")
+        return context.open_stream()
+
+    with (
+        patch.object(configuration_inquiry, "open_stream", open_fake),
+        patch.object(configuration_inquiry, "ANSWER_TIMEOUT_MS", 20),
+    ):
+        asyncio.run(context.inquiry.ask_if_wanted())
+
+
+@when("it asks the other entry, and then the store tells version {version:d}")
+def asks_and_reads(context, version):
+    asks(context)
+    assert context.configuration.current.version == 7
+    take_configuration(context, version)
+
+
+@when("the store tells version {version:d}, and the other entry's word comes after that")
+def reads_and_hears(context, version):
+    take_configuration(context, version)
+    context.configuration.take_told(document_of(7), "10.0.0.2")
+
+
+@then("it has version {version:d} of the configuration")
+def has_version(context, version):
+    current = context.configuration.current
+    assert (current.version if current is not None else 0) == version, current
+
+
+@then('a line "{event}" tells why')
+def line_tells_why(context, event):
+    (fields,) = context.log.fields_of(event)
+    assert fields["reason"], fields
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -13,6 +13,7 @@
 
 MAX_ROWS = 20_000
 MAX_LABELS = 64
+MAX_CONFIGURATION_BYTES = 1024 * 1024
 
 # An order waits no longer than this on its way; a frozen agent must not start what is outdated.
 ORDER_VALID_MS = 1_000
@@ -345,6 +346,29 @@
     epoch: int = count_field()
 
 
+@message(75)
+@attrs.frozen
+class ConfigurationAsked:
+    """From one entry to another: asks for the configuration in force there.
+
+    It is the only message of the asker on its stream. The receiver ends the stream once it has
+    answered, or at once if it has no configuration either.
+    """
+
+
+@message(76)
+@attrs.frozen
+class ConfigurationTold:
+    """The operators' configuration, as its row in the store holds it."""
+
+    value: bytes = attrs.field(
+        validator=[
+            attrs.validators.instance_of(bytes),
+            attrs.validators.max_len(MAX_CONFIGURATION_BYTES),
+        ]
+    )
+
+
 @attrs.frozen
 class AdoptedRun:
     """A run that goes on for this entry, and the room that it takes."""
--- /dev/null
+++ b/src/gapdrum/entry/configuration_inquiry.py
@@ -0,0 +1,72 @@
+"""Asks other entries for the configuration while the store does not tell it."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from gapdrum.core.endpoints import Endpoint
+from gapdrum.core.orders import ConfigurationAsked, ConfigurationTold
+from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import FrameError, StreamClosedError
+from gapdrum.streams import open_stream
+from gapdrum.timers import MS_PER_S
+
+ASK_INTERVAL_MS = 500
+CONNECT_TIMEOUT_S = 0.3
+ANSWER_TIMEOUT_MS = 300
+
+
+class ConfigurationInquiry:
+    """Lets an entry that starts while the store is away serve callers.
+
+    The entries that the settings name are asked in turn, only while this one has no configuration
+    and its feed of the operators' table fails. An entry cut off from the store may answer with an
+    old one: the table replaces it as soon as it can be read.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationWatch,
+        peers: tuple[Endpoint, ...],
+        log: EventLog,
+        sent: Counter,
+        received: Counter,
+    ) -> None:
+        self.is_store_away: Callable[[], bool] = lambda: False
+        self._configuration = configuration
+        self._peers = peers
+        self._log = log
+        self._sent = sent
+        self._received = received
+        self._silent: set[Endpoint] = set()  # peers whose silence has a line already
+
+    async def ask_if_wanted(self) -> None:
+        """Ask the other entries, if nothing else tells the configuration."""
+        for peer in random.sample(self._peers, len(self._peers)):
+            if self._configuration.known or not self.is_store_away():
+                return
+            try:
+                await self._ask(peer)
+            except (StreamClosedError, FrameError, TimeoutError) as error:
+                self._note_silence(peer, getattr(error, "code", "timed_out"))
+
+    def _note_silence(self, peer: Endpoint, reason: str) -> None:
+        if peer not in self._silent:
+            self._silent.add(peer)
+            self._log.write("configuration_not_told", peer=peer.host, reason=reason)
+
+    async def _ask(self, peer: Endpoint) -> None:
+        stream = await open_stream(
+            peer.host, peer.port, self._sent, self._received, timeout_s=CONNECT_TIMEOUT_S
+        )
+        try:
+            stream.send(ConfigurationAsked())
+            answer = await asyncio.wait_for(
+                anext(aiter(stream), None), ANSWER_TIMEOUT_MS / MS_PER_S
+            )
+        finally:
+            stream.close()
+        if isinstance(answer, ConfigurationTold):
+            self._configuration.take_told(answer.value, source=peer.host)
--- a/src/gapdrum/entry/configuration_watch.py
+++ b/src/gapdrum/entry/configuration_watch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from gapdrum.core.configuration import Configuration
-from gapdrum.core.rows import Row
+from gapdrum.core.rows import ABSENT, Row
 from gapdrum.event_log import EventLog
 from gapdrum.operator_feed import TableNews
 from gapdrum.platform.configuration import decode_configuration
@@ -23,6 +23,7 @@
     def __init__(self, log: EventLog) -> None:
         self._log = log
         self.current: Configuration | None = None
+        self.value: bytes | None = None  # of its row, to tell other entries
         self.on_change: Callable[[Configuration], None] = lambda _configuration: None
         self.is_expected: Callable[[], bool] = lambda: True
         self._taken = asyncio.Event()
@@ -43,21 +44,29 @@
         """Take rows of the operators' table."""
         for row in news.rows:
             if row.at == CONFIGURATION_ROW and row.value is not None:
-                self._take_row(row)
+                self._take_row(row, "table")
 
-    def _take_row(self, row: Row) -> None:
+    def take_told(self, value: bytes, source: str) -> None:
+        """Take the value of the configuration's row as another entry has told it."""
+        self._take_row(Row(CONFIGURATION_ROW, value, ABSENT), source)
+
+    def _take_row(self, row: Row, source: str) -> None:
         try:
             configuration = decode_configuration(row)
         except ValueError as error:
-            self._log.write("configuration_rejected", version=row.version, reason=str(error))
+            self._log.write(
+                "configuration_rejected", version=row.version, reason=str(error), source=source
+            )
             return
         if self.current is not None and configuration.version <= self.current.version:
             return
         self.current = configuration
+        self.value = row.value
         self._taken.set()
         self._log.write(
             "configuration_in_force",
             version=configuration.version,
             queues=len(configuration.queues),
+            source=source,
         )
         self.on_change(configuration)
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -32,6 +32,7 @@
         self.unsettled_claims: Callable[[], tuple[orders.JobEpoch, ...]] = tuple
         self.zones = ZoneWatch(log)
         self.follows_table: Callable[[], bool] = lambda: False
+        self.configuration_value: Callable[[], bytes | None] = lambda: None
 
     @property
     def connected(self) -> int:
@@ -77,6 +78,9 @@
         if isinstance(greeting, orders.JobCancelled):
             self.dispatch.cancel_job(greeting)
             return
+        if isinstance(greeting, orders.ConfigurationAsked):
+            self._tell_configuration(stream)
+            return
         if not isinstance(greeting, orders.AgentGreeting):
             raise FrameError("a stream must start with an agent's greeting")
         previous = self._streams.pop(greeting.agent, None)
@@ -102,6 +106,11 @@
                 del self._streams[greeting.agent]
                 self.dispatch.fleet.agent_left(view)
 
+    def _tell_configuration(self, stream: Stream) -> None:
+        value = self.configuration_value()
+        if value is not None:
+            stream.send(orders.ConfigurationTold(value))
+
     def _echo(self, clock_ms: int) -> orders.BeatEcho:
         """Return this entry's word on a reading of an agent's clock."""
         return orders.BeatEcho(clock_ms, self.holds_lease(), self.follows_table())
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -11,11 +11,13 @@
 from gapdrum.core.configuration import Configuration
 from gapdrum.core.departure import Departure
 from gapdrum.core.dispatch import build_dispatch
+from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.jobs import Job, Place
 from gapdrum.core.reach import Reach, View
 from gapdrum.core.records import EntryAddress
 from gapdrum.entry.acceptance import Acceptor
 from gapdrum.entry.admission import Admission
+from gapdrum.entry.configuration_inquiry import ASK_INTERVAL_MS, ConfigurationInquiry
 from gapdrum.entry.configuration_watch import ConfigurationWatch
 from gapdrum.entry.demand import Demand
 from gapdrum.entry.endings import PROGRESS_INTERVAL_MS, Endings
@@ -74,6 +76,9 @@
         self.writer = Writer(self.store, self.background)
         self.operators = OperatorFeed(RowStore(boot.store, log), timers, log)
         self.configuration = ConfigurationWatch(log)
+        self.inquiry = ConfigurationInquiry(
+            self.configuration, _peers(boot), log, self.sent, self.received
+        )
         self.zones = ZoneWatch(log)
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
@@ -151,6 +156,8 @@
         self.operators.subscribe(self.configuration.take_table)
         self.configuration.on_change = self._take_configuration
         self.configuration.is_expected = lambda: not self.operators.is_failing
+        self.inquiry.is_store_away = lambda: self.operators.is_failing
+        self.links.configuration_value = lambda: self.configuration.value
         self.listener.on_refused = self.front.refusals.count
         self.zones.on_change = self._take_zones
         self.lease.count_waiting = self.dispatch.count_waiting
@@ -297,6 +304,7 @@
         await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
         self.timers.subscribe(TICK_MS, self._tick)
+        self.timers.subscribe(ASK_INTERVAL_MS, self.inquiry.ask_if_wanted)
         self.timers.subscribe(WRITE_INTERVAL_MS, self.front.refusals.write)
         self.timers.subscribe(LINK_CHECK_INTERVAL_MS, self.links.cut_silent)
         self.timers.subscribe(REACH_INTERVAL_MS, self._judge_reach)
@@ -349,6 +357,12 @@
     return int(os.environ.get(ADVERTISED_PORT_VARIABLE, boot.streams_port))
 
 
+def _peers(boot: Boot) -> tuple[Endpoint, ...]:
+    """Return where the other entries that the settings name take streams: at the same port."""
+    hosts = {seed.host for seed in boot.seeds} - {boot.host}
+    return tuple(Endpoint(host, boot.streams_port) for host in sorted(hosts))
+
+
 async def main() -> int:
     """Run the entry process."""
     boot = load_boot()
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -48,8 +48,26 @@
     "former_version",
     "source",
 )
-_add("configuration_in_force", "A newer configuration is in force here.", "version", "queues")
-_add("configuration_rejected", "The configuration's row can't be read.", "version", "reason")
+_add(
+    "configuration_in_force",
+    "A newer configuration is in force here, from the operators' table or another entry.",
+    "version",
+    "queues",
+    "source",
+)
+_add(
+    "configuration_rejected",
+    "The configuration's row can't be read.",
+    "version",
+    "reason",
+    "source",
+)
+_add(
+    "configuration_not_told",
+    "The store tells no configuration, and another entry that was asked gave no answer.",
+    "peer",
+    "reason",
+)
 _add("entry_feed_lost", "The feed of the entries' addresses broke.", "code", "reason")
 _add("entry_found", "The store names an entry.", "entry", "host")
 _add("entry_joined", "The stream to an entry is open.", "entry", "owner")
