Load the logging library only where a timer's callback has failed

A starting entry or agent spent a tenth of its processor time on loguru, whose one use there is to tell of an exception in a timer's callback. `Timers.on_error` is told instead; the event log writes the trace as `unexpected`, and programs without one load the library then.

The event `note`, a line of the library, is gone: nothing wrote one.

--- a/src/gapdrum/event_log.py
+++ b/src/gapdrum/event_log.py
@@ -4,11 +4,10 @@
 import json
 import os
 import sys
+import traceback
 from collections import Counter, deque
 from typing import Any
 
-from loguru import logger
-
 from gapdrum.events import LATENCIES
 from gapdrum.measures import Measures
 from gapdrum.timers import Delayed, Timers
@@ -19,6 +18,7 @@
 # Lines a second from one process; decisions of the busiest second measured stay below this.
 MAX_LINES_PER_S = 4_000
 FLUSH_INTERVAL_MS = 50
+MAX_TRACE_LENGTH = 2_000
 MAX_REASON_LENGTH = 60  # a label of a counter; reasons are codes or short texts
 # Writes of up to this size reach a pipe whole, so that lines are never torn (PIPE_BUF).
 FLUSH_BYTES = 4_096
@@ -47,10 +47,9 @@
         self._flush_soon: Delayed | None = None  # once it is open
 
     def open(self) -> None:
-        """Send the lines of this and of the logging library to standard output from now on."""
+        """Send the lines to standard output from now on, with what fails in the timers."""
         os.set_blocking(STDOUT, False)
-        logger.remove()
-        logger.add(self._take_line, format="{message}", serialize=False, backtrace=False)
+        self._timers.on_error = self._note_error
         self._flush_soon = Delayed(self._timers, FLUSH_INTERVAL_MS, self.flush)
         self._flush_soon.ask()
         self._timers.subscribe(1_000, self._refill)
@@ -77,11 +76,9 @@
             if kind == event:
                 self.measures.note_latency(f"{event}_{field.removesuffix('_ms')}", fields[field])
 
-    def _take_line(self, message: Any) -> None:
-        """Take a line of the logging library, such as an unexpected exception."""
-        record = message.record
-        detail = str(message).strip()[-2_000:]
-        self.write("unexpected" if record["exception"] else "note", text=detail)
+    def _note_error(self, error: Exception) -> None:
+        trace = "".join(traceback.format_exception(error))
+        self.write("unexpected", text=trace[-MAX_TRACE_LENGTH:])
 
     def _refill(self) -> None:
         self._left = MAX_LINES_PER_S
@@ -118,7 +115,7 @@
 
     def write(_loop: asyncio.AbstractEventLoop, details: dict[str, Any]) -> None:
         error = details.get("exception")
-        log.write("unexpected", text=f"{details.get('message', '')}: {error!r}"[:2_000])
+        log.write("unexpected", text=f"{details.get('message', '')}: {error!r}"[:MAX_TRACE_LENGTH])
 
     asyncio.get_running_loop().set_exception_handler(write)
 
--- a/src/gapdrum/timers.py
+++ b/src/gapdrum/timers.py
@@ -9,8 +9,6 @@
 import time
 from collections.abc import Callable
 
-from loguru import logger
-
 from gapdrum.task_set import TaskSet
 
 MS_PER_S = 1000
@@ -28,6 +26,8 @@
     """
 
     def __init__(self) -> None:
+        # Told of what a subscriber lets pass.
+        self.on_error: Callable[[Exception], None] = _log_error
         self._tasks = TaskSet()
         # Processes that started together must not all do the same at the same time.
         self._phase_ms = random.randrange(MAX_PHASE_MS)
@@ -81,8 +81,15 @@
                 result = callback()
                 if asyncio.iscoroutine(result):
                     await result
-            except Exception:
-                logger.exception("a periodic callback failed")
+            except Exception as error:
+                self.on_error(error)
+
+
+def _log_error(error: Exception) -> None:
+    # Loading the library takes a tenth of a program's start.
+    from loguru import logger
+
+    logger.opt(exception=error).error("a periodic callback failed")
 
 
 class Delayed:
