--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 from collections import Counter
 from collections.abc import Callable
 
@@ -33,7 +34,7 @@
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
 from gapdrum.operator_feed import OperatorFeed
 from gapdrum.pauses import TICK_MS
-from gapdrum.platform.boot import Boot, load_boot
+from gapdrum.platform.boot import Boot
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
@@ -288,8 +289,8 @@
 
     # Start and end.
 
-    async def run(self) -> int:
-        """Serve until SIGTERM."""
+    async def run(self, callers: socket.socket) -> int:
+        """Serve those who connect to a socket until SIGTERM."""
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -301,7 +302,7 @@
             await self.control.open(boot.runner_reports.host, boot.runner_reports.port)
         self.background.keep(self.operators.follow)
         self.background.keep(self._keep_lease)
-        await self.listener.open(boot.callers.host, boot.callers.port)
+        await self.listener.serve(callers)
         await open_metrics(boot.host, self.log.measures, self.timers)
         self.timers.subscribe(TICK_MS, self._tick)
         self.timers.subscribe(ASK_INTERVAL_MS, self.inquiry.ask_if_wanted)
@@ -363,16 +364,15 @@
     return tuple(Endpoint(host, boot.streams_port) for host in sorted(hosts))
 
 
-async def main() -> int:
+async def main(boot: Boot, callers: socket.socket) -> int:
     """Run the entry process."""
-    boot = load_boot()
     timers = Timers()
     log = EventLog(boot.instance, timers)
     log.open()
     write_loop_errors(log)
-    return await Entry(boot, timers, log).run()
+    return await Entry(boot, timers, log).run(callers)
 
 
-def start() -> None:
-    """Run the entry program."""
-    run_program(main)
+def start(boot: Boot, callers: socket.socket) -> None:
+    """Run the entry program for those who connect to a socket."""
+    run_program(lambda: main(boot, callers))
