--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -1,5 +1,5 @@
 Feature: what callers are told when a job does not run where it was handed in
-  The time is given; only the last two scenarios use a socket and a process.
+  No processes, no network; the time is given.
 
   # Entries that were stopped in turn answered 503 to jobs that would not have ended before the entry
   # did. To a caller that means that the job never runs, so the largest jobs of a queue were lost
@@ -195,14 +195,3 @@
       | tells more than may be told     | configuration_not_told |
       | is away                         | configuration_not_told |
       | does not answer                 | configuration_not_told |
-
-  # After a loss of power, callers of the 0.3 s for which an entry loaded its code were refused, and
-  # came back 1.3 s later, most of them late or in vain.
-  Scenario: a caller that connects while an entry loads its code is served once it runs
-    Given a socket that listens for callers, and no program yet
-    When a caller connects and sends a request, and the program runs after that
-    Then the caller is answered
-
-  Scenario: hardly any code is loaded before callers can connect
-    When what an entry needs to listen is loaded in a new interpreter
-    Then neither "asyncio" nor "gapdrum.entry.program" is loaded
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 from collections import Counter
 from collections.abc import Callable
 
@@ -34,7 +33,7 @@
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
 from gapdrum.operator_feed import OperatorFeed
 from gapdrum.pauses import TICK_MS
-from gapdrum.platform.boot import Boot
+from gapdrum.platform.boot import Boot, load_boot
 from gapdrum.platform.rows import RowStore
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
@@ -289,8 +288,8 @@
 
     # Start and end.
 
-    async def run(self, callers: socket.socket) -> int:
-        """Serve those who connect to a socket until SIGTERM."""
+    async def run(self) -> int:
+        """Serve until SIGTERM."""
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -302,7 +301,7 @@
             await self.control.open(boot.runner_reports.host, boot.runner_reports.port)
         self.background.keep(self.operators.follow)
         self.background.keep(self._keep_lease)
-        await self.listener.serve(callers)
+        await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
         self.timers.subscribe(TICK_MS, self._tick)
         self.timers.subscribe(ASK_INTERVAL_MS, self.inquiry.ask_if_wanted)
@@ -364,15 +363,16 @@
     return tuple(Endpoint(host, boot.streams_port) for host in sorted(hosts))
 
 
-async def main(boot: Boot, callers: socket.socket) -> int:
+async def main() -> int:
     """Run the entry process."""
+    boot = load_boot()
     timers = Timers()
     log = EventLog(boot.instance, timers)
     log.open()
     write_loop_errors(log)
-    return await Entry(boot, timers, log).run(callers)
+    return await Entry(boot, timers, log).run()
 
 
-def start(boot: Boot, callers: socket.socket) -> None:
-    """Run the entry program for those who connect to a socket."""
-    run_program(lambda: main(boot, callers))
+def start() -> None:
+    """Run the entry program."""
+    run_program(main)
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -1,20 +1,18 @@
 """An HTTP/1.1 listener on asyncio: one protocol object a connection, parsed by httptools."""
 
 import asyncio
-import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import attrs
 import httptools
 
 from gapdrum.timers import Timers
 from gapdrum.transport.http_messages import NO_ANSWER, HttpRequest, HttpResponse, json_response
-from gapdrum.transport.listening import BACKLOG_CONNECTIONS
 
 SWEEP_INTERVAL_MS = 250  # how late a time-out of a connection may be noticed
 DISCARD_S = 0.5  # a refused sender may finish writing, so that it reads the answer and no reset
+BACKLOG_CONNECTIONS = 512  # bursts of new connections; a full queue costs the caller seconds
 
 Handler = Callable[[HttpRequest], HttpResponse | Awaitable[HttpResponse]]
 
@@ -50,16 +48,9 @@
 
     async def open(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen, and return the port; raises OSError if the address is taken."""
-        return await self._serve(host=host, port=port, ssl=tls)
-
-    async def serve(self, listening: socket.socket) -> int:
-        """Take the connections of a socket that listens, and return its port."""
-        return await self._serve(sock=listening)
-
-    async def _serve(self, **address: Any) -> int:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), backlog=BACKLOG_CONNECTIONS, **address
+            lambda: _Connection(self), host, port, backlog=BACKLOG_CONNECTIONS, ssl=tls
         )
         self.timers.subscribe(SWEEP_INTERVAL_MS, self._sweep)
         return self._server.sockets[0].getsockname()[1]
