--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -30,24 +30,6 @@
     And nothing has begun, and the answer says so and when to come back
     And a line "job_refused" tells the reason "leaving" and the status 502
 
-  # Callers were seen to come back 1.3 s after a broken connection, and not at all after 502.
-  Scenario: where a connection may end unanswered, an entry that leaves ends it instead of 502
-    Given an entry that ends in 1000 ms
-    And connections that may end unanswered within 200 ms
-    When a caller hands in a waiting job of 4000 ms there
-    Then its connection ends without an answer, and nothing has begun
-    And a line "job_refused" tells the reason "leaving" and the status 0
-    When such a job comes over a connection
-    Then the connection is closed, and nothing was written to it
-
-  # A request that has been here for longer must have a whole answer.
-  Scenario: a request that came while the entry stood still is answered
-    Given an entry that ends in 5000 ms
-    And connections that may end unanswered within 200 ms
-    And it has stood still for 300 ms
-    When a caller hands in a waiting job of 4000 ms there
-    Then the answer is 502 leaving
-
   # Stored jobs are handed over with what runs of them, so their length doesn't matter.
   Scenario Outline: an entry that leaves stores a job while it holds its lease
     Given an entry that ends in 1000 ms
@@ -102,7 +84,7 @@
 
   Scenario Outline: what turns a request away before it is a job is counted
     Given an entry with a configuration
-    When its listener is sent <request>
+    When a caller sends <request>
     Then it is answered <status>
     And one line "requests_refused" tells the reason "<reason>" and 1 refusals
 
--- a/src/gapdrum/core/departure.py
+++ b/src/gapdrum/core/departure.py
@@ -13,8 +13,7 @@
     """When an entry ends, and after how long a caller that is sent away submits its job again.
 
     A caller that hears before the end that its job did not run here loses ``resubmit_ms``. One
-    whose job is cut off at the end loses the whole time until then as well. For
-    ``unanswered_ms`` after a request came, its connection may end without an answer.
+    whose job is cut off at the end loses the whole time until then as well.
 
     ::
 
@@ -25,7 +24,6 @@
 
     ends_ms: int
     resubmit_ms: int
-    unanswered_ms: int = 0
 
     def has_time(self, received_ms: int, chain_ms: int, objective_ms: int) -> bool:
         """Tell whether a job of so much stated work should be served here.
@@ -37,10 +35,3 @@
             return True
         in_time_elsewhere = self.resubmit_ms + chain_ms + OVERHEAD_MS <= objective_ms
         return not in_time_elsewhere and left_ms >= chain_ms + OVERHEAD_MS
-
-    def may_break(self, waited_ms: int) -> bool:
-        """Tell whether a connection may end unanswered whose request came so long ago.
-
-        Half of the time allowed is left for the way of the request and of the connection's end.
-        """
-        return 2 * waited_ms < self.unanswered_ms
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -29,7 +29,7 @@
     waiting_response,
 )
 from gapdrum.timers import MS_PER_S
-from gapdrum.transport.http_messages import NO_ANSWER, HttpRequest, HttpResponse, json_response
+from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 
 # When a refused caller should come back: outages of the store last seconds.
 RETRY_AFTER_S = 1
@@ -178,7 +178,8 @@
     ) -> HttpResponse | None:
         """Refuse a job of which nothing was written yet, with the reason and when to come back."""
         if self._departure is not None and not self._may_take(request, queue, job):
-            return self._send_elsewhere(request, job_id, queue)
+            # 503 would end the job for good, though other entries can serve it.
+            return self._note_refusal(job_id, queue, 502, "leaving", RETRY_AFTER_S)
         if not job.answered_at_end and not self._store.up:
             return self._note_refusal(job_id, queue, 503, "store_unavailable", RETRY_AFTER_S)
         if not job.answered_at_end and not self._lease.valid:
@@ -199,17 +200,6 @@
             return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s)
         return None
 
-    def _send_elsewhere(self, request: HttpRequest, job_id: str, queue: Queue) -> HttpResponse:
-        """Let a caller submit its job again at another entry; 503 would end the job for good.
-
-        After a broken connection and after 502 callers do so alike by the platform's protocol,
-        but HTTP clients take an error status as final more often.
-        """
-        if self._departure.may_break(self._callers.waited_ms(request.received_ms)):
-            self._write_refusal(job_id, queue, NO_ANSWER.status, "leaving", 0)
-            return NO_ANSWER
-        return self._note_refusal(job_id, queue, 502, "leaving", RETRY_AFTER_S)
-
     def _may_take(self, request: HttpRequest, queue: Queue, job: SubmittedJob) -> bool:
         """Tell whether this entry takes a job though it is about to end.
 
@@ -229,12 +219,6 @@
         reason: str,
         retry_after_s: int,
     ) -> HttpResponse:
-        self._write_refusal(job_id, queue, status, reason, retry_after_s)
-        return _refusal(status, reason, retry_after_s)
-
-    def _write_refusal(
-        self, job_id: str, queue: Queue, status: int, reason: str, retry_after_s: int
-    ) -> None:
         self._log.write(
             "job_refused",
             request=job_id,
@@ -243,6 +227,7 @@
             status=status,
             retry_after_s=retry_after_s,
         )
+        return _refusal(status, reason, retry_after_s)
 
     # Asking.
 
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -330,7 +330,7 @@
         self.log.write("stopping", open=len(self.dispatch.jobs))
         end_ms = began_ms + self.boot.shutdown_ms
         answered_ms = end_ms - ANSWER_BEFORE_END_MS
-        self.front.leave(Departure(answered_ms, self.boot.resubmit_ms, self.boot.unanswered_ms))
+        self.front.leave(Departure(answered_ms, self.boot.resubmit_ms))
         self.listener.start_closing()
         await asyncio.sleep(KEEP_SERVING_MS / MS_PER_S)
         self.listener.close_idle()
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -155,10 +155,6 @@
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job_id, reason)
 
-    def waited_ms(self, received_ms: int) -> int:
-        """Return how long ago a request may have come that was read at a time."""
-        return self._timers.now_ms() - self._pauses.earliest_ms(received_ms)
-
     def knows(self, job_id: str) -> bool:
         """Tell whether a job is open here, or its callers were told its end lately."""
         return job_id in self._dispatch.jobs or self.has_ended(job_id)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -130,8 +130,7 @@
 )
 _add("job_known", "The job was handed in before.", "request", "queue", "store_ms")
 _add(
-    "job_refused",
-    "The job has not run here; with the status 0, its connection ended without an answer.",
+    "job_refused", "The job has not run here; its caller is told when to come back.",
     "request", "queue", "reason", "status", "retry_after_s",
 )  # fmt: skip
 _add("job_not_stored", "The store has refused to store the job.", "request", "reason")
--- a/src/gapdrum/platform/boot.py
+++ b/src/gapdrum/platform/boot.py
@@ -42,7 +42,6 @@
     machine_list: Endpoint | None
     seeds: tuple[Endpoint, ...] = ()
     far_factor: float = 1.0
-    unanswered_ms: int = 0
 
 
 def load_boot(path: str | None = None) -> Boot:
@@ -90,8 +89,6 @@
         # ``control`` addresses of some entries; they may be stale, or down.
         # ``far_x`` is how many times as long a task takes on a rack without its data.
         far_factor=max(1.0, float(bounds.get("far_x", 1.0))),
-        # ``loss_slack_ms`` is how soon after a request its connection may end without an answer.
-        unanswered_ms=int(bounds.get("loss_slack_ms", 0)),
         seeds=tuple(parse_endpoint(text) for text in document.get("seeds", ())),
     )
 
--- a/src/gapdrum/transport/http_messages.py
+++ b/src/gapdrum/transport/http_messages.py
@@ -52,10 +52,6 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + self.body
 
 
-# In place of a response: ends the connection without one.
-NO_ANSWER = HttpResponse(0)
-
-
 def json_response(status: int, document: Any, **options: Any) -> HttpResponse:
     """Return a response whose body is the document as JSON."""
     return HttpResponse(status, json.dumps(document, separators=(",", ":")).encode(), **options)
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -8,7 +8,7 @@
 import httptools
 
 from gapdrum.timers import Timers
-from gapdrum.transport.http_messages import NO_ANSWER, HttpRequest, HttpResponse, json_response
+from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 
 SWEEP_INTERVAL_MS = 250  # how late a time-out of a connection may be noticed
 DISCARD_S = 0.5  # a refused sender may finish writing, so that it reads the answer and no reset
@@ -207,9 +207,6 @@
         self._idle_since_ms = self._listener.timers.now_ms()
         if self._transport.is_closing():
             return
-        if response is NO_ANSWER:
-            self._transport.close()
-            return
         # What was read already is answered before a connection ends.
         ends = (self._listener.closing or self._refused) and not self._waiting
         keep_alive = (self._refused or self._parser.should_keep_alive()) and not ends
