Listen for callers once an entry has a configuration, for up to 5 s

To a caller 503 means that its job never runs.

Change: an entry opens its callers' port once it has the first configuration, from the store or from another entry, and is ready only then. This replaces the wait of single requests for the first configuration. A stop is heeded meanwhile.

Tests: features/refusals.feature; without the wait, or with one for all events, its examples fail.

--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -20,7 +20,7 @@
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import JobState
 from gapdrum.core.rows import Committed, Row
-from gapdrum.entry import configuration_inquiry, configuration_watch
+from gapdrum.entry import configuration_inquiry, program
 from gapdrum.entry.acceptance import Acceptor
 from gapdrum.entry.configuration_inquiry import ConfigurationInquiry
 from gapdrum.entry.configuration_watch import ConfigurationWatch
@@ -33,6 +33,7 @@
 from gapdrum.operator_feed import TableNews
 from gapdrum.platform.operator_table import CONFIGURATION_ROW
 from gapdrum.timelines import LogLine
+from gapdrum.timers import MS_PER_S
 from gapdrum.transport import http_server
 from gapdrum.transport.http_messages import HttpRequest
 from gapdrum.transport.http_server import HttpLimits, HttpListener
@@ -268,7 +269,7 @@
 def entry_without_configuration(context, state):
     build_entry(context)
     context.configuration = ConfigurationWatch(context.log)
-    context.configuration.is_expected = lambda: state == "is on its way"
+    context.store_is_away = state == "the store does not tell"
     context.front._configuration = context.configuration
 
 
@@ -316,18 +317,6 @@
     assert context.log.measures.events[event, reason] == count, context.log.measures.events
 
 
-@when("a caller hands in a waiting job of {work_ms:d} ms, and the configuration comes")
-def configuration_comes(context, work_ms):
-    body = body_of(work_ms, waits=True)
-    context.reply = hand_in(context, body, lambda: take_configuration(context, 1))
-
-
-@when("a caller hands in a waiting job of {work_ms:d} ms, and the configuration does not come")
-def configuration_stays_away(context, work_ms):
-    with patch.object(configuration_watch, "FIRST_WITHIN_MS", 5):
-        context.reply = hand_in(context, body_of(work_ms, waits=True))
-
-
 @when("the configuration's row is gone")
 def row_gone(context):
     take_row(context, None)
@@ -343,11 +332,6 @@
     take_row(context, json.dumps({**json.loads(document_of(0)), "routes": []}).encode())
 
 
-@when("the feed of the table has failed")
-def feed_failed(context):
-    context.configuration.is_expected = lambda: False
-
-
 @then("a caller that hands in a waiting job of {work_ms:d} ms is not refused")
 def not_refused(context, work_ms):
     context.reply = hand_in(context, body_of(work_ms, waits=True))
@@ -576,7 +560,7 @@
     context.inquiry = ConfigurationInquiry(
         context.configuration, peers, context.log, Counter(), Counter()
     )
-    context.inquiry.is_store_away = lambda: not context.configuration.is_expected()
+    context.inquiry.is_store_away = lambda: context.store_is_away
 
 
 @given("another entry with version {version:d} of the configuration")
@@ -633,3 +617,88 @@
 def line_tells_why(context, event):
     (fields,) = context.log.fields_of(event)
     assert fields["reason"], fields
+
+
+# The program: its start and its end.
+
+
+@given("a program of an entry that starts")
+def starting_program(context):
+    context.entry = SimpleNamespace(
+        configuration=SimpleNamespace(taken=asyncio.Event()), stopping=asyncio.Event()
+    )
+
+
+@when("{event} after {delay_ms:d} ms")
+def starting_event(context, event, delay_ms):
+    entry = context.entry
+    events = {
+        "the configuration comes": entry.configuration.taken,
+        "it is asked to stop": entry.stopping,
+    }
+    context.planned = (delay_ms, events.get(event, asyncio.Event()))
+
+
+@then("it {listens} for callers before {time_ms:d} ms")
+def listens_before(context, listens, time_ms):
+    listening = []
+
+    async def open_to_callers():
+        async def note_open(*_address):
+            listening.append(True)
+
+        context.entry.listener = SimpleNamespace(open=note_open)
+        context.entry.boot = SimpleNamespace(callers=Endpoint("10.0.0.1", 80))
+        delay_ms, event = context.planned
+        asyncio.get_running_loop().call_later(delay_ms / MS_PER_S, event.set)
+        with patch.object(program, "LISTEN_WITHIN_MS", 200):
+            opening = program.Entry.open_to_callers(context.entry, context.entry.stopping)
+            task = asyncio.ensure_future(opening)
+            await asyncio.wait({task}, timeout=time_ms / MS_PER_S)
+            task.cancel()
+
+    asyncio.run(open_to_callers())
+    assert bool(listening) == (listens == "listens"), listening
+
+
+@given("a program of an entry that leaves with {count:d} other entries")
+def leaving_program(context, count):
+    calls = context.calls = []
+
+    async def leave():
+        calls.append("leave")
+
+    async def wait_while(_is_busy, _limit_ms):
+        calls.append("wait")
+
+    def noting(name):
+        return lambda *_args, **_fields: calls.append(name)
+
+    context.entry = SimpleNamespace(
+        timers=ManualTimers(),
+        log=SimpleNamespace(write=noting("write"), flush=noting("flush")),
+        dispatch=SimpleNamespace(jobs={}),
+        boot=SimpleNamespace(shutdown_ms=6_000, resubmit_ms=RESUBMIT_MS),
+        front=SimpleNamespace(
+            leave=noting("departure"), refusals=SimpleNamespace(write=noting("counts"))
+        ),
+        listener=SimpleNamespace(
+            start_closing=noting("closing"), close_idle=noting("idle"), close=noting("close"),
+            busy_connections=None,
+        ),
+        lease=SimpleNamespace(others=dict.fromkeys(range(count)), leave=leave),
+        callers=SimpleNamespace(give_up=noting("give_up")),
+        _wait_while=wait_while,
+    )  # fmt: skip
+
+
+@when("it shuts down")
+def shuts_down(context):
+    with patch.object(program, "KEEP_SERVING_MS", 1):
+        asyncio.run(program.Entry._shut_down(context.entry))
+
+
+@then("it {takes} new connections while its last jobs run")
+def takes_connections(context, takes):
+    assert ("close" in context.calls[: context.calls.index("wait")]) == (takes == "takes no")
+    assert "close" in context.calls, context.calls
