--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -205,7 +205,7 @@
 
 @when("it does a run at {time:d}")
 def do_run(context, time):
-    context.health.note_done(100, 100, time)
+    context.health.note_done()
 
 
 @then("it rests at {first:d} and at {second:d}, and is on trial at {third:d}")
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -110,13 +110,15 @@
         """Return a runner's room as one entry is told it."""
         ledger = keeper.ledger
         free = keeper.free_for(link.owner)
+        now_ms = self._timers.now_ms()
         return orders.RoomReport(
             ledger.runner_id,
             free.cpu_milli,
             free.memory_mb,
             free.accelerators,
             link.orders,
-            ledger.health.slowness_permille(self._timers.now_ms()),
+            ledger.speed.slowness_permille(now_ms),
+            ledger.speed.count(now_ms),
         )
 
     def _tell_room(self, keeper: RunnerKeeper, link: EntryLink) -> None:
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -12,6 +12,7 @@
 from gapdrum.core.outside import Outside
 from gapdrum.core.placer import Placer
 from gapdrum.core.runner_views import AgentView
+from gapdrum.core.task_durations import PERMILLE, TaskDurations
 
 
 @attrs.define
@@ -23,6 +24,11 @@
     fleet: Fleet
     placer: Placer
 
+    @property
+    def durations(self) -> TaskDurations:
+        """Return how long the tasks of each queue take."""
+        return self.placer.durations
+
     # Jobs.
 
     def add_job(self, job: Job, now_ms: int) -> None:
@@ -208,6 +214,8 @@
                 return
             self._stop_if_out(task)
         job.begun = True
+        if end is RunEnd.DONE and event.attempt == task.attempt and task.started_ms:
+            self._note_duration(job, task, now_ms)
         if task.phase is not TaskPhase.DONE:
             if end is RunEnd.DONE or event.attempt == task.attempt:
                 self.fleet.take_away(task)
@@ -221,6 +229,13 @@
             self.placer.enqueue(job)
         self._check_outcome(job)
 
+    def _note_duration(self, job: Job, task: Task, now_ms: int) -> None:
+        """Learn how long tasks of the queue take, if it is known what was expected."""
+        if task.slowness:
+            ran_ms = now_ms - task.started_ms
+            slowness_permille = int(task.slowness * PERMILLE)
+            self.durations.note(job.queue, ran_ms, task.step.estimate_ms, slowness_permille)
+
     @staticmethod
     def _remember_end(job: Job, end: StoredEnd) -> None:
         if end not in job.unstored_ends:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -53,7 +53,8 @@
 class Task:
     """One task of a job; ``attempt`` is the number of its last start.
 
-    ``placed_at`` tells where each attempt was ordered or adopted.
+    ``placed_at`` tells where each attempt was ordered or adopted, and ``slowness`` how many times
+    as long as usual the last one was expected to take there, 0 if not known.
     """
 
     name: TaskName
@@ -64,6 +65,7 @@
     place: Place | None = None
     placed_at: dict[int, Place] = attrs.Factory(dict)
     started_ms: int = 0
+    slowness: float = 0.0
     moves: int = 0
     avoided: set[str] = attrs.Factory(set)
     held_noted: bool = False
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -108,7 +108,7 @@
     """The free room of a runner, which changes with each start and end.
 
     ``orders`` counts the runs ordered on this stream so far; ``slowness_permille`` is how long
-    its runs take against their estimates, 0 if not known.
+    its runs take against their estimates, 0 if not known, and ``speed_runs`` by how many of them.
     """
 
     runner_id: str = text_field()
@@ -117,6 +117,7 @@
     free_accelerators: int = signed_field()
     orders: int = count_field()
     slowness_permille: int = count_field()
+    speed_runs: int = count_field(default=0)
 
     @property
     def free(self) -> Resources:
@@ -225,7 +226,7 @@
 
 @attrs.frozen
 class OrderedRun:
-    """One task to start."""
+    """One task to start; its estimate is for a usual runner as far from its data as this one."""
 
     step: int
     index: int
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -2,12 +2,13 @@
 
 import enum
 import random
-import statistics
 from collections.abc import Iterable
 
 import attrs
 
 from gapdrum.core import orders
+from gapdrum.core.expected_end import Outlook, Promptness, left_ms, promptness
+from gapdrum.core.fleet_speeds import FleetSpeeds, measure_speeds
 from gapdrum.core.jobs import Job, Task
 from gapdrum.core.models import Step
 from gapdrum.core.runner_views import RunnerView
@@ -26,8 +27,8 @@
 PRIORITY_WEIGHT = 0.3
 # Times left are told apart by their doublings, up to about a minute.
 MOST_HALVINGS = 16
-# The first fields of a score tell whether anything speaks against a runner.
-SOUND_FIELDS = 3
+
+Score = tuple[bool, bool, Promptness, bool, bool, float, bool, int]
 
 
 @attrs.frozen
@@ -40,15 +41,45 @@
     runners: tuple[RunnerView, ...]
     with_room: tuple[RunnerView, ...]
     suspects_allowed: bool
-    usual_slowness_permille: float
+    speeds: FleetSpeeds
+    far_factor: float = 1.0  # how much longer a task takes away from its data's rack
+    hot_racks: frozenset[str] = frozenset()  # where more tasks have their data than find room
+    _best: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
 
     def is_slow(self, view: RunnerView) -> bool:
         """Tell whether a runner is much slower than is usual."""
-        usual = self.usual_slowness_permille
+        usual = self.speeds.usual_permille
         return bool(usual) and view.slowness_permille > SLOW_FACTOR * usual
 
-
-def build_field(runners: Iterable[RunnerView], upstream: str, least_cpu_milli: int = 0) -> Field:
+    def look_out(self, job: Job, task: Task, now_ms: int) -> Outlook:
+        """Return what a task may expect if it begins now."""
+        step = task.step
+        time_ms = left_ms(job, task, now_ms)
+        best = promptness(step.estimate_ms * self._best_factor(step), time_ms)
+        return Outlook(self.speeds, step, self.far_factor, time_ms, best)
+
+    def _best_factor(self, step: Step) -> float:
+        """Return how many times its stated work a task takes where it takes least."""
+        if not step.data_rack or self.far_factor == 1.0:
+            return self.speeds.fastest
+        wanted = (step.data_rack, step.required_label)
+        if wanted not in self._best:
+            near = [
+                self.speeds.of(view)
+                for view in self.runners
+                if step.data_rack in view.labels and could_hold(view, step)
+            ]
+            self._best[wanted] = min(near, default=self.far_factor * self.speeds.fastest)
+        return self._best[wanted]
+
+
+def build_field(
+    runners: Iterable[RunnerView],
+    upstream: str,
+    least_cpu_milli: int = 0,
+    far_factor: float = 1.0,
+    hot_racks: frozenset[str] = frozenset(),
+) -> Field:
     """Return the runners of an upstream that may be considered for tasks of some size or more."""
     states = (orders.READY, orders.SUSPECT)
     views = tuple(
@@ -57,10 +88,10 @@
         if view.upstream == upstream and view.synced and view.state in states
     )
     suspects = sum(view.state == orders.SUSPECT for view in views)
-    known = [view.slowness_permille for view in views if view.slowness_permille]
-    usual = statistics.median(known) if known else 0.0
     with_room = tuple(view for view in views if view.free.cpu_milli >= least_cpu_milli)
-    return Field(views, with_room, suspects > len(views) * MAX_SUSPECT_SHARE, usual)
+    suspects_allowed = suspects > len(views) * MAX_SUSPECT_SHARE
+    speeds = measure_speeds(views)
+    return Field(views, with_room, suspects_allowed, speeds, far_factor, hot_racks)
 
 
 class Standing(enum.IntEnum):
@@ -121,18 +152,26 @@
     best = None
     best_score = None
     found = 0
+    outlook = field.look_out(job, task, now_ms)
     for view in _in_random_order(field.with_room, rng):
-        if not _may_take(view, job, task, field, now_ms):
+        if not _may_take(view, job, task, field, now_ms) or outlook.is_worth_waiting(view):
             continue
-        score = _score(view, task, field, zone)
+        score = _score(view, task, outlook, field, zone)
         if best_score is None or score > best_score:
             best, best_score = view, score
-        found += all(score[:SOUND_FIELDS])
+        found += _is_sound(score, outlook)
         if found == CANDIDATES:
             break
     return best
 
 
+def waits_for_better(job: Job, task: Task, field: Field, now_ms: int) -> bool:
+    """Tell whether a task that was not placed leaves room unused where it would end late."""
+    if not field.speeds.relative and not task.step.data_rack:
+        return False
+    return any(_may_take(view, job, task, field, now_ms) for view in field.with_room)
+
+
 def _in_random_order(runners: tuple[RunnerView, ...], rng: random.Random) -> tuple[RunnerView, ...]:
     """Return the runners from one taken at random on, which costs less than to shuffle them."""
     if not runners:
@@ -179,16 +218,28 @@
     )
 
 
-def _score(
-    view: RunnerView, task: Task, field: Field, zone: str
-) -> tuple[bool, bool, bool, int, bool, int]:
-    """Return what is compared: not avoided, not slow, data near, room, own zone, exact room."""
+def _score(view: RunnerView, task: Task, outlook: Outlook, field: Field, zone: str) -> Score:
+    """Return what is compared between runners that have room for a task.
+
+    Not avoided, not slow, in time, data near, leaves scarce racks to others, room (the less the
+    slower the runner), own zone, exact room.
+    """
     capacity = max(1, view.capacity.cpu_milli)
+    free_cpu_milli = view.free.cpu_milli
+    rack = task.step.data_rack
     return (
         view.place.runner_id not in task.avoided,
         not field.is_slow(view),
-        not task.step.data_rack or task.step.data_rack in view.labels,
-        view.free.cpu_milli * FREE_SHARE_STEPS // capacity,
+        min(outlook.best, outlook.promptness(view)),
+        not rack or rack in view.labels,
+        rack in field.hot_racks or field.hot_racks.isdisjoint(view.labels),
+        free_cpu_milli * FREE_SHARE_STEPS / field.speeds.of(view) // capacity,
         view.agent.zone == zone,
-        view.free.cpu_milli,
+        free_cpu_milli,
     )
+
+
+def _is_sound(score: Score, outlook: Outlook) -> bool:
+    """Tell whether nothing speaks against a runner."""
+    not_avoided, not_slow, prompt, near, *_ = score
+    return not_avoided and not_slow and prompt == outlook.best and near
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -9,9 +9,11 @@
 from gapdrum.budgets import RatioBudget
 from gapdrum.core import orders
 from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of, work_of_task
+from gapdrum.core.expected_end import distance
 from gapdrum.core.fleet import Fleet
+from gapdrum.core.hot_racks import HotRacks
 from gapdrum.core.jobs import Job, Place, Task, TaskPhase
-from gapdrum.core.models import Resources, Step
+from gapdrum.core.models import Step
 from gapdrum.core.outside import Outside
 from gapdrum.core.placement_rules import (
     Field,
@@ -21,8 +23,10 @@
     may_ever_fit,
     urgency_of,
     waiting_order,
+    waits_for_better,
 )
 from gapdrum.core.runner_views import RunnerView
+from gapdrum.core.task_durations import TaskDurations
 
 # How many jobs of an upstream that find no room are looked at before its others are left to the
 # next change: smaller ones may still fit, but under overload all would be looked at in vain. Jobs
@@ -34,6 +38,7 @@
 # moves may take, so that a slow day does not become a flood of restarts.
 MAX_MOVES = 3
 MOVE_BUDGET_PERCENT = 15
+TYPICAL = 0.5  # the quantile of durations that is expected of a task
 # Agents that start together with an entry are there after 0.7 s, their runners' room 1.5 s later.
 WARM_UP_MS = 2_500
 
@@ -50,6 +55,8 @@
     started_ms: int
     rng: random.Random
     far_factor: float = 1.0  # how much longer a task takes away from its data's rack
+    durations: TaskDurations = attrs.Factory(TaskDurations)
+    hot_racks: HotRacks = attrs.Factory(HotRacks)
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
     _untried: bool = False
@@ -108,21 +115,27 @@
             self.demand = ()
             return
         jobs = [self.jobs[job_id] for job_id in self.waiting]
-        fields = self._build_fields(jobs)
+        fields = self._build_fields(jobs, now_ms)
         if self._may_skip(fields, now_ms):
             return
         self._untried = False
         self._tried_ms = now_ms
         self._try_all(jobs, fields, now_ms)
 
-    def _build_fields(self, jobs: list[Job]) -> dict[str, Field]:
+    def _build_fields(self, jobs: list[Job], now_ms: int) -> dict[str, Field]:
         """Return the runners of each upstream for which a job waits."""
         least_cpu_milli: dict[str, int] = {}
         for job in jobs:
             least = least_cpu_milli.get(job.upstream, job.least_cpu_milli)
             least_cpu_milli[job.upstream] = min(least, job.least_cpu_milli)
+        return {
+            name: self._build_field(name, now_ms, least) for name, least in least_cpu_milli.items()
+        }
+
+    def _build_field(self, upstream: str, now_ms: int, least_cpu_milli: int = 0) -> Field:
+        hot_racks = self.hot_racks.list_hot(now_ms)
         runners = self.fleet.open_runners()
-        return {name: build_field(runners, name, least) for name, least in least_cpu_milli.items()}
+        return build_field(runners, upstream, least_cpu_milli, self.far_factor, hot_racks)
 
     def _may_skip(self, fields: dict[str, Field], now_ms: int) -> bool:
         """Tell whether trying all jobs would be in vain: under overload most reports bring none."""
@@ -142,7 +155,10 @@
             if job.ending is not None or not self._place_job(job, field, now_ms):
                 self.waiting.discard(job.job_id)
                 continue
-            if any(may_ever_fit(task, field) for task in job.ready_tasks()):
+            ready = job.ready_tasks()
+            if any(waits_for_better(job, task, field, now_ms) for task in ready):
+                continue  # it waits for runners where it ends in time, and holds up nobody
+            if any(may_ever_fit(task, field) for task in ready):
                 held[job.upstream] += 1
                 if job.upstream not in urgencies:  # the first to be held is the most urgent
                     urgencies[job.upstream] = urgency_of(job, now_ms)
@@ -173,10 +189,13 @@
             if runner is None:
                 held = True
                 self._note_held(job, task)
+                if task.step.data_rack and self.far_factor > 1.0:
+                    self.hot_racks.note_held(task.step.data_rack, now_ms)
                 if task.step.resources == refused:
                     break
                 refused = task.step.resources
                 continue
+            task.slowness = field.look_out(job, task, now_ms).factor(runner)
             self._assign(job, task, runner, now_ms)
             chosen.setdefault(runner.place, []).append(task)
         for key, tasks in chosen.items():
@@ -201,7 +220,9 @@
         runner.out.add(task)
 
     def _send_order(self, job: Job, runner: RunnerView, tasks: list[Task], now_ms: int) -> None:
-        runs = tuple(_ordered_run(task, task.step.resources) for task in tasks)
+        runs = tuple(
+            _ordered_run(task, distance(task.step, runner, self.far_factor)) for task in tasks
+        )
         order = orders.StartOrder(
             runner.place.runner_id,
             job.job_id,
@@ -223,10 +244,18 @@
                 runner=runner.place.runner_id,
                 free_cpu_milli=runner.free.cpu_milli,
                 heard_ms_ago=now_ms - runner.agent.heard_ms,
+                slowness_permille=runner.slowness_permille,
+                near=distance(task.step, runner, self.far_factor) == 1.0,
+                expected_ms=self._expected_ms(job, task),
             )
             if not sent:
                 self.release(job, task, "stream_closed", now_ms)
 
+    def _expected_ms(self, job: Job, task: Task) -> int:
+        """Return how long a task is expected to take where it was placed."""
+        typical = self.durations.factor(job.queue, TYPICAL)
+        return int(task.step.estimate_ms * task.slowness * typical)
+
     def release(self, job: Job, task: Task, reason: str, now_ms: int) -> None:
         """Let a task wait again whose last start came to nothing."""
         if task.phase not in (TaskPhase.ORDERED, TaskPhase.RUNNING):
@@ -248,7 +277,7 @@
     def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
-        field = build_field(self.fleet.open_runners(), job.upstream)
+        field = self._build_field(job.upstream, now_ms)
         target = choose_runner(job, task, field, self.zone, now_ms, self.rng)
         has_room = target is not None and target.place.runner_id not in task.avoided
         # A run that stands still may as well wait: it would not end where it is.
@@ -259,7 +288,8 @@
         return True
 
 
-def _ordered_run(task: Task, room: Resources) -> orders.OrderedRun:
+def _ordered_run(task: Task, distance_factor: float) -> orders.OrderedRun:
+    room = task.step.resources
     return orders.OrderedRun(
         task.name.step,
         task.name.index,
@@ -267,5 +297,5 @@
         room.cpu_milli,
         room.memory_mb,
         room.accelerators,
-        task.step.estimate_ms,
+        int(task.step.estimate_ms * distance_factor),
     )
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -15,6 +15,7 @@
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_models import EndedRun, RunnerLook
+from gapdrum.core.runner_speed import RunnerSpeed
 
 UNKNOWN_OWNER = ""
 # A run whose share of work done has not changed for so long stands still: it is shown in whole
@@ -129,6 +130,7 @@
     recent_ends: deque[NotedEnd] = attrs.Factory(deque)
     used: Resources = NOTHING
     health: RunnerHealth = attrs.Factory(RunnerHealth)
+    speed: RunnerSpeed = attrs.Factory(RunnerSpeed)
     unknown_runs: int = 0
 
     @property
@@ -182,6 +184,7 @@
         run = self.runs.pop(key, None)
         if run is None:
             return None
+        self.speed.forget(key)
         if run.room is None:
             self.unknown_runs -= 1
         else:
@@ -275,7 +278,8 @@
         """Learn from an end whether the runner does its work, and how fast."""
         if end is RunEnd.DONE:
             ran_ms = now_ms - run.started_ms if run.started_ms else 0
-            self.health.note_done(ran_ms, run.estimate_ms if ran_ms else 0, now_ms)
+            self.health.note_done()
+            self.speed.note_end(run.key, ran_ms, run.estimate_ms, now_ms)
         elif end is RunEnd.FAILED:
             self.health.note_strike(now_ms)
 
@@ -295,7 +299,7 @@
             total_ms = age_ms * 100 // run.percent
             if total_ms > CRAWL_FACTOR * run.estimate_ms + CRAWL_SLACK_MS:
                 reason = orders.CRAWLS
-                self.health.note_projection(total_ms, run.estimate_ms, now_ms)
+                self.speed.note_projection(run.key, total_ms, run.estimate_ms, now_ms)
         if not reason:
             return []
         run.straggles_ms = now_ms
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -50,6 +50,7 @@
     out: set[Task] = attrs.Factory(set)
     synced: bool = False
     slowness_permille: int = 0
+    speed_runs: int = 0
 
     def take_report(self, report: orders.RunnerReport) -> None:
         """Take the agent's statement of what the runner is, and its state."""
@@ -62,6 +63,7 @@
         """Take the agent's count of room; orders that it includes are no longer counted here."""
         self.reported_free = report.free
         self.slowness_permille = report.slowness_permille
+        self.speed_runs = report.speed_runs
         while self.unseen and self.unseen[0][0] <= report.orders:
             self.unseen.popleft()
         self._count()
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -138,7 +138,8 @@
 _add("task_held", "The task waits.", "request", "task", "reason")
 _add(
     "task_placed", "The task is ordered at a runner.",
-    "request", "task", "attempt", "runner", "free_cpu_milli", "heard_ms_ago",
+    "request", "task", "attempt", "runner", "free_cpu_milli", "heard_ms_ago", "slowness_permille",
+    "near", "expected_ms",
 )  # fmt: skip
 _add("task_started", "The runner works on the task.", "request", "task", "attempt", "runner")
 _add("task_adopted", "A run of an earlier owner goes on.", "request", "task", "attempt", "runner")
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import functools
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
@@ -13,13 +14,15 @@
 
 from load_policies import ALTERNATIVES, SWITCHES, changed
 from load_replay import Report, replay
-from loads import drained_zone, long_work, overload, steady
+from loads import drained_zone, long_work, overload, steady, uneven
 
 LOADS = {
     "overload": overload,
     "steady": steady,
     "long work": long_work,
     "drained zone": drained_zone,
+    "uneven": uneven,
+    "busy uneven": functools.partial(uneven, factor=1.7),
 }
 
 
--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -6,7 +6,7 @@
         report = replay(overload(seed=1))
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from typing import Any
 from unittest import mock
@@ -18,8 +18,9 @@
 
 from gapdrum.agent import reports as agent_reports
 from gapdrum.agent.reports import Reports
-from gapdrum.core import jobs, placement_rules, placer, runner_health
+from gapdrum.core import expected_end, fleet_speeds, jobs, placement_rules, placer, runner_health
 from gapdrum.core import subsets as core_subsets
+from gapdrum.core.hot_racks import HotRacks
 from gapdrum.core.placement_rules import Standing
 from gapdrum.core.placer import Placer
 from gapdrum.core.room_offers import RoomOffers
@@ -122,6 +123,29 @@
     return [mock.patch.object(admission, "DOUBT_FACTOR", NEVER)]
 
 
+@switch
+def runner_speeds() -> Patches:
+    """Take all runners as equally fast, but for those that are much slower than is usual."""
+    measure = fleet_speeds.measure_speeds
+
+    def measure_usual(views: Sequence) -> fleet_speeds.FleetSpeeds:
+        return fleet_speeds.FleetSpeeds(measure(views).usual_permille)
+
+    return [mock.patch.object(placement_rules, "measure_speeds", measure_usual)]
+
+
+@switch
+def waiting_for_better() -> Patches:
+    """Start tasks where they end late as well, if there is room."""
+    return [mock.patch.object(expected_end.Outlook, "is_worth_waiting", lambda *_: False)]
+
+
+@switch
+def hot_racks() -> Patches:
+    """Leave no room to tasks that have their data there."""
+    return [mock.patch.object(HotRacks, "list_hot", lambda *_: frozenset())]
+
+
 @switch
 def candidates() -> Patches:
     """Take the first runner that has room."""
@@ -217,12 +241,12 @@
     """Place tasks of a second and more where runs take least against their estimates."""
     score = placement_rules._score
 
-    def prefer_fast(view, task, field, zone):
-        found = score(view, task, field, zone)
+    def prefer_fast(view, task, outlook, field, zone):
+        found = score(view, task, outlook, field, zone)
         if task.step.estimate_ms < 1_000 or not view.slowness_permille:
             return found
-        usual = field.usual_slowness_permille or view.slowness_permille
-        return (*found[:3], -round(view.slowness_permille / usual, 1), *found[3:])
+        usual = field.speeds.usual_permille or view.slowness_permille
+        return (*found[:4], -round(view.slowness_permille / usual, 1), *found[4:])
 
     return [mock.patch.object(placement_rules, "_score", prefer_fast)]
 
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -82,6 +82,7 @@
         self.log = fleet.log
         self.name = f"agent-{number}"
         self.zone = f"zone-{number % fleet.load.zones}" if fleet.load.zones else "zone-0"
+        self._rack = fleet.load.rack_of(number)
         self.grants = Grants(RunBounds(RESUBMIT_MS))
         self.links = VirtualLinks()
         self.keepers: dict[str, VirtualKeeper] = {}
@@ -91,11 +92,11 @@
         )
         self.keeper = VirtualKeeper(
             VirtualRunner(self.timers, speed),
-            RunnerLedger(f"runner-{self.name}", UPSTREAM, ("kind",), capacity),
+            RunnerLedger(f"runner-{self.name}", UPSTREAM, ("kind", self._rack), capacity),
             self.grants,
             self.log,
             self.reports.report,
-            fleet.work_of,
+            lambda key: fleet.work_of(key, self._rack),
         )
         self.keepers[self.keeper.runner_id] = self.keeper
 
@@ -146,7 +147,9 @@
         self._placing = False
         rng = random.Random(fleet.load.seed * 100 + number)
         now_ms = self.timers.now_ms()
-        self.dispatch = build_dispatch(self.zone, self, lambda: True, now_ms, rng)
+        self.dispatch = build_dispatch(
+            self.zone, self, lambda: True, now_ms, rng, fleet.load.far_factor
+        )
         self.admission = Admission(self.dispatch.placer, self.timers)
         self.demand = Demand(self, self.timers)
         self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
@@ -246,7 +249,8 @@
             LATENCY_SLACK_MS,
             0,
         )
-        step = Step(len(given.work_ms), Resources(given.cpu_milli, 10, 0), given.estimate_ms)
+        room = Resources(given.cpu_milli, 10, 0)
+        step = Step(len(given.work_ms), room, given.estimate_ms, data_rack=given.data_rack)
         if self.admission.judge(queue, (step,)) is not None:
             self.fleet.callers.refuse(given.job_id, "refused")
             return
@@ -320,6 +324,8 @@
         self.agents: dict[str, VirtualAgent] = {}
         for number, cpu_milli in enumerate(load.runners):
             speed = rng.uniform(SLOWEST, FASTEST)
+            if load.speeds:
+                speed = load.speeds[number]
             agent = VirtualAgent(self, number, speed, Resources(cpu_milli, MEMORY_MB, 0))
             self.agents[agent.name] = agent
         self.entries = [VirtualEntry(self, number) for number in range(len(load.shares))]
@@ -330,9 +336,11 @@
         if 0 <= self.timers.now_ms() - self.begin_ms < self.load.duration_ms:
             self.messages[kind_of(message)] += 1
 
-    def work_of(self, key: RunKey) -> int:
-        """Return how long a task really works."""
-        return self._by_id[key.task.job_id].work_ms[key.task.index]
+    def work_of(self, key: RunKey, rack: str) -> float:
+        """Return how long a task really works on a rack."""
+        job = self._by_id[key.task.job_id]
+        is_near = job.data_rack in ("", rack)
+        return job.work_ms[key.task.index] * (1 if is_near else self.load.far_factor)
 
     def free_cores(self) -> float:
         """Return the room of all runners that nothing uses."""
--- a/tools/loads.py
+++ b/tools/loads.py
@@ -75,6 +75,16 @@
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
     drains: tuple[Drain, ...] = ()
+    speeds: tuple[float, ...] = ()  # of the runners in turn; drawn if none is given
+    rack_size: int = 0  # so many runners in turn are a rack; 0: there are none
+    data_share: float = 0.0  # of the jobs whose data are on one rack
+    far_factor: float = 1.0  # how much longer tasks take away from their data
+    long_share: float = 0.0  # of the tasks that take much longer than their like
+    long_factor: float = 1.0
+
+    def rack_of(self, number: int) -> str:
+        """Return the label of a runner's rack."""
+        return f"rack-{number // self.rack_size}" if self.rack_size else ""
 
 
 @attrs.define(eq=False)
@@ -88,6 +98,7 @@
     cpu_milli: int
     estimate_ms: int
     work_ms: tuple[int, ...]
+    data_rack: str = ""
 
     @property
     def core_s(self) -> float:
@@ -120,9 +131,23 @@
             if rng.random() < rate_at(load, kind, at_ms) / most:
                 jobs.append(_make_job(load, kind, int(at_ms), rng))
             at_ms += rng.expovariate(most) * MS_PER_S
+    if load.rack_size or load.long_share:
+        rng = random.Random(load.seed)
+        jobs = [_make_uneven(load, job, rng) for job in jobs]
     return sorted(jobs, key=lambda job: (job.at_ms, job.job_id))
 
 
+def _make_uneven(load: Load, job: LoadJob, rng: random.Random) -> LoadJob:
+    """Put the data of some jobs on a rack, and let some tasks take much longer than stated."""
+    works = tuple(
+        int(work * load.long_factor) if rng.random() < load.long_share else work
+        for work in job.work_ms
+    )
+    rack = load.rack_of(rng.randrange(len(load.runners)))
+    has_data = rng.random() < load.data_share
+    return attrs.evolve(job, work_ms=works, data_rack=rack if has_data else "")
+
+
 def _make_job(load: Load, kind: JobKind, at_ms: int, rng: random.Random) -> LoadJob:
     tasks = 1 + _poisson(kind.tasks - 1, rng)
     work_ms = kind.work_ms * rng.lognormvariate(-(WORK_SPREAD**2) / 2, WORK_SPREAD)
@@ -247,3 +272,35 @@
         shares=(1 / entries,) * entries,
         zones=5,
     )
+
+
+UNEVEN_KINDS = (
+    JobKind("thumbnails", 91.0, 8.0, 102, 6_000, 0.00485, 0),
+    JobKind("transcodes", 16.6, 4.0, 1_520, 6_000, 0.0267, 2),
+    JobKind("captions", 265.0, 2.0, 340, 6_000, 0.00167, 1),
+)
+
+
+def uneven(
+    seed: int, duration_ms: int = 10_000, factor: float = 1.0, entries: int = 11, agents: int = 63
+) -> Load:
+    """Return a load on runners of which a quarter is slow and a quarter fast, in four zones.
+
+    A third of the jobs have their data on one rack of seven runners, 3% of the tasks take seven
+    times as long as their like. At a factor of 1 the work takes half of the room.
+    """
+    return Load(
+        name="uneven",
+        seed=seed,
+        duration_ms=duration_ms,
+        kinds=scaled(UNEVEN_KINDS, factor * agents / 63),
+        runners=tuple((64_000, 96_000, 64_000)[number % 3] for number in range(agents)),
+        shares=(1 / entries,) * entries,
+        zones=4,
+        speeds=tuple((0.6, 1.0, 1.6, 1.0)[number % 4] for number in range(agents)),
+        rack_size=7,
+        data_share=0.33,
+        far_factor=3.0,
+        long_share=0.03,
+        long_factor=7.0,
+    )
