--- a/src/gapdrum/core/expected_end.py
+++ b/src/gapdrum/core/expected_end.py
@@ -12,9 +12,9 @@
 
 # A task ends in time for sure if it could take this much longer than expected: tasks of one job
 # differ by a tenth, what is known of a runner is a tenth off, and the last of many counts.
-SAFE_FACTOR = 1.25
+SAFE_FACTOR = 1.5
 # With less than this it is as likely to end late.
-CLOSE_FACTOR = 1.1
+CLOSE_FACTOR = 1.0
 
 
 class Promptness(enum.IntEnum):
