Place tasks by when they are expected to end

Callers with wide or long jobs were served worst where runners differ in speed or data lie on one rack: one task of eight on a slow or far runner makes the job late, and placement took the freest of four runners whatever their speed.

Entries heed speeds where the ends of the fleet differ by 2.25 times: a task prefers runners where it ends in time for sure, leaves room unused where it would be late while others still suit it, and the free share is weighed by speed.

--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from load_policies import changed
 from load_replay import replay
-from loads import drained_zone, large_fleet, long_work, overload, steady
+from loads import drained_zone, large_fleet, long_work, overload, steady, uneven
 
 LOADS = {
     "overload": overload,
@@ -15,6 +15,13 @@
     # A third of the fleet and its load, and the busiest seconds of a drain.
     "long work": functools.partial(long_work, duration_ms=13_000, factor=1.3, entries=4, agents=22),
     "drained zone": functools.partial(drained_zone, duration_ms=9_500, factor=1.15),
+    # A third of the fleet without the rare long tasks, at 40% and 80% of the room.
+    "uneven runners": functools.partial(
+        uneven, duration_ms=5_000, entries=4, agents=21, long_share=0.0
+    ),
+    "busy uneven runners": functools.partial(
+        uneven, duration_ms=5_000, factor=2.0, entries=4, agents=21, long_share=0.0
+    ),
     "overloaded large fleet": functools.partial(large_fleet, factor=1.6),
 }
 SEEDS = (1, 2)
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -77,6 +77,13 @@
         gauges["free_cpu_milli"] = lambda: sum(
             one.ledger.free.cpu_milli for one in self.keepers.values()
         )
+        gauges["slowness_permille"] = lambda: max(
+            (
+                one.ledger.speed.slowness_permille(self.timers.now_ms())
+                for one in self.keepers.values()
+            ),
+            default=0,
+        )
         gauges["entries_connected"] = lambda: sum(bool(link.owner) for link in self.links)
         self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
--- a/src/gapdrum/core/expected_end.py
+++ b/src/gapdrum/core/expected_end.py
@@ -10,11 +10,9 @@
 from gapdrum.core.models import Step
 from gapdrum.core.runner_views import RunnerView
 
-# A task ends in time for sure if it could take this much longer than expected: tasks of one job
-# differ by a tenth, what is known of a runner is a tenth off, and the last of many counts.
+# A task is sure to end in time if it could take this much longer than expected: the last task of
+# a job counts, tasks of one job differ by a tenth, and what is known of a runner is a tenth off.
 SAFE_FACTOR = 1.5
-# With less than this it is as likely to end late.
-CLOSE_FACTOR = 1.0
 
 
 class Promptness(enum.IntEnum):
@@ -64,7 +62,7 @@
     """Tell how surely a task ends in the time that is left."""
     if left_ms >= SAFE_FACTOR * expected_ms:
         return Promptness.SAFE
-    return Promptness.CLOSE if left_ms >= CLOSE_FACTOR * expected_ms else Promptness.LATE
+    return Promptness.CLOSE if left_ms >= expected_ms else Promptness.LATE
 
 
 def left_ms(job: Job, task: Task, now_ms: int) -> int:
--- a/src/gapdrum/core/fleet_speeds.py
+++ b/src/gapdrum/core/fleet_speeds.py
@@ -9,9 +9,9 @@
 
 # A runner counts as known from so many runs on; fewer may all have been stated too low.
 LEAST_RUNS = 6
-# Known runners of which the slow end takes less than this many times as long as the fast end are
-# alike: sound ones of one make differ by 1.5, and stated work adds a little.
-UNEVEN_FACTOR = 2.0
+# An objective leaves a task about one and a half times its usual time. Where either end of the
+# known runners is no farther from the usual, it does not matter which of them a task gets.
+UNEVEN_FACTOR = 1.5**2
 # The share of the runners that lie beyond either end.
 END_SHARE = 0.1
 # Of fewer known runners a single one that is slow for a while would make out an end.
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -241,5 +241,5 @@
 
 def _is_sound(score: Score, outlook: Outlook) -> bool:
     """Tell whether nothing speaks against a runner."""
-    not_avoided, not_slow, prompt, near, *_ = score
-    return not_avoided and not_slow and prompt == outlook.best and near
+    not_avoided, not_slow, prompt, near, leaves_racks, *_ = score
+    return not_avoided and not_slow and prompt == outlook.best and near and leaves_racks
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -11,6 +11,7 @@
 from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of, work_of_task
 from gapdrum.core.expected_end import distance
 from gapdrum.core.fleet import Fleet
+from gapdrum.core.fleet_speeds import measure_speeds
 from gapdrum.core.hot_racks import HotRacks
 from gapdrum.core.jobs import Job, Place, Task, TaskPhase
 from gapdrum.core.models import Step
@@ -157,7 +158,7 @@
                 continue
             ready = job.ready_tasks()
             if any(waits_for_better(job, task, field, now_ms) for task in ready):
-                continue  # it waits for runners where it ends in time, and holds up nobody
+                continue  # it leaves room unused where it would end late, and holds up nobody
             if any(may_ever_fit(task, field) for task in ready):
                 held[job.upstream] += 1
                 if job.upstream not in urgencies:  # the first to be held is the most urgent
@@ -188,9 +189,7 @@
             runner = choose_runner(job, task, field, self.zone, now_ms, self.rng)
             if runner is None:
                 held = True
-                self._note_held(job, task)
-                if task.step.data_rack and self.far_factor > 1.0:
-                    self.hot_racks.note_held(task.step.data_rack, now_ms)
+                self._note_held(job, task, field, now_ms)
                 if task.step.resources == refused:
                     break
                 refused = task.step.resources
@@ -202,12 +201,14 @@
             self._send_order(job, self.fleet.runners[key], tasks, now_ms)
         return held or any(task.phase is TaskPhase.WAITING for task in ready)
 
-    def _note_held(self, job: Job, task: Task) -> None:
+    def _note_held(self, job: Job, task: Task, field: Field, now_ms: int) -> None:
+        if task.step.data_rack and self.far_factor > 1.0:
+            self.hot_racks.note_held(task.step.data_rack, now_ms)
         if not task.held_noted:
             task.held_noted = True
-            self.outside.note(
-                "task_held", request=job.job_id, task=task.name.text, reason="no_room"
-            )
+            leaves_room = waits_for_better(job, task, field, now_ms)
+            reason = "late_where_room_is" if leaves_room else "no_room"
+            self.outside.note("task_held", request=job.job_id, task=task.name.text, reason=reason)
 
     def _assign(self, job: Job, task: Task, runner: RunnerView, now_ms: int) -> None:
         task.attempt = job.next_attempt(task)
@@ -274,6 +275,13 @@
         job.release(task)
         self.waiting.add(job.job_id)
 
+    def count_uneven(self) -> int:
+        """Return how many runners are known to differ in speed so far that placement heeds it."""
+        by_upstream: dict[str, list[RunnerView]] = {}
+        for runner in self.fleet.open_runners():
+            by_upstream.setdefault(runner.upstream, []).append(runner)
+        return sum(len(measure_speeds(views).relative) for views in by_upstream.values())
+
     def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -135,7 +135,13 @@
 _add("lookup_failed", "The state of another's job could not be read.", "request", "code")
 
 # Tasks.
-_add("task_held", "The task waits.", "request", "task", "reason")
+_add(
+    "task_held",
+    "The task waits for room, or leaves room where it would end late.",
+    "request",
+    "task",
+    "reason",
+)
 _add(
     "task_placed", "The task is ordered at a runner.",
     "request", "task", "attempt", "runner", "free_cpu_milli", "heard_ms_ago", "slowness_permille",
--- a/tools/loads.py
+++ b/tools/loads.py
@@ -282,12 +282,18 @@
 
 
 def uneven(
-    seed: int, duration_ms: int = 10_000, factor: float = 1.0, entries: int = 11, agents: int = 63
+    seed: int,
+    duration_ms: int = 10_000,
+    factor: float = 1.0,
+    entries: int = 11,
+    agents: int = 63,
+    long_share: float = 0.03,
 ) -> Load:
     """Return a load on runners of which a quarter is slow and a quarter fast, in four zones.
 
-    A third of the jobs have their data on one rack of seven runners, 3% of the tasks take seven
-    times as long as their like. At a factor of 1 the work takes half of the room.
+    A third of the jobs have their data on one rack of seven runners, and some of the tasks take
+    seven times as long as their like. At a factor of 1 the work takes half of the room, without
+    the long ones.
     """
     return Load(
         name="uneven",
@@ -301,6 +307,6 @@
         rack_size=7,
         data_share=0.33,
         far_factor=3.0,
-        long_share=0.03,
+        long_share=long_share,
         long_factor=7.0,
     )
