Test an unanswered start with a run that is being started

The scenario 'a start that was left unanswered is not sent again once the run is to be stopped' called the start of a run whose phase was running already. Since a run that was shown at work is not called for any more, it was never called (seen red: 0 calls). The run is now being started, as it is when a start is called; the check is the same, one call.

--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -270,6 +270,7 @@
 @when("its start is left unanswered, and its owner stops it")
 def stop_unanswered_start(context):
     (run,) = context.runs
+    run.phase, run.calling = orders.HELD_STARTING, True
     context.runner.starts = 0
     stop = orders.StopOrder("i-1", (orders.NamedRun(TASK.text, 1),))
 
