Move a run that crawls only where it clearly ends sooner, and never leave one that stands still

Callers' long tasks were stopped and begun anew up to three times at runners that were no faster: a run was judged by its own estimate only, which is 40% off.

The agent tells of a straggler how long it has run and has left, for how long it stands still, and how the last runs that began beside it (of other jobs) go; Stragglers at the owner compares the end here with a whole new run elsewhere. A run that stands still is moved without a budget, and after its third move, once it has stood for 2, 4, 8, 16 s. One that an agent's new life found at work is judged too; one that shows percents slowly is not taken to stand still between two of them.

Tests: features/stragglers.feature. With the former rule put back (any crawl with room is moved, three moves for all, found runs not judged) nine of its scenarios fail; with tasks of the same job counted as others, one.

--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from load_policies import changed
 from load_replay import replay
-from loads import drained_zone, large_fleet, long_work, overload, steady
+from loads import drained_zone, large_fleet, long_tasks, long_work, overload, steady
 
 LOADS = {
     "overload": overload,
@@ -15,6 +15,7 @@
     # A third of the fleet and its load, and the busiest seconds of a drain.
     "long work": functools.partial(long_work, duration_ms=13_000, factor=1.3, entries=4, agents=22),
     "drained zone": functools.partial(drained_zone, duration_ms=9_500, factor=1.15),
+    "long tasks": long_tasks,
     "overloaded large fleet": functools.partial(large_fleet, factor=1.6),
 }
 SEEDS = (1, 2)
@@ -78,6 +79,7 @@
     "more orders are refused": lambda report: report.events["order_refused"],
     "more messages go for each task": lambda report: report.messages_a_task,
     "the worst-served entry earns less": lambda report: -report.worst_entry,
+    "more runs are moved": lambda report: report.events["task_straggles: moved"],
     "less is earned": lambda report: -report.worth,
     "more is refused with room": lambda report: report.refused_with_room,
 }
@@ -103,6 +105,14 @@
     assert found <= most, found
 
 
+@then("the worth is no lower than without it")
+def no_less_worth(context):
+    worth, without = (
+        mean(reports, lambda report: report.worth) for reports in (context.reports, context.without)
+    )
+    assert worth >= without, (worth, without)
+
+
 @then("no more of the jobs end late or without an answer than without it")
 def no_worse(context):
     for kind in ("late", "left", "refused", "given_up"):
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -244,7 +244,7 @@
 
     def _move(self, job: Job, task: Task, event: orders.RunEvent, now_ms: int) -> None:
         """Stop a run that straggles, so that it is placed anew, if that is likely to help."""
-        moved = self.placer.may_move(job, task, event.detail, now_ms)
+        verdict = self.placer.judge_straggler(job, task, event, now_ms)
         self.outside.note(
             "task_straggles",
             request=job.job_id,
@@ -253,9 +253,12 @@
             runner=task.place.runner_id,
             reason=event.detail,
             percent=event.percent,
-            moved=moved,
+            moved=verdict.moved,
+            ends_here_ms=verdict.ends_here_ms,
+            ends_elsewhere_ms=verdict.ends_elsewhere_ms,
+            others_permille=event.others_permille,
         )
-        if moved:
+        if verdict.moved:
             self._stop(task.place, task.run)
 
     def _stop_if_out(self, task: Task) -> None:
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -128,8 +128,11 @@
 class RunEvent:
     """What happened to a run; ``detail`` is how it ended, why it did not start, or straggles.
 
-    ``end_number`` is the runner's number of the end, ``percent`` how much of the work of a
-    straggling run is done. Nobody needs to store an end of a job that is not ``kept``.
+    ``end_number`` is the runner's number of the end. Nobody needs to store an end of a job that
+    is not ``kept``. Of a straggling run ``percent`` is how much of its work is done; it has run
+    for ``ran_ms``, will end after ``left_ms`` at its pace, and has stood still for ``still_ms``.
+    ``others_permille`` is how long the others beside it take against their estimates. What is
+    not known is 0.
     """
 
     task: str
@@ -140,6 +143,10 @@
     end_number: int = 0
     percent: int = 0
     kept: bool = True
+    ran_ms: int = count_field(default=0)
+    left_ms: int = count_field(default=0)
+    still_ms: int = count_field(default=0)
+    others_permille: int = count_field(default=0)
 
 
 @message(43)
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from gapdrum.budgets import RatioBudget
 from gapdrum.core import orders
 from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of, work_of_task
 from gapdrum.core.fleet import Fleet
@@ -23,6 +22,7 @@
     waiting_order,
 )
 from gapdrum.core.runner_views import RunnerView
+from gapdrum.core.stragglers import Sight, Stragglers, Verdict
 
 # How many jobs of an upstream that find no room are looked at before its others are left to the
 # next change: smaller ones may still fit, but under overload all would be looked at in vain. Jobs
@@ -30,10 +30,6 @@
 HELD_JOBS_TRIED = 8
 # While no runner has room, all waiting jobs are judged anew this often.
 TRY_INTERVAL_MS = 20
-# How often a task is moved away from where it straggles, and the share of all starts that
-# moves may take, so that a slow day does not become a flood of restarts.
-MAX_MOVES = 3
-MOVE_BUDGET_PERCENT = 15
 # Agents that start together with an entry are there after 0.7 s, their runners' room 1.5 s later.
 WARM_UP_MS = 2_500
 
@@ -50,12 +46,14 @@
     started_ms: int
     rng: random.Random
     far_factor: float = 1.0  # how much longer a task takes away from its data's rack
+    stragglers: Stragglers = attrs.Factory(
+        lambda self: Stragglers(self.far_factor), takes_self=True
+    )
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
     _untried: bool = False
     _tried_ms: int = 0
     demand: tuple[orders.UpstreamDemand, ...] = ()  # of the jobs that found no room, lately
-    move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     def expected_wait_ms(
         self, steps: tuple[Step, ...], priority: int, begin_by_ms: int, now_ms: int
@@ -197,7 +195,7 @@
         task.started_ms = 0
         runner.order(task.step.resources)
         self.backlog.note_placed(work_of_task(task), now_ms)
-        self.move_budget.earn()
+        self.stragglers.budget.earn()
         runner.out.add(task)
 
     def _send_order(self, job: Job, runner: RunnerView, tasks: list[Task], now_ms: int) -> None:
@@ -245,18 +243,16 @@
         job.release(task)
         self.waiting.add(job.job_id)
 
-    def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
+    def judge_straggler(self, job: Job, task: Task, event: orders.RunEvent, now_ms: int) -> Verdict:
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
         field = build_field(self.fleet.open_runners(), job.upstream)
-        target = choose_runner(job, task, field, self.zone, now_ms, self.rng)
-        has_room = target is not None and target.place.runner_id not in task.avoided
-        # A run that stands still may as well wait: it would not end where it is.
-        worth_it = has_room or reason == orders.STANDS_STILL
-        if not worth_it or task.moves >= MAX_MOVES or not self.move_budget.spend():
-            return False
-        task.moves += 1
-        return True
+        there = choose_runner(job, task, field, self.zone, now_ms, self.rng)
+        if there is not None and there.place.runner_id in task.avoided:
+            there = None
+        here = self.fleet.runners.get(task.place)
+        sight = Sight(here, there, field.usual_slowness_permille)
+        return self.stragglers.judge(job.queue, task, event, sight)
 
 
 def _ordered_run(task: Task, room: Resources) -> orders.OrderedRun:
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -13,6 +13,7 @@
 from gapdrum.core.models import NOTHING, Resources, RunEnd, RunKey
 from gapdrum.core.records import entry_of_owner
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
+from gapdrum.core.run_pace import LEAST_AGE_MS, RECENT_MS, RECENT_RUNS, Pace, usual_permille
 from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_models import EndedRun, RunnerLook
 
@@ -21,11 +22,14 @@
 # percents, and looked at every 0.2 s.
 STALL_MS = 450
 STALL_SHARE = 0.05
+# One that has shown percents is not taken to stand still before it was due to show some more.
+STALL_PERCENTS = 4
+# Of a run that was found at work the estimate is not known.
+FOUND_STALL_MS = 2_000
 # A run crawls if at its pace it will take this many times its estimate, which is 40% off; the
 # slowest sound runners take a quarter longer. A younger run shows too few percents to tell.
 CRAWL_FACTOR = 3
 CRAWL_SLACK_MS = 100
-CRAWL_AFTER_MS = 150
 # An owner that had no other room for a straggler hears of it again after this time.
 STRAGGLER_REPEAT_MS = 300
 # Ends without a known owner that are older than this are told to all entries: any may know it.
@@ -63,12 +67,31 @@
     priority: int = 0
     started_ms: int = 0
     straggles_ms: int = 0
+    done_ms: int = 0
 
     @property
     def stopping(self) -> bool:
         """Tell whether it is to be stopped, and its end is not listed yet."""
         return self.stopping_ms is not None
 
+    @property
+    def stall_ms(self) -> int:
+        """Return how long it may show no progress without being taken to stand still."""
+        if not self.started_ms:
+            return FOUND_STALL_MS
+        usual_ms = 0
+        if self.percent:
+            usual_ms = STALL_PERCENTS * (self.percent_ms - self.started_ms) // self.percent
+        return max(STALL_MS, int(self.estimate_ms * STALL_SHARE), usual_ms)
+
+    def pace(self, now_ms: int) -> Pace:
+        """Return how fast it goes, or has gone; nothing is known of one that was found at work."""
+        if not self.started_ms:
+            return Pace(0, 0, 0)
+        if self.done_ms:
+            return Pace(self.done_ms - self.started_ms, 100, self.estimate_ms)
+        return Pace(now_ms - self.started_ms, self.percent, self.estimate_ms)
+
 
 @attrs.define
 class NotedEnd:
@@ -130,6 +153,8 @@
     used: Resources = NOTHING
     health: RunnerHealth = attrs.Factory(RunnerHealth)
     unknown_runs: int = 0
+    # Those that began last, of which as many as are compared may be of a job itself.
+    recent_runs: deque[Run] = attrs.Factory(lambda: deque(maxlen=2 * RECENT_RUNS))
 
     @property
     def state(self) -> str:
@@ -172,6 +197,7 @@
     def begin(self, run: Run) -> None:
         """Take room for a run that is about to be started."""
         self.runs[run.key] = run
+        self.recent_runs.append(run)
         if run.room is None:
             self.unknown_runs += 1
         else:
@@ -212,6 +238,7 @@
         shown = {running.run: running.percent for running in look.running}
         for key, percent in shown.items():
             events.extend(self._note_running(key, percent, now_ms))
+        for key in shown:  # each beside the others as this look shows them
             events.extend(self._judge_pace(self.runs[key], now_ms))
         for run in list(self.runs.values()):
             if run.key not in shown and self._never_started(run, look.clock_ms):
@@ -255,6 +282,7 @@
         if run is None:
             found = orders.HELD_RUNNING
             run = Run(key, UNKNOWN_OWNER, 0, None, 0, now_ms, phase=found, claimed=False)
+            run.percent_ms = now_ms
             self.begin(run)
         if percent != run.percent:
             run.percent = percent
@@ -274,6 +302,7 @@
     def _judge_end(self, run: Run, end: RunEnd, now_ms: int) -> None:
         """Learn from an end whether the runner does its work, and how fast."""
         if end is RunEnd.DONE:
+            run.done_ms = now_ms
             ran_ms = now_ms - run.started_ms if run.started_ms else 0
             self.health.note_done(ran_ms, run.estimate_ms if ran_ms else 0, now_ms)
         elif end is RunEnd.FAILED:
@@ -281,26 +310,47 @@
 
     def _judge_pace(self, run: Run, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
         """Tell the owner, now and then, of a run that stands still or crawls."""
-        if run.stopping or not run.started_ms:
+        if run.stopping or run.phase == orders.HELD_STARTING:
             return []
         if now_ms - run.straggles_ms < STRAGGLER_REPEAT_MS:
             return []
-        age_ms = now_ms - run.started_ms
+        pace = run.pace(now_ms)
+        still_ms = now_ms - run.percent_ms
         reason = ""
-        if now_ms - run.percent_ms > max(STALL_MS, run.estimate_ms * STALL_SHARE):
+        if still_ms > run.stall_ms:
             reason = orders.STANDS_STILL
             if not run.straggles_ms:
                 self.health.note_strike(now_ms)
-        elif run.percent and run.estimate_ms and age_ms > CRAWL_AFTER_MS:
-            total_ms = age_ms * 100 // run.percent
-            if total_ms > CRAWL_FACTOR * run.estimate_ms + CRAWL_SLACK_MS:
-                reason = orders.CRAWLS
-                self.health.note_projection(total_ms, run.estimate_ms, now_ms)
+        elif _crawls(pace):
+            reason = orders.CRAWLS
+            self.health.note_projection(pace.total_ms, run.estimate_ms, now_ms)
         if not reason:
             return []
         run.straggles_ms = now_ms
-        event = _event(run, orders.STRAGGLING, reason)
-        return [(run, attrs.evolve(event, percent=run.percent))]
+        event = attrs.evolve(
+            _event(run, orders.STRAGGLING, reason),
+            percent=run.percent,
+            ran_ms=pace.age_ms,
+            left_ms=pace.left_ms,
+            still_ms=still_ms if reason == orders.STANDS_STILL else 0,
+            others_permille=self._others_permille(run, now_ms),
+        )
+        return [(run, event)]
+
+    def _others_permille(self, run: Run, now_ms: int) -> int:
+        """Return how long other jobs' runs here take against their estimates, 0 if not known.
+
+        Tasks of one job are alike, and so is how far they are off their estimate.
+        """
+        job_id = run.key.task.job_id
+        others = [
+            other.pace(now_ms)
+            for other in reversed(self.recent_runs)
+            if other.key.task.job_id != job_id
+            and LEAST_AGE_MS < now_ms - other.started_ms < RECENT_MS
+            and (other.done_ms or other.key in self.runs)
+        ]
+        return usual_permille(others[:RECENT_RUNS])
 
     @staticmethod
     def _never_started(run: Run, clock_ms: int) -> bool:
@@ -380,6 +430,11 @@
         return [(run, _event(run, orders.LOST, reason)) for run in runs]
 
 
+def _crawls(pace: Pace) -> bool:
+    limit_ms = CRAWL_FACTOR * pace.estimate_ms + CRAWL_SLACK_MS
+    return bool(pace.estimate_ms) and pace.age_ms > LEAST_AGE_MS and pace.total_ms > limit_ms
+
+
 def _event(run: Run, kind: str, detail: str = "", end_number: int = 0) -> orders.RunEvent:
     return orders.RunEvent(
         run.key.task.text, run.key.attempt, run.epoch, kind, detail, end_number, kept=run.kept
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -147,8 +147,10 @@
     "request", "task", "attempt", "runner", "reason",
 )  # fmt: skip
 _add(
-    "task_straggles", "The run stands still or crawls.",
+    "task_straggles",
+    "The run stands still or crawls; when it is expected to end here, or elsewhere from nothing.",
     "request", "task", "attempt", "runner", "reason", "percent", "moved",
+    "ends_here_ms", "ends_elsewhere_ms", "others_permille",
 )  # fmt: skip
 _add("task_stop_ordered", "The run is to be stopped.", "request", "task", "attempt", "runner")
 _add(
--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -18,11 +18,12 @@
 
 from gapdrum.agent import reports as agent_reports
 from gapdrum.agent.reports import Reports
-from gapdrum.core import jobs, placement_rules, placer, runner_health
+from gapdrum.core import jobs, placement_rules, placer, runner_health, stragglers
 from gapdrum.core import subsets as core_subsets
 from gapdrum.core.placement_rules import Standing
 from gapdrum.core.placer import Placer
 from gapdrum.core.room_offers import RoomOffers
+from gapdrum.core.stragglers import Stragglers, Verdict
 from gapdrum.entry import admission
 
 Patches = list[Any]
@@ -143,7 +144,13 @@
 @switch
 def moves() -> Patches:
     """Leave runs where they straggle."""
-    return [mock.patch.object(placer, "MAX_MOVES", 0)]
+    return [mock.patch.object(Stragglers, "judge", lambda *_: Verdict(False, None, None))]
+
+
+@switch
+def move_costs() -> Patches:
+    """Move runs that crawl without asking whether they would end sooner."""
+    return [mock.patch.object(stragglers, "_is_sooner", lambda there_ms, _: there_ms is not None)]
 
 
 @switch
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -210,6 +210,8 @@
         self.fleet.log.write(event, **fields)
         if event in ("task_released", "task_straggles"):
             self.fleet.log.events[f"{event}: {fields['reason']}"] += 1
+        if fields.get("moved"):
+            self.fleet.log.events[f"{event}: moved"] += 1
 
     def place_soon(self) -> None:
         """Place at the end of this turn."""
--- a/tools/loads.py
+++ b/tools/loads.py
@@ -13,6 +13,7 @@
 TASK_SPREAD = 0.10
 # Processor room of a task varies by so much of its mean, and is never under half of it.
 ROOM_SPREAD = 0.2
+LONG_FACTOR = 7
 # What a job earns grows with its work: this share is the same for all, and there is a limit.
 FIXED_WORTH = 0.3
 MOST_WORTH = 4.0
@@ -75,6 +76,7 @@
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
     drains: tuple[Drain, ...] = ()
+    long_share: float = 0.0  # of the tasks: these take ``LONG_FACTOR`` times as long as stated
 
 
 @attrs.define(eq=False)
@@ -127,6 +129,8 @@
     tasks = 1 + _poisson(kind.tasks - 1, rng)
     work_ms = kind.work_ms * rng.lognormvariate(-(WORK_SPREAD**2) / 2, WORK_SPREAD)
     works = tuple(max(1, int(work_ms * rng.lognormvariate(0, TASK_SPREAD))) for _ in range(tasks))
+    if load.long_share:
+        works = tuple(one * (LONG_FACTOR if rng.random() < load.long_share else 1) for one in works)
     cpu_milli = max(kind.cpu_milli / 2, rng.gauss(kind.cpu_milli, ROOM_SPREAD * kind.cpu_milli))
     estimate_ms = max(1, int(work_ms * rng.lognormvariate(0, ESTIMATE_SPREAD)))
     entry = rng.choices(range(len(load.shares)), load.shares)[0]
@@ -221,6 +225,16 @@
     )
 
 
+def long_tasks(seed: int, duration_ms: int = 12_000, factor: float = 1.0) -> Load:
+    """Return the steady load at a factor of its rate, where one task in 30 takes long.
+
+    Two runners of eleven work at a quarter of their pace for 5 s. The work takes 70% of the room.
+    """
+    faults = (Fault(3_000, 5_000, (0, 1), pace=0.25),)
+    load = steady(seed, duration_ms, factor)
+    return attrs.evolve(load, name="long_tasks", long_share=0.03, faults=faults)
+
+
 def drained_zone(seed: int, duration_ms: int = 12_000, factor: float = 1.0) -> Load:
     """Return the long work at its usual rate, while one of three zones is drained for 6 s.
 
