--- a/src/gapdrum/core/stragglers.py
+++ b/src/gapdrum/core/stragglers.py
@@ -107,13 +107,12 @@
         """Return how long the task takes at the other runner, from nothing; None if not known."""
         if sight.there is None:
             return None
-        work_ms = task.step.estimate_ms * self.longest_factor(queue)
+        work_ms = float(task.step.estimate_ms)  # one that stands still tells nothing of its work
         if event.left_ms:
             total_ms = event.ran_ms + event.left_ms
             slowed = sight.here_factor(event.others_permille) * self._far(task, sight.here)
-            work_ms = min(work_ms, total_ms / slowed)
-        if not math.isfinite(work_ms):
-            work_ms = task.step.estimate_ms  # it stands still and tells nothing of its work
+            longest_ms = work_ms * self.longest_factor(queue) if work_ms else math.inf
+            work_ms = min(total_ms / slowed, longest_ms)
         return int(work_ms * sight.there_factor() * self._far(task, sight.there)) + MOVE_MS
 
     def _far(self, task: Task, runner: RunnerView | None) -> float:
