Merge stragglers told from long tasks

A straggler's runner is judged by its speed where the fleet is uneven (FleetSpeeds), else by the rule of twice the usual.

--- a/features/steps/uneven_runner_steps.py
+++ b/features/steps/uneven_runner_steps.py
@@ -341,7 +341,7 @@
     assert reasons == [reason] * 20, reasons
 
 
-@when("{count:d} jobs of {work:d} ms end there after {ran:d} ms")
+@when("{count:d} jobs of {work:d} ms end there, each {ran:d} ms after its start")
 def jobs_end(context, count, work, ran):
     for number in range(count):
         context.now_ms = NOW_MS
--- a/features/uneven_runners.feature
+++ b/features/uneven_runners.feature
@@ -126,7 +126,7 @@
 
   Scenario: an entry learns durations from the ends of its own tasks
     Given an entry that sees one runner on "rack-2", far tasks taking 3.0 times as long
-    When 100 jobs of 100 ms end there after 200 ms
+    When 100 jobs of 100 ms end there, each 200 ms after its start
     Then half of the tasks of the queue end within 2.0 times their stated work
 
   # What this is worth to callers.
--- a/src/gapdrum/core/fleet_speeds.py
+++ b/src/gapdrum/core/fleet_speeds.py
@@ -29,8 +29,8 @@
     relative: Mapping[RunnerView, float] = attrs.Factory(dict)
     fastest: float = USUAL
 
-    def of(self, view: RunnerView) -> float:
-        """Return how many times as long as usual runs take at a runner."""
+    def of(self, view: RunnerView | None) -> float:
+        """Return how many times as long as usual runs take at a runner, 1 if it is not known."""
         return self.relative.get(view, USUAL)
 
 
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from gapdrum.budgets import RatioBudget
 from gapdrum.core import orders
 from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of, work_of_task
 from gapdrum.core.expected_end import distance
@@ -27,6 +26,7 @@
     waits_for_better,
 )
 from gapdrum.core.runner_views import RunnerView
+from gapdrum.core.stragglers import Sight, Stragglers, Verdict
 from gapdrum.core.task_durations import TaskDurations
 
 # How many jobs of an upstream that find no room are looked at before its others are left to the
@@ -35,10 +35,6 @@
 HELD_JOBS_TRIED = 8
 # While no runner has room, all waiting jobs are judged anew this often.
 TRY_INTERVAL_MS = 20
-# How often a task is moved away from where it straggles, and the share of all starts that
-# moves may take, so that a slow day does not become a flood of restarts.
-MAX_MOVES = 3
-MOVE_BUDGET_PERCENT = 15
 TYPICAL = 0.5  # the quantile of durations that is expected of a task
 # Agents that start together with an entry are there after 0.7 s, their runners' room 1.5 s later.
 WARM_UP_MS = 2_500
@@ -58,12 +54,14 @@
     far_factor: float = 1.0  # how much longer a task takes away from its data's rack
     durations: TaskDurations = attrs.Factory(TaskDurations)
     hot_racks: HotRacks = attrs.Factory(HotRacks)
+    stragglers: Stragglers = attrs.Factory(
+        lambda self: Stragglers(self.far_factor), takes_self=True
+    )
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
     _untried: bool = False
     _tried_ms: int = 0
     demand: tuple[orders.UpstreamDemand, ...] = ()  # of the jobs that found no room, lately
-    move_budget: RatioBudget = attrs.Factory(lambda: RatioBudget(MOVE_BUDGET_PERCENT))
 
     def expected_wait_ms(
         self, steps: tuple[Step, ...], priority: int, begin_by_ms: int, now_ms: int
@@ -217,7 +215,7 @@
         task.started_ms = 0
         runner.order(task.step.resources)
         self.backlog.note_placed(work_of_task(task), now_ms)
-        self.move_budget.earn()
+        self.stragglers.budget.earn()
         runner.out.add(task)
 
     def _send_order(self, job: Job, runner: RunnerView, tasks: list[Task], now_ms: int) -> None:
@@ -282,18 +280,16 @@
             by_upstream.setdefault(runner.upstream, []).append(runner)
         return sum(len(measure_speeds(views).relative) for views in by_upstream.values())
 
-    def may_move(self, job: Job, task: Task, reason: str, now_ms: int) -> bool:
+    def judge_straggler(self, job: Job, task: Task, event: orders.RunEvent, now_ms: int) -> Verdict:
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
         field = self._build_field(job.upstream, now_ms)
-        target = choose_runner(job, task, field, self.zone, now_ms, self.rng)
-        has_room = target is not None and target.place.runner_id not in task.avoided
-        # A run that stands still may as well wait: it would not end where it is.
-        worth_it = has_room or reason == orders.STANDS_STILL
-        if not worth_it or task.moves >= MAX_MOVES or not self.move_budget.spend():
-            return False
-        task.moves += 1
-        return True
+        there = choose_runner(job, task, field, self.zone, now_ms, self.rng)
+        if there is not None and there.place.runner_id in task.avoided:
+            there = None
+        here = self.fleet.runners.get(task.place)
+        sight = Sight(here, there, field.speeds)
+        return self.stragglers.judge(job.queue, task, event, sight)
 
 
 def _ordered_run(task: Task, distance_factor: float) -> orders.OrderedRun:
