Remember for 10 s how slow a runner without work is

A runner known as slow gets little work; after 3 s without any it counted as usual, and where all slow ones were forgotten the fleet looked even. New scenario, seen to fail with the 3 s alone.

--- a/features/uneven_runners.feature
+++ b/features/uneven_runners.feature
@@ -19,7 +19,13 @@
     Then its slowness is 3000 by 24 runs at 3000 ms
     When it does 13 runs of 100 ms each in 100 ms, until 4000 ms
     Then its slowness is 1000 by 24 runs at 4000 ms
-    And its slowness is 0 by 0 runs at 7100 ms
+    And its slowness is 0 by 0 runs at 14100 ms
+
+  Scenario: a slow runner that gets no work is not taken as a usual one soon after
+    Given a runner whose agent has just started
+    When it does 24 runs of 100 ms each in 170 ms, until 2000 ms
+    Then its slowness is 1700 by 24 runs at 11900 ms
+    And its slowness is 0 by 0 runs at 12100 ms
 
   Scenario: an agent that has started again learns within a second how fast its runner is
     Given a runner whose agent has just started
--- a/src/gapdrum/core/fleet_speeds.py
+++ b/src/gapdrum/core/fleet_speeds.py
@@ -9,8 +9,8 @@
 
 # A runner counts as known from so many runs on; fewer may all have been stated too low.
 LEAST_RUNS = 6
-# An objective leaves a task about one and a half times its usual time. Where either end of the
-# known runners is no farther from the usual, it does not matter which of them a task gets.
+# Objectives leave a task little more than one and a half times its usual time. Where either end of
+# the known runners is no farther from the usual, it does not matter which of them a task gets.
 UNEVEN_FACTOR = 1.5**2
 # The share of the runners that lie beyond either end.
 END_SHARE = 0.1
--- a/src/gapdrum/core/runner_speed.py
+++ b/src/gapdrum/core/runner_speed.py
@@ -9,8 +9,11 @@
 
 # Stated work is 40% off: the median of so many runs is less than a tenth off.
 RUNS_KEPT = 24
-# Runs that are older say nothing of now: a runner may be slow for some seconds.
+# With some newer ones, older runs say nothing of now: a runner may be slow for some seconds.
 VALID_MS = 3_000
+LEAST_VALID = 6
+# A slow runner gets little work and is taken as slow for so long; after that it is tried again.
+IDLE_VALID_MS = 10_000
 PERMILLE = 1_000
 # What is told is rounded to this, so that a small change is no news to entries.
 ROUNDED_TO_PERMILLE = 20
@@ -67,6 +70,8 @@
         return max(1, round(found / ROUNDED_TO_PERMILLE)) * ROUNDED_TO_PERMILLE
 
     def _valid(self, now_ms: int) -> list[float]:
-        since_ms = now_ms - VALID_MS
         samples = (*self._ended, *self._under_way.values())
-        return [sample.ratio for sample in samples if sample.noted_ms >= since_ms]
+        recent = [one.ratio for one in samples if one.noted_ms >= now_ms - VALID_MS]
+        if len(recent) >= LEAST_VALID:
+            return recent
+        return [one.ratio for one in samples if one.noted_ms >= now_ms - IDLE_VALID_MS]
