--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -32,6 +32,11 @@
     When the reader reads
     Then only whole lines were written
 
+  Scenario: what a timer's callback lets pass is written with its trace, and the timer goes on
+    Given an event log whose reader does not read
+    When a callback of its timers fails twice
+    Then 2 lines "unexpected" tell the trace
+
   Scenario: what was lost in a run is told by reason
     Given logs of jobs that were served, refused, given up, late and left without an end
     Then "gapdrum logs losses" tells of these jobs
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -1,5 +1,6 @@
 """Steps that explain requests from logs and figures."""
 
+import asyncio
 import json
 import os
 import subprocess
@@ -17,6 +18,7 @@
 from gapdrum.losses import sum_up_losses
 from gapdrum.measures import Measures
 from gapdrum.timelines import read_lines
+from gapdrum.timers import Timers
 
 
 def trace(context, request):
@@ -91,6 +93,34 @@
     assert all(json.loads(line)["event"] == "note" for line in lines)
 
 
+@when("a callback of its timers fails twice")
+def callback_fails(context):
+    async def fail_twice():
+        timers, log = Timers(), context.log
+        log._timers = timers
+        log.open()
+        calls = []
+
+        def fail():
+            calls.append(1)
+            raise LookupError("no such row")
+
+        timers.subscribe(1, fail)
+        while len(calls) < 2:
+            await asyncio.sleep(0.001)
+        timers.stop()
+
+    asyncio.run(fail_twice())
+
+
+@then('{count:d} lines "{event}" tell the trace')
+def trace_written(context, count, event):
+    lines = [json.loads(line) for line in context.log._lines]
+    texts = [line["text"] for line in lines if line["event"] == event]
+    assert len(texts) == count, lines
+    assert all("no such row" in text and "in fail" in text for text in texts), texts
+
+
 # Times since the job was handed in: of each event of a job, in milliseconds.
 SERVED = {"begun": 0, "started": [5, 6], "ended": 110}
 LATE_FIRST = {"begun": 0, "started": [90, 91], "ended": 240}
