--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -59,19 +59,16 @@
     And one line "requests_refused" tells the reason "no_configuration" and 300 refusals
     And the metrics count 300 of "requests_refused" for "no_configuration"
 
-  # A request that is taken without a configuration is answered 503, and its job never runs. A caller
-  # whose connection is refused tries another entry at once.
-  Scenario Outline: an entry that starts listens for callers once it has a configuration
-    Given a program of an entry that starts
-    When <event> after <after> ms
-    Then it <listens> for callers before <checked> ms
+  # 6 callers were refused within 20 ms after a start, as the first call of the store was on its way.
+  Scenario: a caller waits for the first configuration while it is on its way
+    Given an entry without a configuration, which is on its way
+    When a caller hands in a waiting job of 100 ms, and the configuration comes
+    Then the answer is none yet
 
-    Examples:
-      | event                   | after | listens          | checked |
-      | nothing comes           | 0     | does not listen  | 100     |
-      | the configuration comes | 20    | listens          | 100     |
-      | nothing comes           | 0     | listens          | 300     |
-      | it is asked to stop     | 20    | does not listen  | 300     |
+  Scenario: a caller does not wait for a configuration for longer than its answer is worth something
+    Given an entry without a configuration, which is on its way
+    When a caller hands in a waiting job of 100 ms, and the configuration does not come
+    Then the answer is 503 no_configuration
 
   Scenario Outline: an entry that has had a configuration refuses nobody for want of one
     Given an entry with a configuration
@@ -83,6 +80,7 @@
       | the configuration's row is gone  |
       | the configuration is malformed   |
       | an older configuration is read   |
+      | the feed of the table has failed |
 
   Scenario Outline: what turns a request away before it is a job is counted
     Given an entry with a configuration
@@ -144,7 +142,7 @@
     Then a caller that hands in a waiting job of 100 ms is not refused
 
   Scenario: an entry asks no other one while the store may tell the configuration
-    Given an entry without a configuration, which the store may tell
+    Given an entry without a configuration, which is on its way
     And another entry with version 7 of the configuration
     When it asks the other entry
     Then it has version 0 of the configuration
--- a/src/gapdrum/entry/configuration_watch.py
+++ b/src/gapdrum/entry/configuration_watch.py
@@ -1,6 +1,7 @@
 """Keeps the newest configuration in force in this process; its version never falls."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from gapdrum.core.configuration import Configuration
@@ -9,6 +10,11 @@
 from gapdrum.operator_feed import TableNews
 from gapdrum.platform.configuration import decode_configuration
 from gapdrum.platform.operator_table import CONFIGURATION_ROW
+from gapdrum.timers import MS_PER_S
+
+# A process that starts has its first configuration within a few calls of the store. To the caller
+# of a short job an answer that comes later than this is worth nothing.
+FIRST_WITHIN_MS = 500
 
 
 class ConfigurationWatch:
@@ -19,13 +25,21 @@
         self.current: Configuration | None = None
         self.value: bytes | None = None  # of its row, to tell other entries
         self.on_change: Callable[[Configuration], None] = lambda _configuration: None
-        self.taken = asyncio.Event()  # set once there is one
+        self.is_expected: Callable[[], bool] = lambda: True
+        self._taken = asyncio.Event()
 
     @property
     def known(self) -> bool:
         """Tell whether there is a configuration yet."""
         return self.current is not None
 
+    async def first(self) -> Configuration | None:
+        """Return the configuration; wait a little for the first one while it is expected."""
+        if self.current is None and self.is_expected():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._taken.wait(), FIRST_WITHIN_MS / MS_PER_S)
+        return self.current
+
     def take_table(self, news: TableNews) -> None:
         """Take rows of the operators' table."""
         for row in news.rows:
@@ -48,7 +62,7 @@
             return
         self.current = configuration
         self.value = row.value
-        self.taken.set()
+        self._taken.set()
         self._log.write(
             "configuration_in_force",
             version=configuration.version,
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -100,7 +100,7 @@
         return json_response(error.http_status, document, retry_after_s=retry_after_s)
 
     async def _route(self, request: HttpRequest) -> HttpResponse:
-        configuration = self._configuration.current
+        configuration = await self._configuration.first()
         if configuration is None:
             self.refusals.count(503, "no_configuration")
             return _refusal(503, "no_configuration", RETRY_AFTER_S)
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -47,9 +47,6 @@
 LINK_CHECK_INTERVAL_MS = 500
 TAKEOVER_INTERVAL_MS = 100
 REACH_INTERVAL_MS = 250
-# Without a configuration an entry listens only after this, and refuses: outages of the store last
-# seconds, and callers should hear of a longer one.
-LISTEN_WITHIN_MS = 5_000
 # The balancer takes an instance out after two misses, a second apart; until then, work comes.
 KEEP_SERVING_MS = 2_500
 # Stored jobs are handed over so long before the end of the time allowed: others need time to
@@ -158,6 +155,7 @@
         self.operators.subscribe(self.zones.take_table)
         self.operators.subscribe(self.configuration.take_table)
         self.configuration.on_change = self._take_configuration
+        self.configuration.is_expected = lambda: not self.operators.is_failing
         self.inquiry.is_store_away = lambda: self.operators.is_failing
         self.links.configuration_value = lambda: self.configuration.value
         self.listener.on_refused = self.front.refusals.count
@@ -247,8 +245,7 @@
         self.takeover.ask()
 
     def _show_readiness(self, _request: HttpRequest) -> HttpResponse:
-        serves = not self.leaving and self.listener.is_open and self.configuration.known
-        ready = serves and self.lease.valid and self.store.up
+        ready = not self.leaving and self.configuration.known and self.lease.valid and self.store.up
         return json_response(200 if ready else 503, {"ready": ready})
 
     @staticmethod
@@ -304,6 +301,7 @@
             await self.control.open(boot.runner_reports.host, boot.runner_reports.port)
         self.background.keep(self.operators.follow)
         self.background.keep(self._keep_lease)
+        await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
         self.timers.subscribe(TICK_MS, self._tick)
         self.timers.subscribe(ASK_INTERVAL_MS, self.inquiry.ask_if_wanted)
@@ -313,22 +311,11 @@
         self.timers.subscribe(TAKEOVER_INTERVAL_MS, self.takeover.scan_if_wanted)
         self.timers.subscribe(PROGRESS_INTERVAL_MS, self.endings.store_progress)
         self.log.write("started", role="entry", zone=boot.zone, life=self.lease.incarnation)
-        await self.open_to_callers(stopping)
         await stopping.wait()
         await self._shut_down()
         self.background.stop()
         return 0
 
-    async def open_to_callers(self, stopping: asyncio.Event) -> None:
-        """Let callers connect once they can be served, unless the process is to stop before that.
-
-        One whose connection is refused tries another entry at once, while one whose request is
-        taken without a configuration must be told that its job never runs.
-        """
-        await _wait_for_any(self.configuration.taken, stopping, within_ms=LISTEN_WITHIN_MS)
-        if not stopping.is_set():
-            await self.listener.open(self.boot.callers.host, self.boot.callers.port)
-
     def _note_reload(self) -> None:
         self.log.write("settings_signal", note="read again at the next start")
 
@@ -365,14 +352,6 @@
             await asyncio.sleep(BUSY_POLL_MS / MS_PER_S)
 
 
-async def _wait_for_any(*events: asyncio.Event, within_ms: int) -> None:
-    """Return once one of the events is set, or after a time."""
-    waits = [asyncio.ensure_future(event.wait()) for event in events]
-    await asyncio.wait(waits, timeout=within_ms / MS_PER_S, return_when=asyncio.FIRST_COMPLETED)
-    for wait in waits:
-        wait.cancel()
-
-
 def _advertised_port(boot: Boot) -> int:
     """Return the port at which agents are to reach the streams."""
     return int(os.environ.get(ADVERTISED_PORT_VARIABLE, boot.streams_port))
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -55,15 +55,9 @@
         self.timers.subscribe(SWEEP_INTERVAL_MS, self._sweep)
         return self._server.sockets[0].getsockname()[1]
 
-    @property
-    def is_open(self) -> bool:
-        """Tell whether new connections are taken."""
-        return self._server is not None and self._server.is_serving()
-
     def close(self) -> None:
         """Take no new connections."""
-        if self._server is not None:
-            self._server.close()
+        self._server.close()
 
     def start_closing(self) -> None:
         """Answer what still comes, and end each connection after its next answer."""
