--- a/features/uneven_runners.feature
+++ b/features/uneven_runners.feature
@@ -109,13 +109,6 @@
     When a task of 100 ms with data on "rack-1" is late for its rack and goes there
     Then the agent is told that it takes 300 ms
 
-  Scenario: tasks with other choices leave a rack alone for which others wait
-    Given 20 runners on racks of 5, and tasks that take 3.0 times as long away from their data
-    And a task that waits for "rack-1"
-    Then of 100 tasks of 100 ms at most 0 go to "rack-1"
-    And a task of 1000 ms with data on "rack-1" that has waited for 0 ms goes to rack "rack-1"
-    And 301 ms later of 100 tasks of 100 ms at least 10 go to "rack-1"
-
   Scenario: jobs that wait for better runners hold up no others
     Given an entry that sees one runner on "rack-2", far tasks taking 3.0 times as long
     And a runner on "rack-1" without room
@@ -142,15 +135,10 @@
     Then at least 98% of the worth is earned, and 90% of any kind and size of job
     And less is earned without it by 0.03 or more
     And the mark is lower without it by 0.06 or more
-    And more of the jobs end late without it by 0.01 or more
+    And more of the jobs end late without it by 0.005 or more
 
   Scenario: when it is busy, what is slow or far is not begun where it ends late
     When the load "busy uneven runners" of the seeds 1 and 2 is played with and without "waiting_for_better"
     Then at least 88% of the worth is earned, and 65% of any kind and size of job
     And less is earned without it by 0.1 or more
     And more of the jobs end late without it by 0.05 or more
-
-  Scenario: where many want the same racks, others leave them that room
-    When the load "hot rack" of the seeds 1 and 2 is played with and without "hot_racks"
-    Then at least 95% of the worth is earned, and 75% of any kind and size of job
-    And the mark is lower without it by 0.01 or more
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -28,7 +28,7 @@
 # Times left are told apart by their doublings, up to about a minute.
 MOST_HALVINGS = 16
 
-Score = tuple[bool, bool, Promptness, bool, bool, float, bool, int]
+Score = tuple[bool, bool, Promptness, bool, float, bool, int]
 
 
 @attrs.frozen
@@ -43,7 +43,6 @@
     suspects_allowed: bool
     speeds: FleetSpeeds
     far_factor: float = 1.0  # how much longer a task takes away from its data's rack
-    hot_racks: frozenset[str] = frozenset()  # where more tasks have their data than find room
     _best: dict[tuple[str, str], float] = attrs.field(factory=dict, init=False)
 
     def is_slow(self, view: RunnerView) -> bool:
@@ -78,7 +77,6 @@
     upstream: str,
     least_cpu_milli: int = 0,
     far_factor: float = 1.0,
-    hot_racks: frozenset[str] = frozenset(),
 ) -> Field:
     """Return the runners of an upstream that may be considered for tasks of some size or more."""
     states = (orders.READY, orders.SUSPECT)
@@ -91,7 +89,7 @@
     with_room = tuple(view for view in views if view.free.cpu_milli >= least_cpu_milli)
     suspects_allowed = suspects > len(views) * MAX_SUSPECT_SHARE
     speeds = measure_speeds(views)
-    return Field(views, with_room, suspects_allowed, speeds, far_factor, hot_racks)
+    return Field(views, with_room, suspects_allowed, speeds, far_factor)
 
 
 class Standing(enum.IntEnum):
@@ -221,8 +219,8 @@
 def _score(view: RunnerView, task: Task, outlook: Outlook, field: Field, zone: str) -> Score:
     """Return what is compared between runners that have room for a task.
 
-    Not avoided, not slow, in time, data near, leaves scarce racks to others, room (the less the
-    slower the runner), own zone, exact room.
+    Not avoided, not slow, in time, data near, room (the less the slower the runner), own zone,
+    exact room.
     """
     capacity = max(1, view.capacity.cpu_milli)
     free_cpu_milli = view.free.cpu_milli
@@ -232,7 +230,6 @@
         not field.is_slow(view),
         min(outlook.best, outlook.promptness(view)),
         not rack or rack in view.labels,
-        rack in field.hot_racks or field.hot_racks.isdisjoint(view.labels),
         free_cpu_milli * FREE_SHARE_STEPS / field.speeds.of(view) // capacity,
         view.agent.zone == zone,
         free_cpu_milli,
@@ -241,5 +238,5 @@
 
 def _is_sound(score: Score, outlook: Outlook) -> bool:
     """Tell whether nothing speaks against a runner."""
-    not_avoided, not_slow, prompt, near, leaves_racks, *_ = score
-    return not_avoided and not_slow and prompt == outlook.best and near and leaves_racks
+    not_avoided, not_slow, prompt, near, *_ = score
+    return not_avoided and not_slow and prompt == outlook.best and near
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -11,7 +11,6 @@
 from gapdrum.core.expected_end import distance
 from gapdrum.core.fleet import Fleet
 from gapdrum.core.fleet_speeds import measure_speeds
-from gapdrum.core.hot_racks import HotRacks
 from gapdrum.core.jobs import Job, Place, Task, TaskPhase
 from gapdrum.core.models import Step
 from gapdrum.core.outside import Outside
@@ -53,7 +52,6 @@
     rng: random.Random
     far_factor: float = 1.0  # how much longer a task takes away from its data's rack
     durations: TaskDurations = attrs.Factory(TaskDurations)
-    hot_racks: HotRacks = attrs.Factory(HotRacks)
     stragglers: Stragglers = attrs.Factory(
         lambda self: Stragglers(self.far_factor), takes_self=True
     )
@@ -114,27 +112,24 @@
             self.demand = ()
             return
         jobs = [self.jobs[job_id] for job_id in self.waiting]
-        fields = self._build_fields(jobs, now_ms)
+        fields = self._build_fields(jobs)
         if self._may_skip(fields, now_ms):
             return
         self._untried = False
         self._tried_ms = now_ms
         self._try_all(jobs, fields, now_ms)
 
-    def _build_fields(self, jobs: list[Job], now_ms: int) -> dict[str, Field]:
+    def _build_fields(self, jobs: list[Job]) -> dict[str, Field]:
         """Return the runners of each upstream for which a job waits."""
         least_cpu_milli: dict[str, int] = {}
         for job in jobs:
             least = least_cpu_milli.get(job.upstream, job.least_cpu_milli)
             least_cpu_milli[job.upstream] = min(least, job.least_cpu_milli)
-        return {
-            name: self._build_field(name, now_ms, least) for name, least in least_cpu_milli.items()
-        }
+        return {name: self._build_field(name, least) for name, least in least_cpu_milli.items()}
 
-    def _build_field(self, upstream: str, now_ms: int, least_cpu_milli: int = 0) -> Field:
-        hot_racks = self.hot_racks.list_hot(now_ms)
+    def _build_field(self, upstream: str, least_cpu_milli: int = 0) -> Field:
         runners = self.fleet.open_runners()
-        return build_field(runners, upstream, least_cpu_milli, self.far_factor, hot_racks)
+        return build_field(runners, upstream, least_cpu_milli, self.far_factor)
 
     def _may_skip(self, fields: dict[str, Field], now_ms: int) -> bool:
         """Tell whether trying all jobs would be in vain: under overload most reports bring none."""
@@ -200,8 +195,6 @@
         return held or any(task.phase is TaskPhase.WAITING for task in ready)
 
     def _note_held(self, job: Job, task: Task, field: Field, now_ms: int) -> None:
-        if task.step.data_rack and self.far_factor > 1.0:
-            self.hot_racks.note_held(task.step.data_rack, now_ms)
         if not task.held_noted:
             task.held_noted = True
             leaves_room = waits_for_better(job, task, field, now_ms)
@@ -283,7 +276,7 @@
     def judge_straggler(self, job: Job, task: Task, event: orders.RunEvent, now_ms: int) -> Verdict:
         """Tell whether a run that straggles is to be placed anew, and count the move."""
         task.avoided.add(task.place.runner_id)
-        field = self._build_field(job.upstream, now_ms)
+        field = self._build_field(job.upstream)
         there = choose_runner(job, task, field, self.zone, now_ms, self.rng)
         if there is not None and there.place.runner_id in task.avoided:
             there = None
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -142,9 +142,6 @@
         gauges["runners_seen"] = lambda: len(self.dispatch.fleet.runners)
         gauges["free_cpu_milli"] = self.dispatch.fleet.free_cpu_milli
         gauges["runners_of_uneven_speed"] = self.dispatch.placer.count_uneven
-        gauges["racks_short_of_room"] = lambda: len(
-            self.dispatch.placer.hot_racks.list_hot(self.timers.now_ms())
-        )
         gauges["lease_held"] = lambda: self.lease.valid
         gauges["store_up"] = lambda: self.store.up
         gauges["configuration_version"] = self._configuration_version
--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -28,7 +28,6 @@
     stragglers,
 )
 from gapdrum.core import subsets as core_subsets
-from gapdrum.core.hot_racks import HotRacks
 from gapdrum.core.placement_rules import Standing
 from gapdrum.core.placer import Placer
 from gapdrum.core.room_offers import RoomOffers
@@ -149,12 +148,6 @@
     return [mock.patch.object(expected_end.Outlook, "is_worth_waiting", lambda *_: False)]
 
 
-@switch
-def hot_racks() -> Patches:
-    """Leave no room to tasks that have their data there."""
-    return [mock.patch.object(HotRacks, "list_hot", lambda *_: frozenset())]
-
-
 @switch
 def candidates() -> Patches:
     """Take the first runner that has room."""
