--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -10,6 +10,7 @@
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
 from gapdrum.core.models import RunKey, TaskName
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS
 from gapdrum.core.runner_ledger import not_started
 from gapdrum.event_log import EventLog
@@ -31,6 +32,7 @@
         reports: Reports,
         timers: Timers,
         log: EventLog,
+        shares: RoomShares | None = None,
     ) -> None:
         self._links = links
         self._keepers = keepers
@@ -38,6 +40,7 @@
         self._reports = reports
         self._timers = timers
         self._log = log
+        self.shares = shares or RoomShares()
         self.zones = ZoneWatch(log)
         self._epochs: OrderedDict[str, int] = OrderedDict()
 
@@ -61,6 +64,9 @@
             if keeper.ledger.upstream not in link.demand:
                 keeper.offers.decline(link.owner)
 
+    def _take_queue_demands(self, link: EntryLink, told: orders.QueueDemands) -> None:
+        self.shares.take(link.entry, told.queues, self._timers.now_ms())
+
     def _take_zones(self, link: EntryLink, told: orders.ZoneDrainsTold) -> None:
         self.zones.take_told(told, source=link.entry)
 
@@ -207,6 +213,7 @@
     _HANDLERS: dict[type, Callable] = {
         orders.BeatEcho: _take_echo,
         orders.RoomDemand: _take_demand,
+        orders.QueueDemands: _take_queue_demands,
         orders.ZoneDrainsTold: _take_zones,
         orders.StartOrder: _take_order,
         orders.StopOrder: _take_stop,
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -17,6 +17,7 @@
 from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.records import EntryAddress
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.run_bounds import RunBounds
 from gapdrum.core.runner_ledger import HeldOwner
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
@@ -51,7 +52,10 @@
         )
         self.directory = EntryDirectory(RowStore(boot.store, log), self.links, log, _seeds(boot))
         self.reports = Reports(self.links, self.keepers, timers)
-        self.orders = EntryOrders(self.links, self.keepers, self.grants, self.reports, timers, log)
+        self.shares = RoomShares()
+        self.orders = EntryOrders(
+            self.links, self.keepers, self.grants, self.reports, timers, log, self.shares
+        )
         self.links.held_owners = self._held_owners
         self.links.on_joined = self._welcome
         self.links.on_renamed = self.orders.rename_owner
@@ -65,7 +69,14 @@
         self.orders.zones = self.zones
         self.links.drained_zones = lambda: self.zones.drains.zones
         self.runners = RunnerRegistry(
-            boot, self.keepers, self.grants, self.reports, timers, log, self.zones
+            boot,
+            self.keepers,
+            self.grants,
+            self.reports,
+            timers,
+            log,
+            self.zones,
+            shares=self.shares,
         )
         self.control = HttpListener(self.runners.handle, HttpLimits(), timers)
         self._background = Background(log)
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -22,6 +22,8 @@
 # was refused: by older figures than 25 ms most of its orders would be refused.
 SCARCE_MS = 2_000
 NOBODY = ""  # no entry's owner: all that is kept for anybody is kept from it
+# What is kept from a queue is told while it leaves less than this share of a runner to the queue.
+AMPLE_SHARE = 0.25
 FREES_ROOM = (orders.ENDED, orders.NOT_STARTED, orders.LOST)
 
 
@@ -72,8 +74,13 @@
         if room.cpu_milli <= 0 or room.memory_mb < 0:
             return None
         waiting = [link for link in self._links if upstream in link.demand]
+        kept = keeper.kept_cpu_milli()
         fitting = [
-            link for link in waiting if link.demand[upstream].least_cpu_milli <= room.cpu_milli
+            link
+            for link in waiting
+            if _fits(
+                link.demand[upstream], room.cpu_milli - kept.get(link.demand[upstream].queue, 0)
+            )
         ]
         if not fitting:
             return None
@@ -117,6 +124,20 @@
             free.accelerators,
             link.orders,
             ledger.health.slowness_permille(self._timers.now_ms()),
+            self._kept_rows(keeper, free),
+        )
+
+    @staticmethod
+    def _kept_rows(keeper: RunnerKeeper, free: Resources) -> tuple[orders.KeptRoom, ...]:
+        """Return what is kept from queues, while the runner is nearly full."""
+        if keeper.ledger.capacity is None or free.cpu_milli <= 0:
+            return ()
+        ample = free.cpu_milli - AMPLE_SHARE * keeper.ledger.capacity.cpu_milli
+        kept = keeper.kept_cpu_milli()
+        return tuple(
+            orders.KeptRoom(queue, cpu_milli)
+            for queue, cpu_milli in kept.items()
+            if cpu_milli > ample
         )
 
     def _tell_room(self, keeper: RunnerKeeper, link: EntryLink) -> None:
@@ -224,3 +245,7 @@
             )
             for link in told if rows else ():
                 link.send(orders.RunEvents(keeper.runner_id, rows))
+
+
+def _fits(demand: orders.UpstreamDemand, room_cpu_milli: int) -> bool:
+    return room_cpu_milli > 0 and demand.least_cpu_milli <= room_cpu_milli
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -9,6 +9,7 @@
 from gapdrum.core.models import Resources
 from gapdrum.core.orders import RunEvent
 from gapdrum.core.room_offers import RoomOffers
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.event_log import EventLog
 from gapdrum.platform.runner_calls import RunnerCalls
@@ -37,6 +38,7 @@
     lease_until_ms: int = 0
     offers: RoomOffers = attrs.Factory(RoomOffers)
     bound: LeaseBound = attrs.Factory(LeaseBound)
+    shares: RoomShares = attrs.Factory(RoomShares)
 
     @property
     def runner_id(self) -> str:
@@ -47,6 +49,22 @@
         """Return the room that an owner may use now."""
         return self.ledger.free - self.offers.kept_from(owner, now_ms)
 
+    def kept_cpu_milli(self, now_ms: int) -> dict[str, int]:
+        """Return how much of the free room is kept from which queues."""
+        ledger = self.ledger
+        if ledger.capacity is None:
+            return {}
+        capacity = ledger.capacity.cpu_milli
+        return self.shares.kept(ledger.upstream, capacity, ledger.used_cpu_milli, now_ms)
+
+    def is_kept_from(self, queue: str, room: Resources, free: Resources, now_ms: int) -> bool:
+        """Tell whether a task would take room that is kept from its queue."""
+        ledger = self.ledger
+        kept = self.shares.kept_from(
+            ledger.upstream, queue, ledger.capacity.cpu_milli, ledger.used_cpu_milli, now_ms
+        )
+        return free.cpu_milli - room.cpu_milli < kept
+
     def lease_left_ms(self, now_ms: int) -> int:
         """Return how long what runs may go on: a full lease, less if an owner is silent.
 
--- a/src/gapdrum/agent/runner_keeper.py
+++ b/src/gapdrum/agent/runner_keeper.py
@@ -11,6 +11,7 @@
 from gapdrum.core.endpoints import Endpoint
 from gapdrum.core.models import Resources, RunEnd
 from gapdrum.core.room_offers import RoomOffers
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.runner_health import REST_MS
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.core.runner_models import Heartbeat, ListedRunner, RunnerLook
@@ -53,6 +54,7 @@
         log: EventLog,
         report: Report,
         on_looked: Looked,
+        shares: RoomShares | None = None,
     ) -> None:
         self.ledger = RunnerLedger(runner_id)
         self.address = address
@@ -64,6 +66,7 @@
             timers,
             log,
             lambda events: report(self, events),
+            shares=shares or RoomShares(),
         )
         self.starts = RunnerStarts(self._context)
         self._timers = timers
@@ -76,6 +79,10 @@
         """Return what freed room is kept for whom."""
         return self._context.offers
 
+    def kept_cpu_milli(self) -> dict[str, int]:
+        """Return how much of the free room is kept from which queues."""
+        return self._context.kept_cpu_milli(self._timers.now_ms())
+
     def free_for(self, owner: str) -> Resources:
         """Return the room that an owner may use now."""
         return self._context.free_for(owner, self._timers.now_ms())
--- a/src/gapdrum/agent/runner_registry.py
+++ b/src/gapdrum/agent/runner_registry.py
@@ -8,6 +8,7 @@
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.background import Background
 from gapdrum.core.endpoints import Endpoint
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.runner_models import Heartbeat
 from gapdrum.event_log import EventLog
 from gapdrum.platform.boot import Boot
@@ -50,6 +51,7 @@
         log: EventLog,
         zones: ZoneWatch,
         identify: Identify = fetch_identity,
+        shares: RoomShares | None = None,
     ) -> None:
         self._boot = boot
         self._keepers = keepers
@@ -59,6 +61,7 @@
         self._log = log
         self._zones = zones
         self._identify = identify
+        self._shares = shares
         self._background = Background(log)
 
     def start(self) -> None:
@@ -127,6 +130,7 @@
             self._log,
             self._reports.report,
             self._reports.tell_holdings,
+            self._shares,
         )
         self._keepers[runner_id] = keeper
         self.take_zones()
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -59,8 +59,11 @@
             return orders.ORDER_EXPIRED
         if self._context.lease_outlasts(owner, order.kept, now_ms):
             return orders.ORDER_EXPIRED
-        if not self._context.free_for(owner, now_ms).holds(row.room):
+        free = self._context.free_for(owner, now_ms)
+        if not free.holds(row.room):
             return orders.NO_ROOM
+        if self._context.is_kept_from(order.queue, row.room, free, now_ms):
+            return orders.ROOM_KEPT
         return None
 
     def _begin(
--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -6,6 +6,8 @@
 
 from gapdrum.structures import count_field, text_field
 
+PERMILLE = 1_000
+
 
 def _check_factor(_instance: object, attribute: attrs.Attribute, value: object) -> None:
     if not math.isfinite(value) or value < 0:
@@ -17,7 +19,9 @@
     """Where jobs are submitted: a host and a path prefix, and how its jobs are run.
 
     ``latency_slack_ms`` and ``latency_factor`` make up a job's objective: the factor times its
-    longest chain of work, plus the slack.
+    longest chain of work, plus the slack. Queues of one priority share scarce room by their
+    ``weight``; ``reserved_permille`` of the room is kept for the queue while it is scarce, and the
+    queue never uses more of a runner than ``ceiling_permille``.
     """
 
     name: str = text_field()
@@ -29,11 +33,27 @@
     latency_factor: float = attrs.field(validator=_check_factor)
     latency_slack_ms: int = count_field()
     timeout_ms: int = count_field()
+    weight: int = count_field(minimum=1, default=1)
+    reserved_permille: int = count_field(maximum=PERMILLE, default=0)
+    ceiling_permille: int = count_field(maximum=PERMILLE, minimum=1, default=PERMILLE)
+
+    @property
+    def has_own_share(self) -> bool:
+        """Tell whether operators have set a part of the room for it, or a limit."""
+        return bool(self.reserved_permille) or self.ceiling_permille < PERMILLE
+
+
+@attrs.frozen
+class ShareFinding:
+    """A value of a queue's share that can't be taken: where it is, and what is wrong with it."""
+
+    place: str
+    message: str
 
 
 @attrs.frozen
 class Configuration:
-    """One version of the configuration."""
+    """One version of the configuration; ``findings`` tell which values were not taken."""
 
     version: int = count_field()
     queues: tuple[Queue, ...] = attrs.field()
@@ -41,6 +61,7 @@
     max_body_bytes: int = count_field(minimum=1)
     header_timeout_ms: int = count_field(minimum=1)
     idle_timeout_ms: int = count_field(minimum=1)
+    findings: tuple[ShareFinding, ...] = ()
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path, None if there is none."""
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -1,5 +1,6 @@
 """The agents and runners that an entry sees, and what their silence means."""
 
+from collections import Counter
 from collections.abc import Collection
 
 import attrs
@@ -46,6 +47,14 @@
         """Return the processor room that is seen as free, in thousandths of a core."""
         return sum(max(0, runner.free.cpu_milli) for runner in self.open_runners())
 
+    def room_cpu_milli(self) -> dict[str, int]:
+        """Return all the processor room that is seen, by upstream."""
+        room: Counter[str] = Counter()
+        for runner in self.open_runners():
+            if runner.state in (orders.READY, orders.SUSPECT):
+                room[runner.upstream] += runner.capacity.cpu_milli
+        return room
+
     def free_permille(self) -> int:
         """Return the share of the processor room that is seen as free."""
         total = sum(runner.capacity.cpu_milli for runner in self.open_runners())
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -36,6 +36,7 @@
 
 # Why an agent did not start what was ordered.
 NO_ROOM = "no_room"
+ROOM_KEPT = "room_kept"  # for queues that can't wait for it
 JOB_SUPERSEDED = "job_superseded"
 ORDER_EXPIRED = "order_expired"
 RUNNER_GONE = "runner_gone"
@@ -102,13 +103,22 @@
         )
 
 
+@attrs.frozen
+class KeptRoom:
+    """How much of the free room of a runner is kept from a queue."""
+
+    queue: str = text_field()
+    cpu_milli: int = count_field()
+
+
 @message(46)
 @attrs.frozen
 class RoomReport:
     """The free room of a runner, which changes with each start and end.
 
     ``orders`` counts the runs ordered on this stream so far; ``slowness_permille`` is how long
-    its runs take against their estimates, 0 if not known.
+    its runs take against their estimates, 0 if not known. Queues that no free room is kept from
+    are not named in ``kept``.
     """
 
     runner_id: str = text_field()
@@ -117,6 +127,7 @@
     free_accelerators: int = signed_field()
     orders: int = count_field()
     slowness_permille: int = count_field()
+    kept: tuple[KeptRoom, ...] = rows_field(KeptRoom, MAX_ROWS, default=())
 
     @property
     def free(self) -> Resources:
@@ -298,7 +309,7 @@
 
 @attrs.frozen
 class UpstreamDemand:
-    """How urgent the first job is that waits for room at an upstream, and how many wait.
+    """How urgent the first job is that waits for room at an upstream, its queue, how many wait.
 
     Less free room than ``least_cpu_milli`` is of no use to any of them.
     """
@@ -307,6 +318,7 @@
     urgency: int
     jobs: int
     least_cpu_milli: int = 0
+    queue: str = ""
 
 
 @message(57)
@@ -317,6 +329,35 @@
     upstreams: tuple[UpstreamDemand, ...] = rows_field(UpstreamDemand, MAX_ROWS)
 
 
+@attrs.frozen
+class QueueDemand:
+    """What a queue has been asking for lately, in millionths of the room that the entry sees.
+
+    A run takes about ``run_ms``, and a job may wait for about ``patience_ms`` until it begins.
+    ``deviation_ppm`` is the standard deviation of what is asked for at a time. The rest is the
+    queue's part in the operators' configuration.
+    """
+
+    upstream: str = text_field()
+    queue: str = text_field()
+    priority: int = count_field()
+    run_ms: int = count_field()
+    patience_ms: int = count_field()
+    asked_ppm: int = count_field()
+    deviation_ppm: int = count_field()
+    weight: int = count_field(minimum=1)
+    reserved_permille: int = count_field(1_000)
+    ceiling_permille: int = count_field(1_000)
+
+
+@message(65)
+@attrs.frozen
+class QueueDemands:
+    """What the queues ask for at an entry; it replaces what the entry told before."""
+
+    queues: tuple[QueueDemand, ...] = rows_field(QueueDemand, MAX_ROWS)
+
+
 @attrs.frozen
 class JobEpoch:
     """A job and the epoch of its owner."""
--- a/src/gapdrum/core/placement_rules.py
+++ b/src/gapdrum/core/placement_rules.py
@@ -155,7 +155,7 @@
 def _may_take(view: RunnerView, job: Job, task: Task, field: Field, now_ms: int) -> bool:
     if view.state == orders.SUSPECT and not field.suspects_allowed:
         return False
-    if not view.free.holds(task.step.resources) or view.agent.is_quiet(now_ms):
+    if not view.may_use(job.queue, task.step.resources) or view.agent.is_quiet(now_ms):
         return False
     if field.is_slow(view) and _would_be_useless(view, job, task, now_ms):
         return False
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -22,6 +22,7 @@
     urgency_of,
     waiting_order,
 )
+from gapdrum.core.queue_demand import DemandMeter
 from gapdrum.core.runner_views import RunnerView
 
 # How many jobs of an upstream that find no room are looked at before its others are left to the
@@ -52,6 +53,7 @@
     far_factor: float = 1.0  # how much longer a task takes away from its data's rack
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
+    meter: DemandMeter = attrs.Factory(DemandMeter)
     _untried: bool = False
     _tried_ms: int = 0
     demand: tuple[orders.UpstreamDemand, ...] = ()  # of the jobs that found no room, lately
@@ -131,7 +133,7 @@
 
     def _try_all(self, jobs: list[Job], fields: dict[str, Field], now_ms: int) -> None:
         may_act = self.may_act()
-        urgencies: dict[str, int] = {}
+        first_held: dict[str, Job] = {}
         held: Counter[str] = Counter()
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
             if job.kept and not may_act or held[job.upstream] >= HELD_JOBS_TRIED:
@@ -144,13 +146,14 @@
                 continue
             if any(may_ever_fit(task, field) for task in job.ready_tasks()):
                 held[job.upstream] += 1
-                if job.upstream not in urgencies:  # the first to be held is the most urgent
-                    urgencies[job.upstream] = urgency_of(job, now_ms)
+                first_held.setdefault(job.upstream, job)  # the most urgent one
         waiting = Counter(job.upstream for job in jobs)
         least = self._least_waiting(jobs)
         self.demand = tuple(
-            orders.UpstreamDemand(name, urgency, waiting[name], least[name])
-            for name, urgency in urgencies.items()
+            orders.UpstreamDemand(
+                name, urgency_of(job, now_ms), waiting[name], least[name], job.queue
+            )
+            for name, job in first_held.items()
         )
 
     def _least_waiting(self, jobs: list[Job]) -> dict[str, int]:
@@ -172,7 +175,7 @@
             runner = choose_runner(job, task, field, self.zone, now_ms, self.rng)
             if runner is None:
                 held = True
-                self._note_held(job, task)
+                self._note_held(job, task, field)
                 if task.step.resources == refused:
                     break
                 refused = task.step.resources
@@ -183,12 +186,13 @@
             self._send_order(job, self.fleet.runners[key], tasks, now_ms)
         return held or any(task.phase is TaskPhase.WAITING for task in ready)
 
-    def _note_held(self, job: Job, task: Task) -> None:
+    def _note_held(self, job: Job, task: Task, field: Field) -> None:
         if not task.held_noted:
             task.held_noted = True
-            self.outside.note(
-                "task_held", request=job.job_id, task=task.name.text, reason="no_room"
-            )
+            room = task.step.resources
+            kept = any(view.keeps_from(job.queue, room) for view in field.with_room)
+            reason = orders.ROOM_KEPT if kept else orders.NO_ROOM
+            self.outside.note("task_held", request=job.job_id, task=task.name.text, reason=reason)
 
     def _assign(self, job: Job, task: Task, runner: RunnerView, now_ms: int) -> None:
         task.attempt = job.next_attempt(task)
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -5,7 +5,7 @@
 proven that the start will never take effect.
 """
 
-from collections import deque
+from collections import Counter, deque
 
 import attrs
 
@@ -128,6 +128,7 @@
     # Ends that nobody stores; the owner's stream may have failed before it heard of them.
     recent_ends: deque[NotedEnd] = attrs.Factory(deque)
     used: Resources = NOTHING
+    used_cpu_milli: Counter[str] = attrs.Factory(Counter)  # by queue
     health: RunnerHealth = attrs.Factory(RunnerHealth)
     unknown_runs: int = 0
 
@@ -175,7 +176,11 @@
         if run.room is None:
             self.unknown_runs += 1
         else:
-            self.used += run.room
+            self._take_room(run)
+
+    def _take_room(self, run: Run) -> None:
+        self.used += run.room
+        self.used_cpu_milli[run.queue] += run.room.cpu_milli
 
     def drop(self, key: RunKey) -> Run | None:
         """Give the room of a run back; None if it isn't here."""
@@ -186,6 +191,7 @@
             self.unknown_runs -= 1
         else:
             self.used -= run.room
+            self.used_cpu_milli[run.queue] -= run.room.cpu_milli
         return run
 
     def adopt(self, key: RunKey, owner: str, epoch: int, kept: bool, room: Resources) -> None:
@@ -196,7 +202,7 @@
         if run.room is None:
             self.unknown_runs -= 1
             run.room = room
-            self.used += room
+            self._take_room(run)
         run.owner = owner
         run.epoch = epoch
         run.kept = kept
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -50,6 +50,7 @@
     out: set[Task] = attrs.Factory(set)
     synced: bool = False
     slowness_permille: int = 0
+    kept_cpu_milli: dict[str, int] = attrs.Factory(dict)  # of the free room, by queue
 
     def take_report(self, report: orders.RunnerReport) -> None:
         """Take the agent's statement of what the runner is, and its state."""
@@ -62,10 +63,20 @@
         """Take the agent's count of room; orders that it includes are no longer counted here."""
         self.reported_free = report.free
         self.slowness_permille = report.slowness_permille
+        self.kept_cpu_milli = {row.queue: row.cpu_milli for row in report.kept}
         while self.unseen and self.unseen[0][0] <= report.orders:
             self.unseen.popleft()
         self._count()
 
+    def keeps_from(self, queue: str, room: Resources) -> bool:
+        """Tell whether there is room for a task, and it is kept for other queues."""
+        kept = self.kept_cpu_milli.get(queue, 0)
+        return self.free.holds(room) and self.free.cpu_milli - room.cpu_milli < kept
+
+    def may_use(self, queue: str, room: Resources) -> bool:
+        """Tell whether there is room for a task that is not kept from its queue."""
+        return self.free.holds(room) and not self.keeps_from(queue, room)
+
     def order(self, room: Resources) -> None:
         """Count an order that was sent."""
         self.orders_sent += 1
--- a/src/gapdrum/entry/admission.py
+++ b/src/gapdrum/entry/admission.py
@@ -51,6 +51,7 @@
     def judge(self, queue: Queue, steps: tuple[Step, ...]) -> Overload | None:
         """Return None to admit a job; it is refused if it would only wait until it is given up."""
         now_ms = self._timers.now_ms()
+        self._placer.meter.note(queue, steps, now_ms)
         chain_ms = longest_chain_ms(steps)
         within_ms = begin_within_ms(chain_ms, queue.latency_factor, queue.latency_slack_ms)
         begin_by_ms = now_ms + within_ms
--- a/src/gapdrum/entry/configuration_watch.py
+++ b/src/gapdrum/entry/configuration_watch.py
@@ -31,13 +31,20 @@
 
     def _take_row(self, row: Row) -> None:
         try:
-            configuration = decode_configuration(row)
+            configuration = decode_configuration(row, self.current)
         except ValueError as error:
             self._log.write("configuration_rejected", version=row.version, reason=str(error))
             return
         if self.current is not None and configuration.version <= self.current.version:
             return
         self.current = configuration
+        for finding in configuration.findings:
+            self._log.write(
+                "configuration_finding",
+                version=configuration.version,
+                place=finding.place,
+                reason=finding.message,
+            )
         self._log.write(
             "configuration_in_force",
             version=configuration.version,
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -22,6 +22,7 @@
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.links import AgentLinks
 from gapdrum.entry.peer_notices import PeerNotices
+from gapdrum.entry.queue_demand import TOLD_INTERVAL_MS, QueueDemandNotices
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.entry.takeover import Takeover
 from gapdrum.entry.waiting_callers import WaitingCallers
@@ -84,6 +85,7 @@
             timers.now_ms(),
             far_factor=boot.far_factor,
         )
+        self.queue_demand = QueueDemandNotices(self.links, self.dispatch.placer, timers)
         peers = PeerNotices(self.store, self.background, log, self.sent, self.received)
         self.endings = Endings(
             self.store, self.writer, self.dispatch, self.links, peers, timers, log
@@ -214,6 +216,7 @@
         self.limits.max_body_bytes = configuration.max_body_bytes
         self.limits.header_timeout_ms = configuration.header_timeout_ms
         self.limits.idle_timeout_ms = configuration.idle_timeout_ms
+        self.dispatch.placer.meter.take_queues(configuration.queues)
         for job in self.dispatch.jobs.values():
             queue = configuration.queue_named(job.queue)
             if queue is not None:
@@ -295,6 +298,7 @@
         self.timers.subscribe(TICK_MS, self._tick)
         self.timers.subscribe(LINK_CHECK_INTERVAL_MS, self.links.cut_silent)
         self.timers.subscribe(REACH_INTERVAL_MS, self._judge_reach)
+        self.timers.subscribe(TOLD_INTERVAL_MS, self.queue_demand.tell)
         self.timers.subscribe(TAKEOVER_INTERVAL_MS, self.takeover.scan_if_wanted)
         self.timers.subscribe(PROGRESS_INTERVAL_MS, self.endings.store_progress)
         self.log.write("started", role="entry", zone=boot.zone, life=self.lease.incarnation)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -50,6 +50,23 @@
 )
 _add("configuration_in_force", "A newer configuration is in force here.", "version", "queues")
 _add("configuration_rejected", "The configuration's row can't be read.", "version", "reason")
+_add(
+    "configuration_finding",
+    "A queue's share is not taken; its former values stay in force, or the defaults.",
+    "version",
+    "place",
+    "reason",
+)
+_add(
+    "room_kept",
+    "Free room of a runner is kept from a queue from now on, and what uses the runner.",
+    "runner",
+    "queue",
+    "kept_cpu_milli",
+    "free_cpu_milli",
+    "used_cpu_milli",
+)
+_add("room_released", "No room of a runner is kept from a queue any more.", "runner", "queue")
 _add("entry_feed_lost", "The feed of the entries' addresses broke.", "code", "reason")
 _add("entry_found", "The store names an entry.", "entry", "host")
 _add("entry_joined", "The stream to an entry is open.", "entry", "owner")
--- a/src/gapdrum/platform/configuration.py
+++ b/src/gapdrum/platform/configuration.py
@@ -5,25 +5,32 @@
 
 from gapdrum.core.configuration import Configuration, Queue
 from gapdrum.core.rows import Row
+from gapdrum.platform.queue_shares import apply_shares
 
 
-def decode_configuration(row: Row) -> Configuration:
-    """Return the configuration in its row; raises ValueError."""
+def decode_configuration(row: Row, former: Configuration | None = None) -> Configuration:
+    """Return the configuration in its row; raises ValueError.
+
+    Shares of queues that can't be taken leave the former ones in force, and a finding.
+    """
     try:
-        return _decode(json.loads(row.value))
+        return _decode(json.loads(row.value), former)
     except (LookupError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise ValueError(f"the configuration is malformed: {error}") from error
 
 
-def _decode(document: dict[str, Any]) -> Configuration:
+def _decode(document: dict[str, Any], former: Configuration | None) -> Configuration:
     limits = document["limits"]
+    routes = document["routes"]
+    shared = apply_shares(tuple(_decode_queue(route) for route in routes), routes, former)
     return Configuration(
         version=int(document["version"]),
-        queues=tuple(_decode_queue(route) for route in document["routes"]),
+        queues=shared.queues,
         max_header_bytes=int(limits["max_header_bytes"]),
         max_body_bytes=int(limits["max_body_bytes"]),
         header_timeout_ms=int(limits["header_timeout_ms"]),
         idle_timeout_ms=int(limits["idle_timeout_ms"]),
+        findings=shared.findings,
     )
 
 
--- /dev/null
+++ b/src/gapdrum/platform/queue_shares.py
@@ -0,0 +1,86 @@
+"""A queue's part of scarce room in the operators' configuration, checked by itself.
+
+A value that can't be taken costs neither the other queues nor the rest of the configuration.
+"""
+
+from collections import defaultdict
+from typing import Any
+
+import attrs
+
+from gapdrum.core.configuration import PERMILLE, Configuration, Queue, ShareFinding
+
+MOST_WEIGHT = 1_000
+# The least and the most value of each field.
+BOUNDS = {
+    "weight": (1, MOST_WEIGHT),
+    "reserved_permille": (0, PERMILLE),
+    "ceiling_permille": (1, PERMILLE),
+}
+
+
+@attrs.frozen
+class SharedQueues:
+    """The queues with their shares, and what is wrong with values that were not taken."""
+
+    queues: tuple[Queue, ...]
+    findings: tuple[ShareFinding, ...]
+
+
+def apply_shares(
+    queues: tuple[Queue, ...], routes: list[dict[str, Any]], former: Configuration | None
+) -> SharedQueues:
+    """Return the queues with the shares in their routes; bad ones leave the former in force."""
+    findings: list[ShareFinding] = []
+    taken = []
+    for number, (queue, route) in enumerate(zip(queues, routes, strict=True)):
+        found = _check_route(f"$.routes[{number}]", route)
+        findings += found
+        values = {name: route[name] for name in BOUNDS if name in route}
+        taken.append(_with_former(queue, former) if found else attrs.evolve(queue, **values))
+    return _limit_reserved(taken, findings, former)
+
+
+def _check_route(place: str, route: dict[str, Any]) -> list[ShareFinding]:
+    findings = []
+    for name, (least, most) in BOUNDS.items():
+        value = route.get(name, least)
+        if type(value) is not int or not least <= value <= most:
+            message = f"must be an integer between {least} and {most}"
+            findings.append(ShareFinding(f"{place}.{name}", message))
+    reserved = route.get("reserved_permille", 0)
+    if not findings and reserved > route.get("ceiling_permille", PERMILLE):
+        message = "must be no more than ceiling_permille"
+        findings.append(ShareFinding(f"{place}.reserved_permille", message))
+    return findings
+
+
+def _limit_reserved(
+    queues: list[Queue], findings: list[ShareFinding], former: Configuration | None
+) -> SharedQueues:
+    """Take no reserved shares of an upstream that come to more than the whole."""
+    sums: dict[str, int] = defaultdict(int)
+    for queue in queues:
+        sums[queue.upstream] += queue.reserved_permille
+    over = {upstream for upstream, total in sums.items() if total > PERMILLE}
+    for number, queue in enumerate(queues):
+        if queue.upstream in over and queue.reserved_permille:
+            message = f"the shares of {queue.upstream} come to {sums[queue.upstream]} permille"
+            place = f"$.routes[{number}].reserved_permille"
+            findings.append(ShareFinding(place, message))
+            queues[number] = _with_former(queue, former)
+    sums.clear()
+    for number, queue in enumerate(queues):  # former shares may not fit beside new ones
+        sums[queue.upstream] += queue.reserved_permille
+        if sums[queue.upstream] > PERMILLE:
+            sums[queue.upstream] -= queue.reserved_permille
+            queues[number] = attrs.evolve(queue, reserved_permille=0)
+    return SharedQueues(tuple(queues), tuple(findings))
+
+
+def _with_former(queue: Queue, former: Configuration | None) -> Queue:
+    """Return a queue with the shares that it had, or with the defaults."""
+    known = former.queue_named(queue.name) if former is not None else None
+    if known is None:
+        return attrs.evolve(queue, weight=1, reserved_permille=0, ceiling_permille=PERMILLE)
+    return attrs.evolve(queue, **{name: getattr(known, name) for name in BOUNDS})
--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -14,11 +14,12 @@
 import attrs
 import load_replay
 import virtual_runner
-from loads import KINDS, LONG_KINDS
+from loads import COMPETING_KINDS, KINDS, LONG_KINDS
 
 from gapdrum.agent import reports as agent_reports
 from gapdrum.agent.reports import Reports
 from gapdrum.core import jobs, placement_rules, placer, runner_health
+from gapdrum.core import room_shares as core_room_shares
 from gapdrum.core import subsets as core_subsets
 from gapdrum.core.placement_rules import Standing
 from gapdrum.core.placer import Placer
@@ -146,6 +147,12 @@
     return [mock.patch.object(placer, "MAX_MOVES", 0)]
 
 
+@switch
+def room_shares() -> Patches:
+    """Keep no room for urgent work."""
+    return [mock.patch.object(core_room_shares, "HEADROOM_DEVIATIONS", 0.0)]
+
+
 @switch
 def drained_served() -> Patches:
     """Let agents serve entries of drained zones like others."""
@@ -186,7 +193,7 @@
 
 
 def _density(job: jobs.Job) -> float:
-    kind = next(one for one in (*KINDS, *LONG_KINDS) if one.queue == job.queue)
+    kind = next(one for one in (*KINDS, *LONG_KINDS, *COMPETING_KINDS) if one.queue == job.queue)
     return kind.worth / (kind.tasks * kind.work_ms * kind.cpu_milli)
 
 
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -31,6 +31,7 @@
 from gapdrum.entry.acceptance import first_record, job_of_queue
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.demand import Demand
+from gapdrum.entry.queue_demand import TOLD_INTERVAL_MS, QueueDemandNotices
 
 LATENCY_FACTOR = 1.6
 LATENCY_SLACK_MS = 60
@@ -96,6 +97,7 @@
             self.log,
             self.reports.report,
             fleet.work_of,
+            self.orders.shares,
         )
         self.keepers[self.keeper.runner_id] = self.keeper
 
@@ -149,6 +151,8 @@
         self.dispatch = build_dispatch(self.zone, self, lambda: True, now_ms, rng)
         self.admission = Admission(self.dispatch.placer, self.timers)
         self.demand = Demand(self, self.timers)
+        notices = QueueDemandNotices(self, self.dispatch.placer, self.timers)
+        self.timers.subscribe(TOLD_INTERVAL_MS, notices.tell)
         self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
 
     def join(self, agent: VirtualAgent) -> None:
--- a/tools/load_report.py
+++ b/tools/load_report.py
@@ -46,6 +46,7 @@
     events: Counter
     messages: Counter  # by kind, between entries and agents
     tasks: int
+    by_queue: dict[str, float]
 
     @property
     def messages_a_task(self) -> float:
@@ -82,6 +83,7 @@
         played.events,
         played.messages,
         sum(len(one.job.work_ms) for one in outcomes),
+        _shares(outcomes, lambda one: one.job.kind.queue),
     )
 
 
--- a/tools/loads.py
+++ b/tools/loads.py
@@ -221,6 +221,41 @@
     )
 
 
+# Three queues of one upstream that compete: short wide jobs, long patient ones and many small ones.
+# 422 jobs a second come to 569 cores of work.
+COMPETING_KINDS = (
+    JobKind("previews", 103.0, 8.0, 120, 1_200, 0.00485, 0),
+    JobKind("runs", 18.8, 4.0, 1_800, 1_200, 0.0267, 2),
+    JobKind("lookups", 300.0, 2.0, 400, 1_200, 0.00167, 1),
+)
+
+
+def competing(
+    seed: int, duration_ms: int = 20_000, factor: float = 1.1, entries: int = 4, agents: int = 15
+) -> Load:
+    """Return a load whose long jobs come in a burst before the most urgent ones do.
+
+    Every eighth runner is taken away before the bursts overlap, another eighth after that. At a
+    factor of 1 and with all runners the work takes 60% of the room.
+    """
+    first = tuple(range(0, agents, 7))
+    second = tuple(range(3, agents, 7))
+    return Load(
+        name="competing",
+        seed=seed,
+        duration_ms=duration_ms,
+        kinds=scaled(COMPETING_KINDS, factor * agents / 51),
+        runners=tuple((16_000, 16_000, 24_000)[number % 3] for number in range(agents)),
+        shares=(1 / entries,) * entries,
+        zones=3,
+        bursts=(Burst(4_000, 6_000, 2.4, "runs"), Burst(12_000, 3_500, 1.8, "previews")),
+        faults=(
+            Fault(9_000, 10**9, first, gone=True),
+            Fault(14_000, 10**9, second, gone=True),
+        ),
+    )
+
+
 def drained_zone(seed: int, duration_ms: int = 12_000, factor: float = 1.0) -> Load:
     """Return the long work at its usual rate, while one of three zones is drained for 6 s.
 
--- a/tools/virtual_runner.py
+++ b/tools/virtual_runner.py
@@ -11,6 +11,7 @@
 from gapdrum.agent.runner_starts import RunnerStarts
 from gapdrum.core import orders
 from gapdrum.core.models import Resources, RunEnd, RunKey
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.runner_ledger import Run, RunnerLedger
 from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
 
@@ -195,13 +196,14 @@
         log: SilentLog,
         report: Report,
         work_of: Callable[[RunKey], int],
+        shares: RoomShares,
     ) -> None:
         self.runner = runner
         self.ledger = ledger
         self._timers = runner.timers
         self._report = lambda events: report(self, events)
         self._context = RunnerContext(
-            ledger, None, grants, RUN_LEASE_MS, self._timers, log, self._report
+            ledger, None, grants, RUN_LEASE_MS, self._timers, log, self._report, shares=shares
         )
         self.starts = VirtualStarts(self._context, runner, work_of)
         runner.on_change = lambda: self._timers.call_after(CALL_MS, self.look)
@@ -216,6 +218,10 @@
         """Return what freed room is kept for whom."""
         return self._context.offers
 
+    def kept_cpu_milli(self) -> dict[str, int]:
+        """Return how much of the free room is kept from which queues."""
+        return self._context.kept_cpu_milli(self._timers.now_ms())
+
     def free_for(self, owner: str) -> Resources:
         """Return the room that an owner may use now."""
         return self._context.free_for(owner, self._timers.now_ms())
