--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from load_policies import changed
 from load_replay import replay
-from loads import drained_zone, large_fleet, long_work, overload, steady
+from loads import competing, drained_zone, large_fleet, long_work, overload, steady
 
 LOADS = {
     "overload": overload,
@@ -15,6 +15,7 @@
     # A third of the fleet and its load, and the busiest seconds of a drain.
     "long work": functools.partial(long_work, duration_ms=13_000, factor=1.3, entries=4, agents=22),
     "drained zone": functools.partial(drained_zone, duration_ms=9_500, factor=1.15),
+    "competing": functools.partial(competing, duration_ms=16_000),
     "overloaded large fleet": functools.partial(large_fleet, factor=1.6),
 }
 SEEDS = (1, 2)
@@ -109,3 +110,24 @@
         with_it = mean(context.reports, lambda report, kind=kind: share(report, kind))
         without = mean(context.without, lambda report, kind=kind: share(report, kind))
         assert with_it <= without + 0.005, (kind, with_it, without)
+
+
+@then('queue "{queue}" earns no smaller share than "{other}"')
+def earns_no_less(context, queue, other):
+    found = mean(context.reports, lambda report: report.by_queue[queue])
+    least = mean(context.reports, lambda report: report.by_queue[other])
+    assert found >= least, (found, least)
+
+
+@then('queue "{queue}" earns less without it by {least:g} or more')
+def queue_earns_less(context, queue, least):
+    found = mean(context.reports, lambda report: report.by_queue[queue])
+    without = mean(context.without, lambda report: report.by_queue[queue])
+    assert found - without >= least, (found, without)
+
+
+@then("the whole earns as much as without it, to {off:g}")
+def whole_earns(context, off):
+    found = mean(context.reports, lambda report: report.worth)
+    without = mean(context.without, lambda report: report.worth)
+    assert found >= without - off, (found, without)
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -11,6 +11,7 @@
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.reports import Reports
+from gapdrum.agent.room_notes import BOUND_AGAIN_MS, RoomNotes
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.agent.runner_registry import RunnerRegistry
 from gapdrum.agent.table_standby import TableStandby
@@ -51,7 +52,8 @@
             self._greet, timers, log, self.sent, self.received, boot.instance, boot.zone
         )
         self.directory = EntryDirectory(RowStore(boot.store, log), self.links, log, _seeds(boot))
-        self.reports = Reports(self.links, self.keepers, timers)
+        self.room_notes = RoomNotes(log)
+        self.reports = Reports(self.links, self.keepers, timers, self.room_notes)
         self.shares = RoomShares()
         self.orders = EntryOrders(
             self.links, self.keepers, self.grants, self.reports, timers, log, self.shares
@@ -89,8 +91,19 @@
             one.ledger.free.cpu_milli for one in self.keepers.values()
         )
         gauges["entries_connected"] = lambda: sum(bool(link.owner) for link in self.links)
+        self.log.measures.queue_gauges = self._queue_figures
         self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
+    def _queue_figures(self) -> Iterator[tuple[str, str, int]]:
+        """Yield the room that each queue uses here, and what is kept from it."""
+        used: Counter[str] = Counter()
+        kept: Counter[str] = Counter()
+        for keeper in self.keepers.values():
+            used.update(keeper.ledger.used_cpu_milli)
+            kept.update(keeper.kept_cpu_milli())
+        yield from (("used_cpu_milli", queue, value) for queue, value in used.items())
+        yield from (("kept_cpu_milli", queue, value) for queue, value in kept.items())
+
     def _greet(self) -> orders.AgentGreeting:
         now_ms = self.timers.now_ms()
         return orders.AgentGreeting(self.boot.instance, self.incarnation, self.boot.zone, now_ms)
@@ -132,6 +145,9 @@
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.standby.check)
         self.timers.subscribe(ARRANGE_INTERVAL_MS, self.links.arrange)
+        self.timers.subscribe(
+            BOUND_AGAIN_MS, lambda: self.room_notes.note_ended(self.timers.now_ms())
+        )
         self.timers.subscribe(ORPHAN_INTERVAL_MS, self.reports.tell_orphans)
         await stopping.wait()
         self.log.write("stopping", open=len(self.keepers))
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
+from gapdrum.agent.room_notes import RoomNotes
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
 from gapdrum.core.models import Resources
@@ -31,11 +32,16 @@
     """Tells owners of their runs at once, and all entries of the room soon."""
 
     def __init__(
-        self, links: EntryLinks, keepers: Mapping[str, RunnerKeeper], timers: Timers
+        self,
+        links: EntryLinks,
+        keepers: Mapping[str, RunnerKeeper],
+        timers: Timers,
+        notes: RoomNotes | None = None,
     ) -> None:
         self._links = links
         self._keepers = keepers
         self._timers = timers
+        self._notes = notes
         # Runners whose room has changed, for entries that are short of room and for all others.
         self._untold_scarce: set[str] = set()
         self._untold: set[str] = set()
@@ -127,18 +133,19 @@
             self._kept_rows(keeper, free),
         )
 
-    @staticmethod
-    def _kept_rows(keeper: RunnerKeeper, free: Resources) -> tuple[orders.KeptRoom, ...]:
+    def _kept_rows(self, keeper: RunnerKeeper, free: Resources) -> tuple[orders.KeptRoom, ...]:
         """Return what is kept from queues, while the runner is nearly full."""
         if keeper.ledger.capacity is None or free.cpu_milli <= 0:
             return ()
         ample = free.cpu_milli - AMPLE_SHARE * keeper.ledger.capacity.cpu_milli
-        kept = keeper.kept_cpu_milli()
-        return tuple(
+        rows = tuple(
             orders.KeptRoom(queue, cpu_milli)
-            for queue, cpu_milli in kept.items()
+            for queue, cpu_milli in keeper.kept_cpu_milli().items()
             if cpu_milli > ample
         )
+        if self._notes is not None:
+            self._notes.note(keeper.ledger, rows, self._timers.now_ms())
+        return rows
 
     def _tell_room(self, keeper: RunnerKeeper, link: EntryLink) -> None:
         """Tell one entry a runner's room, unless it knows."""
--- a/src/gapdrum/measures.py
+++ b/src/gapdrum/measures.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -52,6 +52,8 @@
         self.events: Counter[tuple[str, str]] = Counter()
         self.latencies: dict[str, Latency] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
+        # Figures of each queue: their name, the queue, the value.
+        self.queue_gauges: Callable[[], Iterable[tuple[str, str, int]]] = tuple
         self.counters: dict[str, Callable[[], float]] = {}
         self.messages: dict[str, Counter[str]] = {}  # of streams, by direction and kind
 
@@ -95,6 +97,12 @@
             yield CounterMetricFamily(f"gapdrum_{name}", name, value=read())
         for name, read in self.gauges.items():
             yield GaugeMetricFamily(f"gapdrum_{name}", name, value=read())
+        families: dict[str, GaugeMetricFamily] = {}
+        for name, queue, value in self.queue_gauges():
+            if name not in families:
+                families[name] = GaugeMetricFamily(f"gapdrum_queue_{name}", name, labels=["queue"])
+            families[name].add_metric([queue], value)
+        yield from families.values()
         for name, latency in self.latencies.items():
             family = HistogramMetricFamily(f"gapdrum_{name}_seconds", name)
             family.add_metric([], latency.buckets(), latency.sum_ms / MS_PER_S)
