--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -7,6 +7,7 @@
 from load_policies import changed
 from load_replay import replay
 from loads import (
+    competing,
     drained_zone,
     hot_rack,
     large_fleet,
@@ -33,6 +34,7 @@
     ),
     "hot rack": functools.partial(hot_rack, duration_ms=5_000, entries=4, agents=21),
     "long tasks": long_tasks,
+    "competing": competing,
     "overloaded large fleet": functools.partial(large_fleet, factor=1.6),
 }
 SEEDS = (1, 2)
@@ -99,6 +101,7 @@
     "more runs are moved": lambda report: report.events["task_straggles: moved"],
     "less is earned": lambda report: -report.worth,
     "more is refused with room": lambda report: report.refused_with_room,
+    "more is refused with open room": lambda report: report.refused_with_open_room,
 }
 
 
@@ -136,3 +139,24 @@
         with_it = mean(context.reports, lambda report, kind=kind: share(report, kind))
         without = mean(context.without, lambda report, kind=kind: share(report, kind))
         assert with_it <= without + 0.005, (kind, with_it, without)
+
+
+@then('queue "{queue}" earns no smaller share than "{other}"')
+def earns_no_less(context, queue, other):
+    found = mean(context.reports, lambda report: report.by_queue[queue])
+    least = mean(context.reports, lambda report: report.by_queue[other])
+    assert found >= least, (found, least)
+
+
+@then('without it queue "{queue}" earns {least:g} less')
+def queue_earns_less(context, queue, least):
+    found = mean(context.reports, lambda report: report.by_queue[queue])
+    without = mean(context.without, lambda report: report.by_queue[queue])
+    assert found - without >= least, (found, without)
+
+
+@then("the whole earns as much as without it, to {off:g}")
+def whole_earns(context, off):
+    found = mean(context.reports, lambda report: report.worth)
+    without = mean(context.without, lambda report: report.worth)
+    assert found >= without - off, (found, without)
--- a/features/steps/uneven_runner_steps.py
+++ b/features/steps/uneven_runner_steps.py
@@ -105,7 +105,10 @@
 @when("a room report comes without the number of runs")
 def old_report(context):
     row = msgpack.unpackb(encode(orders.RoomReport("i-1", 1, 2, 3, 4, 5, 6)))
-    context.report = decode(row[:-1])
+    fields = 1 + len(attrs.fields(orders.RoomReport))  # the kind of message goes first
+    assert len(row) == fields, row
+    known = 1 + [one.name for one in attrs.fields(orders.RoomReport)].index("speed_runs")
+    context.report = decode(row[:known])
 
 
 @then("it is taken with {runs:d} runs")
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -11,12 +11,14 @@
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.reports import Reports
+from gapdrum.agent.room_notes import BOUND_AGAIN_MS, RoomNotes
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.agent.runner_registry import RunnerRegistry
 from gapdrum.agent.table_standby import TableStandby
 from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.records import EntryAddress
+from gapdrum.core.room_shares import RoomShares
 from gapdrum.core.run_bounds import RunBounds
 from gapdrum.core.runner_ledger import HeldOwner
 from gapdrum.event_log import EventLog, run_program, write_loop_errors
@@ -50,8 +52,12 @@
             self._greet, timers, log, self.sent, self.received, boot.instance, boot.zone
         )
         self.directory = EntryDirectory(RowStore(boot.store, log), self.links, log, _seeds(boot))
-        self.reports = Reports(self.links, self.keepers, timers)
-        self.orders = EntryOrders(self.links, self.keepers, self.grants, self.reports, timers, log)
+        self.room_notes = RoomNotes(log)
+        self.reports = Reports(self.links, self.keepers, timers, self.room_notes)
+        self.shares = RoomShares()
+        self.orders = EntryOrders(
+            self.links, self.keepers, self.grants, self.reports, timers, log, self.shares
+        )
         self.links.held_owners = self._held_owners
         self.links.on_joined = self._welcome
         self.links.on_renamed = self.orders.rename_owner
@@ -65,7 +71,14 @@
         self.orders.zones = self.zones
         self.links.drained_zones = lambda: self.zones.drains.zones
         self.runners = RunnerRegistry(
-            boot, self.keepers, self.grants, self.reports, timers, log, self.zones
+            boot,
+            self.keepers,
+            self.grants,
+            self.reports,
+            timers,
+            log,
+            self.zones,
+            shares=self.shares,
         )
         self.control = HttpListener(self.runners.handle, HttpLimits(), timers)
         self._background = Background(log)
@@ -85,8 +98,19 @@
             default=0,
         )
         gauges["entries_connected"] = lambda: sum(bool(link.owner) for link in self.links)
+        self.log.measures.queue_gauges = self._queue_figures
         self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
+    def _queue_figures(self) -> Iterator[tuple[str, str, int]]:
+        """Yield the room that each queue uses here, and what is kept from it."""
+        used: Counter[str] = Counter()
+        kept: Counter[str] = Counter()
+        for keeper in self.keepers.values():
+            used.update(keeper.ledger.used_cpu_milli)
+            kept.update(keeper.kept_cpu_milli())
+        yield from (("used_cpu_milli", queue, value) for queue, value in used.items())
+        yield from (("kept_cpu_milli", queue, value) for queue, value in kept.items())
+
     def _greet(self) -> orders.AgentGreeting:
         now_ms = self.timers.now_ms()
         return orders.AgentGreeting(self.boot.instance, self.incarnation, self.boot.zone, now_ms)
@@ -128,6 +152,9 @@
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.standby.check)
         self.timers.subscribe(ARRANGE_INTERVAL_MS, self.links.arrange)
+        self.timers.subscribe(
+            BOUND_AGAIN_MS, lambda: self.room_notes.note_ended(self.timers.now_ms())
+        )
         self.timers.subscribe(ORPHAN_INTERVAL_MS, self.reports.tell_orphans)
         await stopping.wait()
         self.log.write("stopping", open=len(self.keepers))
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
+from gapdrum.agent.room_notes import RoomNotes
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
 from gapdrum.core.models import Resources
@@ -22,6 +23,8 @@
 # was refused: by older figures than 25 ms most of its orders would be refused.
 SCARCE_MS = 2_000
 NOBODY = ""  # no entry's owner: all that is kept for anybody is kept from it
+# What is kept from a queue is told while it leaves less than this share of a runner to the queue.
+AMPLE_SHARE = 0.25
 FREES_ROOM = (orders.ENDED, orders.NOT_STARTED, orders.LOST)
 
 
@@ -29,11 +32,16 @@
     """Tells owners of their runs at once, and all entries of the room soon."""
 
     def __init__(
-        self, links: EntryLinks, keepers: Mapping[str, RunnerKeeper], timers: Timers
+        self,
+        links: EntryLinks,
+        keepers: Mapping[str, RunnerKeeper],
+        timers: Timers,
+        notes: RoomNotes | None = None,
     ) -> None:
         self._links = links
         self._keepers = keepers
         self._timers = timers
+        self._notes = notes
         # Runners whose room has changed, for entries that are short of room and for all others.
         self._untold_scarce: set[str] = set()
         self._untold: set[str] = set()
@@ -72,8 +80,13 @@
         if room.cpu_milli <= 0 or room.memory_mb < 0:
             return None
         waiting = [link for link in self._links if upstream in link.demand]
+        kept = keeper.kept_cpu_milli()
         fitting = [
-            link for link in waiting if link.demand[upstream].least_cpu_milli <= room.cpu_milli
+            link
+            for link in waiting
+            if _fits(
+                link.demand[upstream], room.cpu_milli - kept.get(link.demand[upstream].queue, 0)
+            )
         ]
         if not fitting:
             return None
@@ -119,7 +132,22 @@
             link.orders,
             ledger.speed.slowness_permille(now_ms),
             ledger.speed.count(now_ms),
+            self._kept_rows(keeper, free),
+        )
+
+    def _kept_rows(self, keeper: RunnerKeeper, free: Resources) -> tuple[orders.KeptRoom, ...]:
+        """Return what is kept from queues, while the runner is nearly full."""
+        if keeper.ledger.capacity is None or free.cpu_milli <= 0:
+            return ()
+        ample = free.cpu_milli - AMPLE_SHARE * keeper.ledger.capacity.cpu_milli
+        rows = tuple(
+            orders.KeptRoom(queue, cpu_milli)
+            for queue, cpu_milli in keeper.kept_cpu_milli().items()
+            if cpu_milli > ample
         )
+        if self._notes is not None:
+            self._notes.note(keeper.ledger, rows, self._timers.now_ms())
+        return rows
 
     def _tell_room(self, keeper: RunnerKeeper, link: EntryLink) -> None:
         """Tell one entry a runner's room, unless it knows."""
@@ -226,3 +254,7 @@
             )
             for link in told if rows else ():
                 link.send(orders.RunEvents(keeper.runner_id, rows))
+
+
+def _fits(demand: orders.UpstreamDemand, room_cpu_milli: int) -> bool:
+    return room_cpu_milli > 0 and demand.least_cpu_milli <= room_cpu_milli
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -24,6 +24,7 @@
     waiting_order,
     waits_for_better,
 )
+from gapdrum.core.queue_demand import DemandMeter
 from gapdrum.core.runner_views import RunnerView
 from gapdrum.core.stragglers import Sight, Stragglers, Verdict
 from gapdrum.core.task_durations import TaskDurations
@@ -57,6 +58,7 @@
     )
     waiting: set[str] = attrs.Factory(set)
     backlog: Backlog = attrs.Factory(Backlog)
+    meter: DemandMeter = attrs.Factory(DemandMeter)
     _untried: bool = False
     _tried_ms: int = 0
     demand: tuple[orders.UpstreamDemand, ...] = ()  # of the jobs that found no room, lately
@@ -138,7 +140,7 @@
 
     def _try_all(self, jobs: list[Job], fields: dict[str, Field], now_ms: int) -> None:
         may_act = self.may_act()
-        urgencies: dict[str, int] = {}
+        first_held: dict[str, Job] = {}
         held: Counter[str] = Counter()
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
             if job.kept and not may_act or held[job.upstream] >= HELD_JOBS_TRIED:
@@ -154,13 +156,14 @@
                 continue  # it leaves room unused where it would end late, and holds up nobody
             if any(may_ever_fit(task, field) for task in ready):
                 held[job.upstream] += 1
-                if job.upstream not in urgencies:  # the first to be held is the most urgent
-                    urgencies[job.upstream] = urgency_of(job, now_ms)
+                first_held.setdefault(job.upstream, job)  # the most urgent one
         waiting = Counter(job.upstream for job in jobs)
         least = self._least_waiting(jobs)
         self.demand = tuple(
-            orders.UpstreamDemand(name, urgency, waiting[name], least[name])
-            for name, urgency in urgencies.items()
+            orders.UpstreamDemand(
+                name, urgency_of(job, now_ms), waiting[name], least[name], job.queue
+            )
+            for name, job in first_held.items()
         )
 
     def _least_waiting(self, jobs: list[Job]) -> dict[str, int]:
@@ -197,10 +200,18 @@
     def _note_held(self, job: Job, task: Task, field: Field, now_ms: int) -> None:
         if not task.held_noted:
             task.held_noted = True
-            leaves_room = waits_for_better(job, task, field, now_ms)
-            reason = "late_where_room_is" if leaves_room else "no_room"
+            reason = self._why_held(job, task, field, now_ms)
             self.outside.note("task_held", request=job.job_id, task=task.name.text, reason=reason)
 
+    @staticmethod
+    def _why_held(job: Job, task: Task, field: Field, now_ms: int) -> str:
+        """Return why a task waits: it leaves room unused, the room is kept, or there is none."""
+        if waits_for_better(job, task, field, now_ms):
+            return "late_where_room_is"
+        room = task.step.resources
+        kept = any(view.keeps_from(job.queue, room) for view in field.with_room)
+        return orders.ROOM_KEPT if kept else orders.NO_ROOM
+
     def _assign(self, job: Job, task: Task, runner: RunnerView, now_ms: int) -> None:
         task.attempt = job.next_attempt(task)
         task.phase = TaskPhase.ORDERED
--- a/src/gapdrum/entry/configuration_watch.py
+++ b/src/gapdrum/entry/configuration_watch.py
@@ -52,7 +52,7 @@
 
     def _take_row(self, row: Row, source: str) -> None:
         try:
-            configuration = decode_configuration(row)
+            configuration = decode_configuration(row, self.current)
         except ValueError as error:
             self._log.write(
                 "configuration_rejected", version=row.version, reason=str(error), source=source
@@ -63,6 +63,13 @@
         self.current = configuration
         self.value = row.value
         self._taken.set()
+        for finding in configuration.findings:
+            self._log.write(
+                "configuration_finding",
+                version=configuration.version,
+                place=finding.place,
+                reason=finding.message,
+            )
         self._log.write(
             "configuration_in_force",
             version=configuration.version,
--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -14,7 +14,7 @@
 import attrs
 import load_replay
 import virtual_runner
-from loads import KINDS, LONG_KINDS
+from loads import COMPETING_KINDS, KINDS, LONG_KINDS
 
 from gapdrum.agent import reports as agent_reports
 from gapdrum.agent.reports import Reports
@@ -27,6 +27,7 @@
     runner_health,
     stragglers,
 )
+from gapdrum.core import room_shares as core_room_shares
 from gapdrum.core import subsets as core_subsets
 from gapdrum.core.placement_rules import Standing
 from gapdrum.core.placer import Placer
@@ -178,6 +179,12 @@
     return [mock.patch.object(stragglers, "_is_sooner", lambda there_ms, _: there_ms is not None)]
 
 
+@switch
+def room_shares() -> Patches:
+    """Keep no room for urgent work."""
+    return [mock.patch.object(core_room_shares, "HEADROOM_DEVIATIONS", 0.0)]
+
+
 @switch
 def drained_served() -> Patches:
     """Let agents serve entries of drained zones like others."""
@@ -218,7 +225,7 @@
 
 
 def _density(job: jobs.Job) -> float:
-    kind = next(one for one in (*KINDS, *LONG_KINDS) if one.queue == job.queue)
+    kind = next(one for one in (*KINDS, *LONG_KINDS, *COMPETING_KINDS) if one.queue == job.queue)
     return kind.worth / (kind.tasks * kind.work_ms * kind.cpu_milli)
 
 
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -31,6 +31,7 @@
 from gapdrum.entry.acceptance import first_record, job_of_queue
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.demand import Demand
+from gapdrum.entry.queue_demand import TOLD_INTERVAL_MS, QueueDemandNotices
 
 LATENCY_FACTOR = 1.6
 LATENCY_SLACK_MS = 60
@@ -97,6 +98,7 @@
             self.log,
             self.reports.report,
             lambda key: fleet.work_of(key, self._rack),
+            self.orders.shares,
         )
         self.keepers[self.keeper.runner_id] = self.keeper
 
@@ -152,6 +154,8 @@
         )
         self.admission = Admission(self.dispatch.placer, self.timers)
         self.demand = Demand(self, self.timers)
+        notices = QueueDemandNotices(self, self.dispatch.placer, self.timers)
+        self.timers.subscribe(TOLD_INTERVAL_MS, notices.tell)
         self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
 
     def join(self, agent: VirtualAgent) -> None:
@@ -308,6 +312,7 @@
         outcome = self.outcomes[job_id]
         outcome.kind = kind
         outcome.free_cores = self._fleet.free_cores()
+        outcome.open_cores = self._fleet.open_cores(outcome.job.kind.queue)
 
 
 class VirtualFleet:
@@ -350,6 +355,17 @@
         free = sum(one.capacity.cpu_milli - one.used.cpu_milli for one in ledgers if not one.gone)
         return free / 1_000
 
+    def open_cores(self, queue: str) -> float:
+        """Return the free room of all runners that is not kept from a queue."""
+        keepers = [agent.keeper for agent in self.agents.values()]
+        return (
+            sum(
+                max(0, one.ledger.free.cpu_milli - one.kept_cpu_milli().get(queue, 0))
+                for one in keepers
+            )
+            / 1_000
+        )
+
     def run(self) -> None:
         """Play the load to its end."""
         for agent in self.agents.values():
