--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from load_policies import changed
 from load_replay import replay
-from loads import drained_zone, large_fleet, long_work, overload, steady
+from loads import drained_zone, large_fleet, long_work, overload, steady, uneven_entries
 
 LOADS = {
     "overload": overload,
@@ -15,6 +15,7 @@
     # A third of the fleet and its load, and the busiest seconds of a drain.
     "long work": functools.partial(long_work, duration_ms=13_000, factor=1.3, entries=4, agents=22),
     "drained zone": functools.partial(drained_zone, duration_ms=9_500, factor=1.15),
+    "uneven entries": functools.partial(uneven_entries, duration_ms=10_000),
     "overloaded large fleet": functools.partial(large_fleet, factor=1.6),
 }
 SEEDS = (1, 2)
@@ -72,9 +73,16 @@
     context.without = play(name, mechanism)
 
 
+def late_share(report):
+    """Return which share of the refusals came after a wait."""
+    late = report.outcomes["given_up"]
+    return late / (late + report.outcomes["refused"])
+
+
 FIGURES = {
     "the mark is lower": lambda report: -report.mark,
     "more of the jobs end late": lambda report: share(report, "late"),
+    "more of the refusals come after a wait": late_share,
     "more orders are refused": lambda report: report.events["order_refused"],
     "more messages go for each task": lambda report: report.messages_a_task,
     "the worst-served entry earns less": lambda report: -report.worst_entry,
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -99,6 +99,7 @@
         self.held_owners: Callable[[], Iterable[HeldOwner]] = tuple
         self.on_joined: Callable[[EntryLink], None] = lambda _link: None
         self.on_renamed: Callable[[str, str], None] = lambda _former, _owner: None
+        self.on_stream_ended: Callable[[EntryLink], None] = lambda _link: None
         self.on_away: Callable[[str], None] = lambda _owner: None
         self.on_message: Callable[[EntryLink, object], None] = lambda _link, _message: None
 
@@ -284,6 +285,7 @@
         link.follows_table = False
         link.demand = {}
         link.told_room.clear()
+        self.on_stream_ended(link)
 
     def _check_away(self, owner: str) -> None:
         if self.of_owner(owner) is None:
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -10,6 +10,7 @@
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
 from gapdrum.core.models import RunKey, TaskName
+from gapdrum.core.queued_room import Rows, read_rows
 from gapdrum.core.run_bounds import RESTART_ALLOWANCE_MS
 from gapdrum.core.runner_ledger import not_started
 from gapdrum.event_log import EventLog
@@ -40,6 +41,7 @@
         self._log = log
         self.zones = ZoneWatch(log)
         self._epochs: OrderedDict[str, int] = OrderedDict()
+        self.unreadable_rows = 0  # of backlogs, passed over
 
     def take(self, link: EntryLink, message: object) -> None:
         """Carry out one message of an entry."""
@@ -57,10 +59,17 @@
         if link.demand:
             link.short_ms = self._timers.now_ms()
         link.demand = {row.upstream: row for row in demand.upstreams}
+        backlog = {row.upstream: self._read_backlog(row) for row in demand.upstreams}
+        self._reports.backlog.note(link.entry, backlog)
         for keeper in self._keepers.values():
             if keeper.ledger.upstream not in link.demand:
                 keeper.offers.decline(link.owner)
 
+    def _read_backlog(self, row: orders.UpstreamDemand) -> Rows:
+        rows, unreadable = read_rows(row.backlog)
+        self.unreadable_rows += unreadable
+        return rows
+
     def _take_zones(self, link: EntryLink, told: orders.ZoneDrainsTold) -> None:
         self.zones.take_told(told, source=link.entry)
 
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -56,6 +56,7 @@
         self.links.on_joined = self._welcome
         self.links.on_renamed = self.orders.rename_owner
         self.links.on_away = self.orders.stop_unwaited
+        self.links.on_stream_ended = lambda link: self.reports.backlog.forget(link.entry)
         self.links.on_message = self.orders.take
         self.operators = OperatorFeed(RowStore(boot.store, log), timers, log)
         self.zones = ZoneWatch(log)
@@ -78,6 +79,9 @@
             one.ledger.free.cpu_milli for one in self.keepers.values()
         )
         gauges["entries_connected"] = lambda: sum(bool(link.owner) for link in self.links)
+        gauges["fleet_backlog_cpu_milli"] = self.reports.backlog.waiting_cpu_milli
+        counters = self.log.measures.counters
+        counters["backlog_rows_passed_over"] = lambda: self.orders.unreadable_rows
         self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
     def _greet(self) -> orders.AgentGreeting:
--- a/src/gapdrum/agent/reports.py
+++ b/src/gapdrum/agent/reports.py
@@ -6,7 +6,10 @@
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
 from gapdrum.agent.runner_keeper import RunnerKeeper
 from gapdrum.core import orders
+from gapdrum.core.fleet_backlog import FleetBacklog
 from gapdrum.core.models import Resources
+from gapdrum.core.queued_room import wire_rows
+from gapdrum.core.room_forecast import room_ending
 from gapdrum.core.runner_ledger import Run
 from gapdrum.timers import Delayed, Timers
 
@@ -41,6 +44,7 @@
         self._relaxed_timer = Delayed(timers, RELAXED_INTERVAL_MS, self.send_room)
         # What all entries were told last of each runner, so that only changes are told again.
         self._told: dict[str, orders.RunnerReport] = {}
+        self.backlog = FleetBacklog()
 
     def report(self, keeper: RunnerKeeper, events: list[tuple[Run, orders.RunEvent]]) -> None:
         """Tell owners what happened to their runs, and all entries of the room soon."""
@@ -110,13 +114,16 @@
         """Return a runner's room as one entry is told it."""
         ledger = keeper.ledger
         free = keeper.free_for(link.owner)
+        now_ms = self._timers.now_ms()
         return orders.RoomReport(
             ledger.runner_id,
             free.cpu_milli,
             free.memory_mb,
             free.accelerators,
             link.orders,
-            ledger.health.slowness_permille(self._timers.now_ms()),
+            ledger.health.slowness_permille(now_ms),
+            room_ending(ledger, now_ms),
+            wire_rows(self.backlog.beside(link.entry, ledger.upstream)),
         )
 
     def _tell_room(self, keeper: RunnerKeeper, link: EntryLink) -> None:
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -79,9 +79,9 @@
             self._release_lost(lost, now_ms)
         self.outside.place_soon()
 
-    def take_room(self, view: AgentView, report: orders.RoomReport) -> None:
+    def take_room(self, view: AgentView, report: orders.RoomReport, now_ms: int = 0) -> None:
         """Take a runner's free room."""
-        self.fleet.take_room(view, report)
+        self.fleet.take_room(view, report, now_ms)
         self.outside.place_soon()
 
     def check_silence(self, now_ms: int) -> None:
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -7,6 +7,7 @@
 from gapdrum.core import orders, run_bounds
 from gapdrum.core.jobs import Place, Task
 from gapdrum.core.outside import Outside
+from gapdrum.core.queued_room import RoomWord, read_rows
 from gapdrum.core.runner_views import AgentView, RunnerView
 
 PERMILLE = 1_000
@@ -29,6 +30,7 @@
     agents: dict[str, AgentView] = attrs.Factory(dict)
     runners: dict[Place, RunnerView] = attrs.Factory(dict)
     closed_zones: frozenset[str] = frozenset()  # where operators want nothing to be started
+    unreadable_rows: int = 0  # of others' backlogs, passed over
 
     def open_runners(self) -> Collection[RunnerView]:
         """Return the runners outside of drained zones."""
@@ -95,11 +97,19 @@
         runner.take_report(report)
         return self._lose(runner, "runner_gone") if report.state == orders.GONE else None
 
-    def take_room(self, view: AgentView, report: orders.RoomReport) -> None:
+    def take_room(self, view: AgentView, report: orders.RoomReport, now_ms: int = 0) -> None:
         """Take a runner's free room; of one that was lost meanwhile, nothing is known."""
         runner = self.runners.get(Place(view.agent, report.runner_id))
         if runner is not None:
             runner.take_room(report)
+            runner.word = self._read_word(report, now_ms)
+
+    def _read_word(self, report: orders.RoomReport, now_ms: int) -> RoomWord | None:
+        if report.ending_cpu_milli == orders.NOT_TOLD:
+            return None
+        others, unreadable = read_rows(report.others_backlog)
+        self.unreadable_rows += unreadable
+        return RoomWord(report.ending_cpu_milli, others, now_ms)
 
     def check_silence(self, now_ms: int) -> list[LostRunner]:
         """Give up agents, and runners, that were silent until nothing can run there any more."""
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -51,6 +51,12 @@
 LEASE_LAPSED = "lease_lapsed"
 ENDED_BEFORE = "ended_before_adoption"
 
+# Agents foresee which room becomes free within this time: the shortest tasks wait for about as
+# long.
+FORESEEN_MS = 100
+# What an agent of an earlier version does not tell.
+NOT_TOLD = -1
+
 # States of a runner.
 READY = "ready"
 DRAINING = "draining"
@@ -108,7 +114,9 @@
     """The free room of a runner, which changes with each start and end.
 
     ``orders`` counts the runs ordered on this stream so far; ``slowness_permille`` is how long
-    its runs take against their estimates, 0 if not known.
+    its runs take against their estimates, 0 if not known. ``ending_cpu_milli`` is the room that
+    is about to become free, and ``others_backlog`` what other entries wait for there (rows of
+    ``QueuedRoom``); these two are told along, and are no reason to tell anything anew.
     """
 
     runner_id: str = text_field()
@@ -117,6 +125,8 @@
     free_accelerators: int = signed_field()
     orders: int = count_field()
     slowness_permille: int = count_field()
+    ending_cpu_milli: int = signed_field(default=NOT_TOLD, eq=False)
+    others_backlog: tuple = attrs.field(default=(), eq=False)
 
     @property
     def free(self) -> Resources:
@@ -300,13 +310,15 @@
 class UpstreamDemand:
     """How urgent the first job is that waits for room at an upstream, and how many wait.
 
-    Less free room than ``least_cpu_milli`` is of no use to any of them.
+    Less free room than ``least_cpu_milli`` is of no use to any of them. ``backlog`` is the part of
+    what waits that falls on one agent, by priority (rows of ``QueuedRoom``).
     """
 
     upstream: str
     urgency: int
     jobs: int
     least_cpu_milli: int = 0
+    backlog: tuple = ()
 
 
 @message(57)
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -7,6 +7,7 @@
 from gapdrum.core import orders
 from gapdrum.core.jobs import Place, Task
 from gapdrum.core.models import NOTHING, Resources
+from gapdrum.core.queued_room import RoomWord
 
 # An agent that was not heard for this long gets no new work: three beats have been missed.
 QUIET_MS = 3 * orders.BEAT_INTERVAL_MS
@@ -50,6 +51,7 @@
     out: set[Task] = attrs.Factory(set)
     synced: bool = False
     slowness_permille: int = 0
+    word: RoomWord | None = None
 
     def take_report(self, report: orders.RunnerReport) -> None:
         """Take the agent's statement of what the runner is, and its state."""
@@ -78,6 +80,7 @@
         self.unseen.clear()
         self.synced = False
         self.unsynced_ms = now_ms
+        self.word = None
         self._count()
 
     def _count(self) -> None:
--- a/src/gapdrum/entry/admission.py
+++ b/src/gapdrum/entry/admission.py
@@ -9,6 +9,7 @@
 from gapdrum.core.models import Step
 from gapdrum.core.placer import Placer
 from gapdrum.core.reach import View
+from gapdrum.core.room_outlook import Foresight, Outlook, begins_in_time
 from gapdrum.timers import Timers
 
 # The wait is an estimate: only a job that would begin too late by this factor is refused at
@@ -18,12 +19,16 @@
 
 @attrs.frozen
 class Overload:
-    """Why a job is refused: how long it would wait, and what that was estimated from."""
+    """Why a job is refused: how long it would wait, and what that was estimated from.
+
+    Where the ``outlook`` is not known, the entry went by its own backlog alone.
+    """
 
     wait_ms: int
     begin_within_ms: int
     waiting_jobs: int
     free_cpu_milli: int
+    outlook: Outlook
 
 
 class Admission:
@@ -38,6 +43,7 @@
         self._placer = placer
         self._timers = timers
         self._views_elsewhere = views_elsewhere
+        self.foresight = Foresight(placer)
 
     def is_shut_out(self, queue: Queue, steps: tuple[Step, ...]) -> bool:
         """Tell whether a job could run in drained zones only, so that it would wait in vain.
@@ -54,8 +60,17 @@
         chain_ms = longest_chain_ms(steps)
         within_ms = begin_within_ms(chain_ms, queue.latency_factor, queue.latency_slack_ms)
         begin_by_ms = now_ms + within_ms
-        wait_ms = self._placer.expected_wait_ms(steps, queue.priority, begin_by_ms, now_ms)
-        if wait_ms <= DOUBT_FACTOR * within_ms:
+        outlook = self.foresight.foresee(queue.upstream, queue.priority, begin_by_ms, steps, now_ms)
+        room = sum(step.tasks * step.resources.cpu_milli for step in steps if not step.after)
+        if outlook.is_known:
+            wait_ms = outlook.wait_ms(room)
+            in_time = begins_in_time(wait_ms, within_ms)
+        else:
+            wait_ms = self._placer.expected_wait_ms(steps, queue.priority, begin_by_ms, now_ms)
+            in_time = wait_ms <= DOUBT_FACTOR * within_ms
+        if in_time:
+            self.foresight.arrivals.note(queue.upstream, queue.priority, room, now_ms)
             return None
         placer = self._placer
-        return Overload(wait_ms, within_ms, len(placer.waiting), placer.fleet.free_cpu_milli())
+        free_cpu_milli = placer.fleet.free_cpu_milli()
+        return Overload(wait_ms, within_ms, len(placer.waiting), free_cpu_milli, outlook)
--- a/src/gapdrum/entry/front.py
+++ b/src/gapdrum/entry/front.py
@@ -194,6 +194,13 @@
                 begin_within_ms=overload.begin_within_ms,
                 waiting_jobs=overload.waiting_jobs,
                 free_cpu_milli=overload.free_cpu_milli,
+                own_backlog_cpu_milli=overload.outlook.own_cpu_milli,
+                others_backlog_cpu_milli=overload.outlook.others_cpu_milli,
+                freed_cpu_milli_per_s=overload.outlook.freed_cpu_milli_per_s,
+                urgent_cpu_milli_per_s=overload.outlook.urgent_cpu_milli_per_s,
+                runners_heard=overload.outlook.heard,
+                runners=overload.outlook.runners,
+                heard_ms_ago=overload.outlook.age_ms,
             )
             retry_after_s = _spread_retry_s(overload.wait_ms)
             return self._note_refusal(job_id, queue, 429, "overloaded", retry_after_s)
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -116,7 +116,7 @@
         elif isinstance(message, orders.RunEvents):
             dispatch.take_events(view, message, now_ms)
         elif isinstance(message, orders.RoomReport):
-            dispatch.take_room(view, message)
+            dispatch.take_room(view, message, now_ms)
         elif isinstance(message, orders.RunnerReport):
             dispatch.take_report(view, message, now_ms)
         elif isinstance(message, orders.Holdings):
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -76,7 +76,6 @@
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.links = AgentLinks(timers, log, self.sent, self.received)
-        self.demand = Demand(self.links, timers)
         self.dispatch = build_dispatch(
             boot.zone,
             self,
@@ -84,6 +83,9 @@
             timers.now_ms(),
             far_factor=boot.far_factor,
         )
+        placer = self.dispatch.placer
+        self.admission = Admission(placer, timers, self.lease.views_elsewhere)
+        self.demand = Demand(self.links, timers, self.admission.foresight.part_of_backlog)
         peers = PeerNotices(self.store, self.background, log, self.sent, self.received)
         self.endings = Endings(
             self.store, self.writer, self.dispatch, self.links, peers, timers, log
@@ -119,7 +121,7 @@
             self.configuration,
             self.dispatch,
             self.acceptor,
-            Admission(self.dispatch.placer, self.timers, self.lease.views_elsewhere),
+            self.admission,
             self.callers,
             self.endings,
             self.store,
@@ -137,9 +139,15 @@
         gauges["lease_held"] = lambda: self.lease.valid
         gauges["store_up"] = lambda: self.store.up
         gauges["configuration_version"] = self._configuration_version
+        gauges["fleet_backlog_cpu_milli"] = self._fleet_backlog
+        counters = self.log.measures.counters
+        counters["backlog_rows_passed_over"] = lambda: self.dispatch.fleet.unreadable_rows
         self.log.measures.counters["store_calls"] = lambda: self.store.calls
         self.log.measures.messages = {"sent": self.sent, "received": self.received}
 
+    def _fleet_backlog(self) -> int:
+        return self.admission.foresight.fleet_backlog_cpu_milli(self.timers.now_ms())
+
     def _configuration_version(self) -> int:
         current = self.configuration.current
         return current.version if current is not None else 0
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -109,6 +109,8 @@
 _add(
     "wait_estimated", "The job would wait for longer than it may; it is refused.",
     "request", "wait_ms", "begin_within_ms", "waiting_jobs", "free_cpu_milli",
+    "own_backlog_cpu_milli", "others_backlog_cpu_milli", "freed_cpu_milli_per_s",
+    "urgent_cpu_milli_per_s", "runners_heard", "runners", "heard_ms_ago",
 )  # fmt: skip
 _add("job_unsettled", "The store has not said whether the job is stored.", "request", "queue")
 _add(
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -13,13 +13,14 @@
 
 from load_policies import ALTERNATIVES, SWITCHES, changed
 from load_replay import Report, replay
-from loads import drained_zone, long_work, overload, steady
+from loads import drained_zone, long_work, overload, steady, uneven_entries
 
 LOADS = {
     "overload": overload,
     "steady": steady,
     "long work": long_work,
     "drained zone": drained_zone,
+    "uneven entries": uneven_entries,
 }
 
 
--- a/tools/load_policies.py
+++ b/tools/load_policies.py
@@ -18,7 +18,7 @@
 
 from gapdrum.agent import reports as agent_reports
 from gapdrum.agent.reports import Reports
-from gapdrum.core import jobs, placement_rules, placer, runner_health
+from gapdrum.core import jobs, placement_rules, placer, room_outlook, runner_health
 from gapdrum.core import subsets as core_subsets
 from gapdrum.core.placement_rules import Standing
 from gapdrum.core.placer import Placer
@@ -122,6 +122,12 @@
     return [mock.patch.object(admission, "DOUBT_FACTOR", NEVER)]
 
 
+@switch
+def fleet_admission() -> Patches:
+    """Let entries judge new jobs by their own backlog, and by how fast that was placed."""
+    return [mock.patch.object(room_outlook, "HEARD_SHARE", NEVER)]
+
+
 @switch
 def candidates() -> Patches:
     """Take the first runner that has room."""
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -148,9 +148,14 @@
         now_ms = self.timers.now_ms()
         self.dispatch = build_dispatch(self.zone, self, lambda: True, now_ms, rng)
         self.admission = Admission(self.dispatch.placer, self.timers)
-        self.demand = Demand(self, self.timers)
+        self.demand = Demand(self, self.timers, self.admission.foresight.part_of_backlog)
         self.timers.subscribe(TICK_INTERVAL_MS, self._tick)
 
+    @property
+    def connected(self) -> int:
+        """Return how many agents have joined."""
+        return len(self.views)
+
     def join(self, agent: VirtualAgent) -> None:
         """Take an agent's stream."""
         greeting = orders.AgentGreeting(agent.name, "life", agent.zone, self.timers.now_ms())
@@ -168,7 +173,7 @@
         elif isinstance(message, orders.RunEvents):
             self.dispatch.take_events(view, message, now_ms)
         elif isinstance(message, orders.RoomReport):
-            self.dispatch.take_room(view, message)
+            self.dispatch.take_room(view, message, now_ms)
         elif isinstance(message, orders.RunnerReport):
             self.dispatch.take_report(view, message, now_ms)
         elif isinstance(message, orders.Holdings):
--- a/tools/loads.py
+++ b/tools/loads.py
@@ -231,6 +231,37 @@
     return attrs.evolve(load, name="drained_zone", bursts=(), faults=(), drains=(drain,))
 
 
+# Short wide jobs, long ones and many small ones that compete for the room of small runners: 422
+# jobs a second come to 569 cores of work.
+COMPETING_KINDS = (
+    JobKind("previews", 103.0, 8.0, 120, 1_200, 0.00485, 0),
+    JobKind("payrolls", 18.8, 4.0, 1_800, 1_200, 0.0267, 2),
+    JobKind("codes", 300.0, 2.0, 400, 1_200, 0.00167, 1),
+)
+
+
+def uneven_entries(seed: int, duration_ms: int = 14_000, factor: float = 1.2) -> Load:
+    """Return a load whose callers come unevenly to eight entries, in three zones.
+
+    Three queues of different priority fill the room: a burst of long jobs, runners that are taken
+    away, then a burst of the most urgent ones. At a factor of 1 the work takes 70% of the room.
+    """
+    return Load(
+        name="uneven_entries",
+        seed=seed,
+        duration_ms=duration_ms,
+        kinds=scaled(COMPETING_KINDS, factor),
+        runners=(16_000,) * 51,
+        shares=(0.08, 0.19, 0.12, 0.13, 0.14, 0.08, 0.12, 0.14),
+        zones=3,
+        bursts=(Burst(2_000, 4_500, 1.5, "payrolls"), Burst(7_500, 3_400, 1.6, "previews")),
+        faults=(
+            Fault(1_500, 10**9, (0, 9, 18, 27), gone=True),
+            Fault(6_900, 10**9, (4, 13, 22), gone=True),
+        ),
+    )
+
+
 def large_fleet(
     seed: int, duration_ms: int = 1_000, factor: float = 1.2, entries: int = 35, agents: int = 160
 ) -> Load:
