--- a/src/gapdrum/entry/demand.py
+++ b/src/gapdrum/entry/demand.py
@@ -29,31 +29,25 @@
         self._links = links
         self._timers = timers
         self._part_of_backlog = part_of_backlog
-        self._told: dict[str, tuple] = {}
+        self._told: dict[str, tuple[int, int]] = {}
         self._told_ms = 0
 
     def tell(self, demand: tuple[orders.UpstreamDemand, ...]) -> None:
         """Tell all agents, if it has changed and they were not told just now.
 
-        How many jobs wait, and for how much room, is told again only when it has doubled or
-        halved.
+        How many jobs wait is told again only when it has doubled or halved, and with it the room
+        that they ask for.
         """
         now_ms = self._timers.now_ms()
-        if now_ms - self._told_ms < TELL_INTERVAL_MS:
-            return
-        agents = max(1, self._links.connected)
-        parts = {
-            row.upstream: self._part_of_backlog(row.upstream, agents, now_ms) for row in demand
-        }
-        rough = {row.upstream: _round(row, parts[row.upstream]) for row in demand}
-        if rough == self._told:
+        rough = {row.upstream: (row.urgency, row.jobs.bit_length()) for row in demand}
+        if rough == self._told or now_ms - self._told_ms < TELL_INTERVAL_MS:
             return
         self._told = rough
         self._told_ms = now_ms
-        rows = (attrs.evolve(row, backlog=wire_rows(parts[row.upstream])) for row in demand)
+        rows = (self._with_backlog(row, now_ms) for row in demand)
         self._links.broadcast(orders.RoomDemand(tuple(rows)))
 
-
-def _round(row: orders.UpstreamDemand, part: Rows) -> tuple:
-    waiting = tuple((one.priority, one.waiting_cpu_milli.bit_length()) for one in part)
-    return (row.urgency, row.jobs.bit_length(), waiting)
+    def _with_backlog(self, row: orders.UpstreamDemand, now_ms: int) -> orders.UpstreamDemand:
+        agents = max(1, self._links.connected)
+        part = self._part_of_backlog(row.upstream, agents, now_ms)
+        return attrs.evolve(row, backlog=wire_rows(part))
