Use the findings that there are, and compute a task's factor once

Read over: a class of findings stood beside the one in exceptions, field for field; a counter of lost answers was kept and read by nobody; the outlook of each placed task was built a second time, for the product of two figures that are there.

Behaviour is the same.

--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gapdrum.exceptions import Finding
 from gapdrum.structures import count_field, text_field
 
 PERMILLE = 1_000
@@ -47,14 +48,6 @@
         return int(self.latency_factor * chain_ms) + self.latency_slack_ms
 
 
-@attrs.frozen
-class ShareFinding:
-    """A value of a queue's share that can't be taken: where it is, and what is wrong with it."""
-
-    place: str
-    message: str
-
-
 @attrs.frozen
 class Configuration:
     """One version of the configuration; ``findings`` tell which values were not taken."""
@@ -65,7 +58,7 @@
     max_body_bytes: int = count_field(minimum=1)
     header_timeout_ms: int = count_field(minimum=1)
     idle_timeout_ms: int = count_field(minimum=1)
-    findings: tuple[ShareFinding, ...] = ()
+    findings: tuple[Finding, ...] = ()
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path, None if there is none."""
--- a/src/gapdrum/core/look_schedule.py
+++ b/src/gapdrum/core/look_schedule.py
@@ -59,7 +59,6 @@
     heard_ms: int = 0
     failures: int = 0  # looks in a row without an answer
     unreachable: bool = False
-    lost_answers: int = 0
     _lossy_until_ms: int = 0
     _shows_at_once: bool = False
     _under_way: dict[int, LookTurn] = attrs.Factory(dict)
@@ -131,7 +130,6 @@
 
     def note_lost(self, now_ms: int) -> None:
         """Note a call that was sent on a sound connection and not answered in time."""
-        self.lost_answers += 1
         was_lossy = self.is_lossy(now_ms)
         self._lossy_until_ms = now_ms + LOSSY_MS
         if not was_lossy:
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -190,7 +190,7 @@
                     break
                 refused = task.step.resources
                 continue
-            task.slowness = field.look_out(job, task, now_ms).factor(runner)
+            task.slowness = field.speeds.of(runner) * distance(task.step, runner, self.far_factor)
             self._assign(job, task, runner, now_ms)
             chosen.setdefault(runner.place, []).append(task)
         for key, tasks in chosen.items():
--- a/src/gapdrum/platform/queue_shares.py
+++ b/src/gapdrum/platform/queue_shares.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from gapdrum.core.configuration import PERMILLE, Configuration, Queue, ShareFinding
+from gapdrum.core.configuration import PERMILLE, Configuration, Queue
+from gapdrum.exceptions import Finding
 
 MOST_WEIGHT = 1_000
 # The least and the most value of each field.
@@ -24,14 +25,14 @@
     """The queues with their shares, and what is wrong with values that were not taken."""
 
     queues: tuple[Queue, ...]
-    findings: tuple[ShareFinding, ...]
+    findings: tuple[Finding, ...]
 
 
 def apply_shares(
     queues: tuple[Queue, ...], routes: list[dict[str, Any]], former: Configuration | None
 ) -> SharedQueues:
     """Return the queues with the shares in their routes; bad ones leave the former in force."""
-    findings: list[ShareFinding] = []
+    findings: list[Finding] = []
     taken = []
     for number, (queue, route) in enumerate(zip(queues, routes, strict=True)):
         found = _check_route(f"$.routes[{number}]", route)
@@ -41,22 +42,22 @@
     return _limit_reserved(taken, findings, former)
 
 
-def _check_route(place: str, route: dict[str, Any]) -> list[ShareFinding]:
+def _check_route(place: str, route: dict[str, Any]) -> list[Finding]:
     findings = []
     for name, (least, most) in BOUNDS.items():
         value = route.get(name, least)
         if type(value) is not int or not least <= value <= most:
             message = f"must be an integer between {least} and {most}"
-            findings.append(ShareFinding(f"{place}.{name}", message))
+            findings.append(Finding(f"{place}.{name}", message))
     reserved = route.get("reserved_permille", 0)
     if not findings and reserved > route.get("ceiling_permille", PERMILLE):
         message = "must be no more than ceiling_permille"
-        findings.append(ShareFinding(f"{place}.reserved_permille", message))
+        findings.append(Finding(f"{place}.reserved_permille", message))
     return findings
 
 
 def _limit_reserved(
-    queues: list[Queue], findings: list[ShareFinding], former: Configuration | None
+    queues: list[Queue], findings: list[Finding], former: Configuration | None
 ) -> SharedQueues:
     """Take no reserved shares of an upstream that come to more than the whole."""
     sums: dict[str, int] = defaultdict(int)
@@ -67,7 +68,7 @@
         if queue.upstream in over and queue.reserved_permille:
             message = f"the shares of {queue.upstream} come to {sums[queue.upstream]} permille"
             place = f"$.routes[{number}].reserved_permille"
-            findings.append(ShareFinding(place, message))
+            findings.append(Finding(place, message))
             queues[number] = _with_former(queue, former)
     sums.clear()
     for number, queue in enumerate(queues):  # former shares may not fit beside new ones
