Tell the runs of a job's submissions from each other

Callers saw: a job that a waiting caller had submitted again could be answered by what an earlier submission had done, or failed to do, and its tasks were placed a second time while they were at work.

Cause: attempts of such a job begin at 1 with each submission, and entry and agent compared runs by task, attempt and runner. The ends that an agent tells once more on a new stream (kept for 2,150 ms, longer than the caller's pause of 1,300 ms) and events that were under way name the same task, attempt and runner for the run of an earlier submission.

Change: a submission has a number of its own, which orders, events, holdings and adoptions carry. An event counts only if it names the present submission or, after a restart of the agent, none; then the runner must be one that did not reject the start. A start under the same name drops the earlier end at the agent.

Ruled out: telling them by time. Attempts that go on over submissions would need the entries to know of each other's.

--- /dev/null
+++ b/features/steps/submission_steps.py
@@ -0,0 +1,285 @@
+"""Steps on jobs that their caller submits again: an agent and an owner, each whole, in manual time.
+
+What one of them sends is kept until the scenario delivers it to the other, so that a message can be
+late, or come on the next stream.
+"""
+
+import asyncio
+
+import resubmission_steps as base
+from behave import given, then, when
+from caller_deadline_steps import FakeLease, FakeLog
+from core_model import ManualTimers
+from platform_core_steps import JOB, OWNER, QUEUE, Outside
+
+from gapdrum.core import orders
+from gapdrum.core.dispatch import build_dispatch
+from gapdrum.core.jobs import TaskPhase
+from gapdrum.core.models import Resources, RunEnd, RunKey, Step
+from gapdrum.core.runner_models import EndedRun, RunnerLook, RunningTask
+from gapdrum.entry.waiting_callers import Caller, WaitingCallers
+
+TASKS = 2
+CALLER_PAUSE_MS = base.RESUBMIT_MS
+BEAT_MS = orders.BEAT_INTERVAL_MS
+
+
+class ListingRunner(base.LeasedRunner):
+    """Answers looks with what runs and all ends of its life."""
+
+    def __init__(self, timers):
+        super().__init__(timers)
+        self.ended = []
+
+    async def look(self, until_ms, _seen, _fence, _wait_ms, _timeout_ms):
+        self.renewals.append(until_ms)
+        return RunnerLook(self.read_clock(), self.running, tuple(self.ended))
+
+    def end(self, key, end):
+        self.running = tuple(one for one in self.running if one.run != key)
+        self.ended.append(EndedRun(len(self.ended) + 1, key, end))
+
+
+class Pair:
+    """An agent with one runner, an owner, and the messages between them."""
+
+    def __init__(self, context):
+        base.new_agent(context)
+        self.context = context
+        self.agent, self.link = context.agent, context.link
+        self.timers: ManualTimers = context.timers
+        context.runner = context.keeper._context.calls = ListingRunner(self.timers)
+        context.keeper.ledger.upstream = QUEUE.upstream
+        self.outside = Outside()
+        self.dispatch = build_dispatch(
+            "plaine-nord", self.outside, lambda: True, self.timers.now_ms()
+        )
+        self.callers = WaitingCallers(self.dispatch, FakeLease(), self.timers, FakeLog())
+        self.outside.job_ended = self._end_job
+        self.ended = []
+        self.view = None
+
+    def _end_job(self, job):
+        self.ended.append(job.ending)
+
+    # Streams.
+
+    def join(self, owner=OWNER, *former_owners):
+        """Open a stream, and deliver what the agent tells on it."""
+        greeting = self.agent._greet()
+        self.view = self.dispatch.fleet.agent_joined(greeting, self.timers.now_ms())
+        self.link.stream = base.FakeStream()
+        self.agent.links._greeted(self.link, owner, *former_owners)
+        self.echo()
+
+    def part(self):
+        """End the stream; what was under way on it is lost."""
+        self.agent.links._end_stream(self.link)
+        self.dispatch.fleet.agent_left(self.view)
+        self.outside.sent.clear()
+
+    def echo(self):
+        now_ms = self.timers.now_ms()
+        self.view.heard_ms = self.view.clock_ms = now_ms
+        self.agent.orders.take(self.link, orders.BeatEcho(now_ms, True, False))
+
+    def take_told(self):
+        """Take what the agent has sent on its present stream off it."""
+        told = list(self.link.stream.sent)
+        self.link.stream.sent.clear()
+        return told
+
+    def deliver(self, told):
+        """Deliver messages of the agent to the owner."""
+        takers = {
+            orders.RunEvents: self.dispatch.take_events,
+            orders.Holdings: self.dispatch.take_holdings,
+            orders.RunnerReport: self.dispatch.take_report,
+        }
+        for message in told:
+            if type(message) in takers:
+                takers[type(message)](self.view, message, self.timers.now_ms())
+            elif isinstance(message, orders.RoomReport):
+                self.dispatch.take_room(self.view, message)
+
+    def tell_owner(self):
+        """Deliver what the agent has sent to the owner."""
+        self.agent.reports.send_room()
+        self.deliver(self.take_told())
+
+    def tell_agent(self):
+        """Place what waits, and deliver what the owner has sent; return the orders to start."""
+        self.dispatch.placer.place_waiting(self.timers.now_ms())
+        sent = [one for one in self.outside.sent if not isinstance(one, tuple)]
+        self.outside.sent.clear()
+        for message in sent:
+            self.agent.orders.take(self.link, message)
+        return [message for message in sent if isinstance(message, orders.StartOrder)]
+
+    def look(self):
+        """Let the agent look at its runner once."""
+        base.step(self.context)
+
+    def pass_time(self, time_ms):
+        """Let time pass with a beat, an echo and a look now and then."""
+        for _ in range(0, time_ms, BEAT_MS):
+            self.timers.time_ms += BEAT_MS
+            self.echo()
+            self.look()
+            self.tell_owner()
+
+    # Callers.
+
+    def submit(self, tasks=TASKS):
+        """Let a caller submit the job; return its tasks."""
+        caller = Caller(asyncio.Future(loop=asyncio.new_event_loop()), self.timers.now_ms())
+        steps = (Step(tasks, Resources(500, 10, 0), 900),)
+        self.callers._begin(JOB, QUEUE, "{}", steps, caller)
+        return self.dispatch.jobs[JOB].tasks
+
+    def leave(self):
+        """Let the caller leave: what runs is stopped, and the job is dropped."""
+        self.callers._leave(JOB, asyncio.Future(loop=asyncio.new_event_loop()))
+
+    def start_all(self):
+        """Order the tasks that wait, and let the runner show them at work; return their keys."""
+        keys = [order.key_of(row) for order in self.tell_agent() for row in order.runs]
+        for run in self.context.runs:
+            run.calling = False
+        self.context.runner.running += tuple(RunningTask(key, 5) for key in keys)
+        self.look()
+        self.tell_owner()
+        return keys
+
+
+@given("an owner and an agent with one runner, joined by a stream")
+def new_pair(context):
+    context.pair = pair = Pair(context)
+    pair.join()
+    pair.look()
+    pair.look()
+    pair.tell_owner()
+
+
+@given("a job of a waiting caller that is at work there")
+def job_at_work(context):
+    context.pair.submit()
+    context.keys = context.pair.start_all()
+    assert len(context.keys) == TASKS, context.keys
+
+
+@when('one of its tasks ends as "{end}", and its caller leaves')
+def one_ends(context, end):
+    pair, runner = context.pair, context.runner
+    first, *others = context.keys
+    runner.end(first, RunEnd(end))
+    pair.look()
+    pair.tell_owner()
+    pair.leave()
+    pair.tell_agent()
+    for key in others:
+        runner.end(key, RunEnd.STOPPED)
+    pair.look()
+    pair.tell_owner()
+
+
+@when("the caller submits the job again after its pause, and all its tasks are at work there again")
+def submitted_again(context):
+    pair = context.pair
+    pair.pass_time(CALLER_PAUSE_MS)
+    context.tasks = pair.submit()
+    again = pair.start_all()
+    assert again == [RunKey(task.name, 1) for task in context.tasks], again
+
+
+@when("the stream is replaced")
+def stream_replaced(context):
+    pair = context.pair
+    pair.part()
+    pair.timers.time_ms += 200
+    pair.join()
+    context.told = pair.take_told()
+    pair.deliver(context.told)
+    context.ordered = pair.tell_agent()
+
+
+@then("no task is started beside its run that is at work")
+def nothing_beside(context):
+    started = [order.key_of(row) for order in context.ordered for row in order.runs]
+    assert not started, started
+
+
+@then("the job has not ended, and no task counts as done or failed")
+def nothing_counted(context):
+    assert not context.pair.ended, context.pair.ended
+    phases = {task.phase for task in context.tasks}
+    assert TaskPhase.DONE not in phases, phases
+    assert not any(task.failed_attempts for task in context.tasks)
+
+
+@then("the agent has told of each run once")
+def told_once(context):
+    held = [row for one in context.told if isinstance(one, orders.Holdings) for row in one.runs]
+    names = [(row.task, row.attempt) for row in held]
+    assert sorted(names) == sorted(set(names)), held
+
+
+def end_all(context, keys, end):
+    """Let runs end, and the agent note it; its owner is not told yet."""
+    for key in keys:
+        context.runner.end(key, end)
+    context.pair.look()
+
+
+@when("a job of a waiting caller is {fate} there, and what is told of it is held up")
+def told_late(context, fate):
+    pair = context.pair
+    pair.submit()
+    if fate == "refused":
+        context.keeper.set_zone_closed(True)
+        assert pair.tell_agent()
+        context.keeper.set_zone_closed(False)
+    else:
+        keys = pair.start_all()
+        if fate == "lost":
+            settled = list(context.keeper.ledger.runs.values())
+            lost = context.keeper.ledger.lose(settled, orders.LEASE_LAPSED)
+            pair.agent.reports.report(context.keeper, lost)
+            context.runner.running = ()
+        else:
+            end_all(context, keys, RunEnd(fate.removeprefix("ended as ")))
+    context.held_up = [one for one in pair.take_told() if isinstance(one, orders.RunEvents)]
+    assert context.held_up
+
+
+@when("the caller leaves, and submits it again after its pause")
+def left_and_back(context):
+    pair = context.pair
+    pair.leave()
+    pair.tell_agent()
+    pair.pass_time(CALLER_PAUSE_MS)
+    context.tasks = pair.submit()
+    assert len(pair.start_all()) == TASKS
+
+
+@when("what was held up arrives")
+def held_up_arrives(context):
+    context.pair.deliver(context.held_up)
+    context.ordered = context.pair.tell_agent()
+
+
+@when(
+    'the runner rejects a start, and a new life of the agent finds an end under its name as "{end}"'
+)
+def rejected_and_found(context, end):
+    pair = context.pair
+    context.tasks = pair.dispatch.jobs[JOB].tasks
+    name, attempt = context.tasks[0].name.text, context.tasks[0].attempt
+    rejected = orders.RunEvent(
+        name, attempt, 1, orders.NOT_STARTED, orders.RUNNER_REJECTED, kept=False
+    )
+    found = orders.HeldRun(name, attempt, 0, orders.HELD_ENDED, end, 7)
+    pair.deliver([orders.RunEvents("i-1", (rejected,))])
+    pair.dispatch.placer.place_waiting(pair.timers.now_ms())
+    rows = (*context.keeper.ledger.held_runs(), found)
+    pair.deliver([orders.Holdings("i-1", (), rows)])
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -91,7 +91,10 @@
 
     @staticmethod
     def _refuse_all(order: orders.StartOrder, reason: str) -> list[orders.RunEvent]:
-        return [not_started(order.key_of(row), order.epoch, reason) for row in order.runs]
+        return [
+            not_started(order.key_of(row), order.epoch, reason, order.submission)
+            for row in order.runs
+        ]
 
     def _log_refusals(self, refused: list[orders.RunEvent]) -> None:
         for event in refused:
@@ -149,7 +152,7 @@
                 continue
             event = keeper.ledger.tell_adopted(key)
             if event is None:
-                keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, row.room)
+                keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, row.room, row.submission)
             else:
                 missed.append(event)
         if missed:
--- a/src/gapdrum/agent/runner_starts.py
+++ b/src/gapdrum/agent/runner_starts.py
@@ -5,7 +5,7 @@
 from gapdrum.backoff import Backoff
 from gapdrum.core import orders
 from gapdrum.core.models import RunKey
-from gapdrum.core.runner_ledger import Run, not_started
+from gapdrum.core.runner_ledger import Run, not_started, started
 from gapdrum.platform.runner_calls import RunnerRejectedError, RunnerReplacedError
 from gapdrum.transport.http_client import NoReplyError, NotSentError, TimedOutError
 
@@ -37,7 +37,8 @@
         for row in order.runs:
             reason = self._refuse(owner, order, row, now_ms)
             if reason:
-                refused.append(not_started(order.key_of(row), order.epoch, reason))
+                key = order.key_of(row)
+                refused.append(not_started(key, order.epoch, reason, order.submission))
             else:
                 self._begin(owner, order, row, now_ms)
         return refused
@@ -85,6 +86,7 @@
             estimate_ms=row.estimate_ms,
             queue=order.queue,
             priority=order.priority,
+            submission=order.submission,
         )
         self.ledger.begin(run)
         self._context.offers.use(owner, row.room)
@@ -174,12 +176,11 @@
             return
         if settled == orders.NOT_STARTED and run.phase == orders.HELD_STARTING:
             self.ledger.drop(run.key)
-            event = not_started(run.key, run.epoch, orders.RUNNER_REJECTED)
+            event = not_started(run.key, run.epoch, orders.RUNNER_REJECTED, run.submission)
             self._context.report([(run, event)])
         elif settled == orders.STARTED and run.phase == orders.HELD_STARTING:
             self.ledger.note_started(run, self._context.timers.now_ms())
-            event = orders.RunEvent(run.key.task.text, run.key.attempt, run.epoch, orders.STARTED)
-            self._context.report([(run, event)])
+            self._context.report([(run, started(run))])
 
     # Stopping.
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -131,7 +131,7 @@
         task = job.by_name.get(name)
         if task is None:
             return
-        if not job.knows_run(task, event.attempt, place):
+        if not job.knows_run(task, event.attempt, place, event.submission):
             self._pass_over(place, event)
         elif event.kind == orders.ENDED:
             self._take_end(job, task, place, event, now_ms)
@@ -145,6 +145,8 @@
         elif event.detail == orders.JOB_SUPERSEDED:
             self.drop_job(job.job_id, event.detail)
         elif event.kind == orders.NOT_STARTED:
+            # An end under its name there is of an earlier submission.
+            task.placed_at.pop(event.attempt, None)
             if event.detail in orders.REJECTED_THERE:
                 task.avoided.add(place.runner_id)
             self.placer.release(job, task, event.detail, now_ms)
@@ -296,9 +298,11 @@
     def take_holdings(self, view: AgentView, holdings: orders.Holdings, now_ms: int) -> None:
         """Compare what an agent holds with what is expected there."""
         place = Place(view.agent, holdings.runner_id)
-        held = {(row.task, row.attempt) for row in holdings.runs}
+        held = set()
         adopted = []
         for row in holdings.runs:
+            if self._is_present(place, row):
+                held.add((row.task, row.attempt))
             adopted.extend(self._take_held(place, row, now_ms))
         if adopted:
             message = orders.AdoptRuns(holdings.runner_id, tuple(adopted))
@@ -319,7 +323,13 @@
             if job is None:
                 return []  # its owner hears of it as well, or else the agent asks after it later
             event = orders.RunEvent(
-                row.task, row.attempt, row.epoch, orders.ENDED, row.detail, row.end_number
+                row.task,
+                row.attempt,
+                row.epoch,
+                orders.ENDED,
+                row.detail,
+                row.end_number,
+                submission=row.submission,
             )
             if task is not None and task.phase is TaskPhase.UNKNOWN:
                 task.attempt = max(task.attempt, row.attempt)
@@ -343,9 +353,22 @@
                 room.cpu_milli,
                 room.memory_mb,
                 room.accelerators,
+                job.submission,
             )
         ]
 
+    def _is_present(self, place: Place, row: orders.HeldRun) -> bool:
+        """Tell whether a row is of the present submission of its job, as far as is known.
+
+        A run at work counts in any case: an earlier submission's must end before it runs anew.
+        """
+        name = TaskName.parse(row.task)
+        job = self.jobs.get(name.job_id)
+        task = job.by_name.get(name) if job is not None else None
+        if task is None or row.phase != orders.HELD_ENDED:
+            return True
+        return job.knows_run(task, row.attempt, place, row.submission)
+
     @staticmethod
     def _is_expected(task: Task, place: Place, row: orders.HeldRun) -> bool:
         if task.phase is TaskPhase.UNKNOWN:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -87,7 +87,8 @@
 
     ``chain_ms`` is the stated work of its longest chain of steps. One that is ``kept`` has a
     row in the store, at ``version``, and another entry takes it over if this one is lost. Of
-    others only the caller knows, who waits for the end.
+    others only the caller knows, who waits for the end, and may submit the job again: each time
+    has a ``submission`` of its own.
     """
 
     job_id: str
@@ -109,6 +110,7 @@
     tasks: list[Task]
     by_name: dict[TaskName, Task]
     least_cpu_milli: int  # of its smallest task
+    submission: int = 0
     begun: bool = False
     ending: JobState | None = None
     has_progress_row: bool = False
@@ -156,13 +158,16 @@
         """
         return self.wait_until_ms is None or now_ms < self.wait_until_ms
 
-    def knows_run(self, task: Task, attempt: int, place: Place) -> bool:
+    def knows_run(self, task: Task, attempt: int, place: Place, submission: int) -> bool:
         """Tell whether a run at a place is one of this job's.
 
         Attempts of stored jobs are unique over all owners. Those of others begin at 1 with each
-        submission, so a run of an earlier one has the same name and can be told by its place only.
+        submission, so a run of an earlier one may have the same name, also at the same place. An
+        agent that has begun anew does not know the submission (0), so the place tells alone.
         """
-        return self.kept or task.placed_at.get(attempt) == place
+        if self.kept:
+            return True
+        return submission in (0, self.submission) and task.placed_at.get(attempt) == place
 
     def ready_tasks(self) -> list[Task]:
         """Return the waiting tasks whose turn has come."""
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -145,7 +145,7 @@
     is not ``kept``. Of a straggling run ``percent`` is how much of its work is done; it has run
     for ``ran_ms``, will end after ``left_ms`` at its pace, and has stood still for ``still_ms``.
     ``others_permille`` is how long the others beside it take against their estimates. What is
-    not known is 0.
+    not known is 0, and so is ``submission`` for a stored job.
     """
 
     task: str
@@ -160,6 +160,7 @@
     left_ms: int = count_field(default=0)
     still_ms: int = count_field(default=0)
     others_permille: int = count_field(default=0)
+    submission: int = count_field(default=0)
 
 
 @message(43)
@@ -173,7 +174,10 @@
 
 @attrs.frozen
 class HeldRun:
-    """A run that an agent knows: in which phase, and how it ended."""
+    """A run that an agent knows: in which phase, and how it ended.
+
+    ``submission`` is 0 where it is not known, or the job is stored.
+    """
 
     task: str
     attempt: int
@@ -181,6 +185,7 @@
     phase: str
     detail: str = ""
     end_number: int = 0
+    submission: int = count_field(default=0)
 
 
 @message(44)
@@ -267,7 +272,8 @@
     """Tasks of a job to start at a runner; ``clock_ms`` is the last clock heard of the agent.
 
     ``kept`` tells whether the job is stored. The queue and its priority, 0 for the most urgent
-    one, let the agent weigh the work of all entries.
+    one, let the agent weigh the work of all entries. ``submission`` tells the submissions of a job
+    that is not stored from each other: each begins with attempt 1. It is 0 for a stored one.
     """
 
     runner_id: str = text_field()
@@ -279,6 +285,7 @@
     runs: tuple[OrderedRun, ...] = rows_field(OrderedRun, MAX_ROWS)
     queue: str = text_field(default="")
     priority: int = count_field(default=0)
+    submission: int = count_field(default=0)
 
     def key_of(self, row: OrderedRun) -> RunKey:
         """Return the key of one of the runs."""
@@ -429,6 +436,7 @@
     cpu_milli: int
     memory_mb: int
     accelerators: int
+    submission: int = count_field(default=0)
 
     @property
     def room(self) -> Resources:
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -236,6 +236,7 @@
             runs,
             job.queue,
             job.priority,
+            job.submission,
         )
         sent = self.outside.send(runner.place.agent, order)
         for task in tasks:
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -66,6 +66,7 @@
     estimate_ms: int = 0
     queue: str = ""
     priority: int = 0
+    submission: int = 0
     started_ms: int = 0
     straggles_ms: int = 0
     done_ms: int = 0
@@ -107,18 +108,33 @@
     epoch: int
     end: RunEnd
     noted_ms: int
+    submission: int = 0
     stored: bool = False
     outrun: bool = False
 
     def to_row(self, number: int) -> orders.HeldRun:
         """Return the row that tells of it among what is held."""
-        task, phase = self.key.task.text, orders.HELD_ENDED
-        return orders.HeldRun(task, self.key.attempt, self.epoch, phase, self.end.value, number)
+        return orders.HeldRun(
+            self.key.task.text,
+            self.key.attempt,
+            self.epoch,
+            orders.HELD_ENDED,
+            self.end.value,
+            number,
+            self.submission,
+        )
 
     def to_event(self, number: int) -> orders.RunEvent:
         """Return the event that tells of it, under its number at the runner."""
-        task, kind = self.key.task.text, orders.ENDED
-        return orders.RunEvent(task, self.key.attempt, self.epoch, kind, self.end.value, number)
+        return orders.RunEvent(
+            self.key.task.text,
+            self.key.attempt,
+            self.epoch,
+            orders.ENDED,
+            self.end.value,
+            number,
+            submission=self.submission,
+        )
 
 
 @attrs.frozen
@@ -149,8 +165,9 @@
     last_end: int = 0
     runs: dict[RunKey, Run] = attrs.Factory(dict)
     ends: dict[int, NotedEnd] = attrs.Factory(dict)
-    # Ends that nobody stores; the owner's stream may have failed before it heard of them.
-    recent_ends: deque[NotedEnd] = attrs.Factory(deque)
+    # Ends that nobody stores, the oldest first; the owner's stream may have failed before it heard
+    # of them.
+    recent_ends: dict[RunKey, NotedEnd] = attrs.Factory(dict)
     used: Resources = NOTHING
     used_cpu_milli: Counter[str] = attrs.Factory(Counter)  # by queue
     health: RunnerHealth = attrs.Factory(RunnerHealth)
@@ -198,7 +215,11 @@
             self.clock_read_ms = awake_ms
 
     def begin(self, run: Run) -> None:
-        """Take room for a run that is about to be started."""
+        """Take room for a run that is about to be started.
+
+        An end under the same name is of an earlier submission, whose caller has left.
+        """
+        self.recent_ends.pop(run.key, None)
         self.runs[run.key] = run
         self.recent_runs.append(run)
         if run.room is None:
@@ -223,7 +244,15 @@
             self.used_cpu_milli[run.queue] -= run.room.cpu_milli
         return run
 
-    def adopt(self, key: RunKey, owner: str, epoch: int, kept: bool, room: Resources) -> None:
+    def adopt(
+        self,
+        key: RunKey,
+        owner: str,
+        epoch: int,
+        kept: bool,
+        room: Resources,
+        submission: int = 0,
+    ) -> None:
         """Let a run go on for its owner, who knows the room that it takes."""
         run = self.runs.get(key)
         if run is None:
@@ -235,6 +264,7 @@
         run.owner = owner
         run.epoch = epoch
         run.kept = kept
+        run.submission = submission
         run.claimed = True
 
     def take_look(self, look: RunnerLook, now_ms: int) -> list[tuple[Run, orders.RunEvent]]:
@@ -260,7 +290,7 @@
             self.seen_end = ended.number - 1  # the runner has forgotten all lower ones
         self.last_end = ended.number
         run = self.drop(ended.run) or Run(ended.run, UNKNOWN_OWNER, 0, NOTHING, 0, now_ms)
-        noted = NotedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms)
+        noted = NotedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms, run.submission)
         self._judge_end(run, ended.end, now_ms)
         noted.stored = not (run.kept and ended.end in (RunEnd.DONE, RunEnd.FAILED))
         self.ends[ended.number] = noted
@@ -272,15 +302,16 @@
     def _keep_recent(self, noted: NotedEnd) -> None:
         """Keep an end for as long as its owner may still count on the run."""
         recent = self.recent_ends
-        recent.append(noted)
-        while recent[0].noted_ms < noted.noted_ms - SILENCE_LIMIT_MS:
-            recent.popleft()
+        recent.pop(noted.key, None)
+        recent[noted.key] = noted
+        while (oldest := next(iter(recent.values()))).noted_ms < noted.noted_ms - SILENCE_LIMIT_MS:
+            del recent[oldest.key]
 
     def recent_ends_of(self, entry: str, now_ms: int) -> tuple[orders.HeldRun, ...]:
         """Return what ended lately for callers that wait at an entry, told once more on a join."""
         return tuple(
             noted.to_row(0)
-            for noted in self.recent_ends
+            for noted in self.recent_ends.values()
             if entry_of_owner(noted.owner) == entry and now_ms - noted.noted_ms <= SILENCE_LIMIT_MS
         )
 
@@ -298,7 +329,7 @@
             run.percent_ms = now_ms
         if run.phase == orders.HELD_STARTING:
             self.note_started(run, now_ms)
-            return [(run, _event(run, orders.STARTED))]
+            return [(run, started(run))]
         return []
 
     @staticmethod
@@ -397,7 +428,13 @@
     def held_runs(self, job_ids: frozenset[str] | None = None) -> tuple[orders.HeldRun, ...]:
         """Return all runs and ends, or those of some jobs."""
         rows = [
-            orders.HeldRun(run.key.task.text, run.key.attempt, run.epoch, run.phase)
+            orders.HeldRun(
+                run.key.task.text,
+                run.key.attempt,
+                run.epoch,
+                run.phase,
+                submission=run.submission,
+            )
             for run in self.runs.values()
             if job_ids is None or run.key.task.job_id in job_ids
         ]
@@ -447,10 +484,23 @@
 
 def _event(run: Run, kind: str, detail: str = "", end_number: int = 0) -> orders.RunEvent:
     return orders.RunEvent(
-        run.key.task.text, run.key.attempt, run.epoch, kind, detail, end_number, kept=run.kept
+        run.key.task.text,
+        run.key.attempt,
+        run.epoch,
+        kind,
+        detail,
+        end_number,
+        kept=run.kept,
+        submission=run.submission,
     )
 
 
-def not_started(run_key: RunKey, epoch: int, reason: str) -> orders.RunEvent:
+def started(run: Run) -> orders.RunEvent:
+    """Return the event that a run is at work."""
+    return _event(run, orders.STARTED)
+
+
+def not_started(run_key: RunKey, epoch: int, reason: str, submission: int) -> orders.RunEvent:
     """Return the event that a run was not started, and never will be."""
-    return orders.RunEvent(run_key.task.text, run_key.attempt, epoch, orders.NOT_STARTED, reason)
+    task, kind = run_key.task.text, orders.NOT_STARTED
+    return orders.RunEvent(task, run_key.attempt, epoch, kind, reason, submission=submission)
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -1,6 +1,7 @@
 """Jobs that are not stored: their caller waits for the end, and sends them again without one."""
 
 import asyncio
+import secrets
 from collections import OrderedDict
 
 import attrs
@@ -17,6 +18,7 @@
 
 # A job that is sent again after its answer gets the same answer here.
 KEPT_ANSWERS = 10_000
+SUBMISSION_BITS = 48  # drawn at random: no two of a job that callers submit again are the same
 
 
 @attrs.frozen
@@ -131,6 +133,7 @@
         record = first_record(queue, spec, steps, self._lease.owner, self._timers.wall_ms())
         job = job_of_queue(job_id, record, 0, queue, now_ms, kept=False)
         job.wait_until_ms = caller.until_ms
+        job.submission = 1 + secrets.randbits(SUBMISSION_BITS)
         self._log.write(
             "job_begun",
             request=job_id,
