Let the soak reset streams in series, and check which submission ends count for

Nothing played a stream that fails again and again while callers come back, and nothing would have noticed that ends of an earlier submission counted. The soak draws such series now, by a generator of their own, so that the other faults of a seed stay as they are, and compares each end that an entry counted with when it had begun the job, and the runners' histories.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -7,6 +7,12 @@
     Then no promise was broken
     And callers have submitted again
 
+  # Ends of an earlier submission counted for the present one: two as done, three as stopped.
+  Scenario: the promises hold while streams fail again and again and callers come back
+    When the soak runs seed 3001 for 12 s
+    Then no promise was broken
+    And callers have submitted again
+
   Scenario: the promises hold, more processes and callers
     When the soak runs seed 600 for 10 s with 4 entries, 8 agents and 20 callers
     Then no promise was broken
--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -57,3 +57,17 @@
     Given runner 1 saw 9 tasks at once
     When the runs of a waiting job are checked
     Then starts over the room found: 1
+
+  # An entry took what an agent told once more of an earlier submission for ends of the present one.
+  Scenario Outline: an end counts only for a submission that began before it
+    Given runner 1 saw "started@1000.0 <end>@<ended>"
+    And an entry began the job at <begun> ms and counted that end at <counted> ms
+    When the entry's lines are checked
+    Then ends of earlier submissions found: <found>
+
+    Examples:
+      | end     | ended  | begun | counted | found |
+      | done    | 1500.0 | 900   | 1510    | 0     |
+      | done    | 1500.0 | 1500  | 2000    | 0     |
+      | done    | 1500.0 | 1501  | 2000    | 1     |
+      | stopped | 1500.0 | 2900  | 3100    | 1     |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from soak import Soak
 from soak_callers import Submitted
-from soak_checks import NS_PER_MS, check_runs
+from soak_checks import NS_PER_MS, check_runs, find_earlier_ends
 
 JOB = "00000000000000b1"
 
@@ -55,7 +55,9 @@
 
 
 def row_of(task, how, time_ns, life):
-    return {"task": task, "attempt": 1, "how": how, "steady_ns": time_ns, "life": life}
+    wall_ms = time_ns // NS_PER_MS
+    row = {"task": task, "attempt": 1, "how": how, "steady_ns": time_ns, "life": life}
+    return {**row, "wall_ms": wall_ms}
 
 
 @given("runner 1 saw {count:d} tasks at once")
@@ -88,3 +90,22 @@
 def assert_found(context, what, count):
     found = [text for text in context.broken if what in text]
     assert len(found) == count == len(context.broken), context.broken
+
+
+@given("an entry began the job at {begun_ms:d} ms and counted that end at {counted_ms:d} ms")
+def add_lines(context, begun_ms, counted_ms):
+    end = {"task": f"{JOB}.0.0.0", "attempt": 1, "runner": "i-00000001", "end": "seen"}
+    context.lines = [
+        {"event": "job_begun", "request": JOB, "t_ms": begun_ms},
+        {"event": "task_ended", "request": JOB, "t_ms": counted_ms, **end},
+    ]
+
+
+@when("the entry's lines are checked")
+def check_lines(context):
+    context.broken = find_earlier_ends(context.lines, context.histories)
+
+
+@then("ends of earlier submissions found: {count:d}")
+def earlier_ends_found(context, count):
+    assert_found(context, "earlier end: ", count)
--- a/tools/planted.py
+++ b/tools/planted.py
@@ -110,6 +110,15 @@
     Job.knows_run = lambda *_arguments: True
 
 
+@mechanism
+def submission() -> None:
+    """Take what is told of an earlier submission's run for the present one's."""
+    knows_run = Job.knows_run
+    Job.knows_run = lambda self, task, attempt, place, _told: knows_run(
+        self, task, attempt, place, 0
+    )
+
+
 @mechanism
 def resubmission() -> None:
     """Hold what runs for a waiting caller as long as what runs for a stored job."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,17 +4,19 @@
 
 Faults come alone, in series, in herds, and overlap: processes are killed, paused, asked to stop
 and started again; the links to the store, and those of agents to each entry, are delayed,
-silenced, cut one way or reset; the store is away, loses answers or carries out late; runners
-leave calls unanswered or carry them out late. Callers leave, give up, and submit again as soon as
-they may. Checked, from what callers and runners see: no task runs at two places at once, however
-shortly, no runner's room is exceeded, a stored task is not started again after an end as done
-that counts (the runner was told to forget it, with no lapse of its lease in between), a job that
-was refused never runs, a stored job that was accepted ends in one state at all entries.
+silenced, cut one way or reset, once or in series; the store is away, loses answers or carries out
+late; runners leave calls unanswered or carry them out late. Callers leave, give up, and submit
+again as soon as they may. Checked, from what callers and runners see: no task runs at two places at
+once, however shortly, no runner's room is exceeded, a stored task is not started again after an end
+as done that counts (the runner was told to forget it, with no lapse of its lease in between), no
+end counts for a submission that began after it, a job that was refused never runs, a stored job
+that was accepted ends in one state at all entries.
 
 ``--planted`` switches a mechanism off, to see that the soak notices: see ``planted.py``.
 """
 
 import argparse
+import contextlib
 import json
 import os
 import random
@@ -22,10 +24,10 @@
 import sys
 import time
 
-from local_system import wait_for
+from local_system import Process, wait_for
 from platform_system import ZONES, PlatformSystem, RunnerPace
 from soak_callers import HOT_RACK, Callers, Submitted
-from soak_checks import check_runs
+from soak_checks import check_runs, find_earlier_ends
 from soak_faults import CALM_S, Faults, Proxies
 
 ENTRIES, AGENTS, CALLERS = 2, 3, 6
@@ -89,6 +91,8 @@
             self._callers.join()
             broken += self._check_stored()
             histories = self.system.histories()
+        for entry in self.system.entries:
+            broken += find_earlier_ends(_read_lines(entry), histories)
         return broken + check_runs(histories, self.jobs, self._faults.killed_ns)
 
     def _check_drain(self) -> list[str]:
@@ -131,6 +135,15 @@
         return self.system.state(job_id, entry)
 
 
+def _read_lines(process: Process) -> list[dict]:
+    """Return the log lines of all lives of a process; one that was cut by a kill is left out."""
+    lines = []
+    for text in process.log_path.read_text(errors="replace").splitlines():
+        with contextlib.suppress(json.JSONDecodeError):
+            lines.append(json.loads(text))
+    return [line for line in lines if isinstance(line, dict)]
+
+
 def find_size_fault(entries: int, agents: int) -> str:
     """Return why a system of this size is too large for this machine, empty if it isn't."""
     processes = 1 + entries + 2 * agents  # the store; a runner with each agent
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -117,6 +117,33 @@
     ]
 
 
+def find_earlier_ends(entry_lines: list[dict], histories: list[list[dict]]) -> list[str]:
+    """Return the ends that an entry counted for a waiting job that it began only after them.
+
+    Runners and entries share the machine's wall clock.
+    """
+    ended_ms = {
+        (row["task"], row["attempt"], f"i-{row['life']:08x}"): row["wall_ms"]
+        for history in histories
+        for row in history
+        if row["how"] in ENDS
+    }
+    begun_ms: dict[str, int] = {}
+    earlier = []
+    for line in entry_lines:
+        if line["event"] == "job_begun":
+            begun_ms[line["request"]] = line["t_ms"]
+        elif line["event"] == "task_ended":
+            end_ms = ended_ms.get((line["task"], line["attempt"], line["runner"]), math.inf)
+            ahead_ms = begun_ms.get(line["request"], 0) - end_ms
+            if ahead_ms > 0:
+                earlier.append(
+                    f"earlier end: {line['task']} attempt {line['attempt']} at {line['runner']} "
+                    f"{line['end']} {ahead_ms} ms before its job was begun"
+                )
+    return earlier
+
+
 def over_room(runs: list[SeenRun]) -> list[str]:
     """Return the starts that brought one life of a runner over its room."""
     over = []
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -40,8 +40,8 @@
 class Faults:
     """Draws faults from the seed's generators and undoes each after a while.
 
-    Single faults, drains and herds are drawn each by themselves, so that a seed plays the same
-    faults of one kind whatever becomes of the others.
+    Single faults, drains, herds and resets are drawn each by themselves, so that a seed plays the
+    same faults of one kind whatever becomes of the others.
     """
 
     def __init__(
@@ -52,6 +52,7 @@
         self.drain_random = random.Random(f"drains {seed}")
         self.random = chooser
         self._herd_random = random.Random(f"herds {seed}")
+        self._reset_random = random.Random(f"resets {seed}")
         self._system = system
         self._proxies = proxies
         self._timers: list[threading.Timer] = []
@@ -63,16 +64,21 @@
         return [*self._system.entries, *self._system.agents]
 
     def inject(self, seconds: float, callers: Callers) -> None:
-        """Play faults for some time: single ones, and herds beside them."""
-        herds = threading.Thread(target=self._inject_herds, args=(seconds, callers))
-        herds.start()
+        """Play faults for some time: single ones, with herds and resets beside them."""
+        beside = [
+            threading.Thread(target=inject, args=(seconds, callers))
+            for inject in (self._inject_herds, self._inject_resets)
+        ]
+        for thread in beside:
+            thread.start()
         try:
             self._inject_single(seconds)
         except BaseException:
             self.end()
             raise
         finally:
-            herds.join()
+            for thread in beside:
+                thread.join()
 
     def _inject_single(self, seconds: float) -> None:
         end_s = time.monotonic() + seconds
@@ -297,6 +303,24 @@
     def _numbers(self, entries: list[Process]) -> set[int]:
         return {self._system.entries.index(entry) for entry in entries}
 
+    # Streams that fail again and again.
+
+    def _inject_resets(self, seconds: float, callers: Callers) -> None:
+        """Reset the streams of an entry in series while its callers leave, and come back.
+
+        What an agent tells once more on each new stream may be of an earlier submission by then.
+        """
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s and not self._over.is_set():
+            number = self._reset_random.randrange(len(self._proxies.streams))
+            left = callers.leave({number}, self._reset_random)
+            times = self._reset_random.randint(3, 8)
+            self._note(f"streams of entry-{number} reset {times} times, {left} callers left")
+            for _ in range(times):
+                time.sleep(self._reset_random.uniform(0.2, 0.7))
+                self._proxies.streams[number].reset()
+            time.sleep(self._reset_random.uniform(0.5, 2.0))
+
     # The end of faults.
 
     def _later(self, delay_s: float, work: Callable[[], object]) -> None:
