Give a renamed entry as long to claim its runs as its last word allows

Callers saw: work that ran for them was stopped and done again when their entry lost its lease while a stream was down and its claim then took longer than 200 ms: over a delayed link, from a paused entry, or from one with many runs to go through.

Cause: an agent stopped what ran under a former name of an entry 200 ms after the entry had joined, since one that has begun anew claims nothing and the greeting told neither from the other. The run itself may go on for 850 ms after its owner's last word.

Change: an entry's greeting names its process's former names. What runs under these is the joining owner's at once, unclaimed, and ends with the grant if no claim comes. An entry that has begun anew names none; its predecessor's runs are stopped after 200 ms as before. An end that comes between the joining and the claim is told under the new name.

--- /dev/null
+++ b/features/steps/late_claim_steps.py
@@ -0,0 +1,116 @@
+"""Steps on claims that come late, after an entry has joined an agent under another name."""
+
+from behave import then, when
+from core_model import ManualTimers
+from platform_core_steps import JOB, OWNER
+
+from gapdrum.core import orders
+from gapdrum.core.jobs import TaskPhase
+from gapdrum.core.models import RunEnd
+from gapdrum.core.runner_models import RunningTask
+
+RENAMED = "entry-1/next-life"
+STEP_MS = 50
+
+
+class PlannedTimers(ManualTimers):
+    """Calls back what was planned once its time has come."""
+
+    def __init__(self, time_ms):
+        super().__init__()
+        self.time_ms = time_ms
+        self.planned = []
+
+    def call_after(self, delay_ms, callback):
+        self.planned.append((self.time_ms + delay_ms, callback))
+
+    def run_due(self):
+        due = [one for one in self.planned if one[0] <= self.time_ms]
+        self.planned = [one for one in self.planned if one[0] > self.time_ms]
+        for _, callback in due:
+            callback()
+
+
+def pass_time(context, time_ms):
+    """Let time pass: the runs get on, and their owner echoes each beat and claims nothing yet."""
+    pair, timers = context.pair, context.planned
+    for passed_ms in range(STEP_MS, time_ms + 1, STEP_MS):
+        timers.time_ms = pair.timers.time_ms = pair.timers.time_ms + STEP_MS
+        timers.run_due()
+        context.runner.running = tuple(
+            RunningTask(one.run, one.percent + 1) for one in context.runner.running
+        )
+        if passed_ms % orders.BEAT_INTERVAL_MS == 0:
+            pair.echo()
+        pair.look()
+
+
+@when("the entry loses its lease while its stream is down, and joins under another name")
+def joins_renamed(context):
+    pair = context.pair
+    context.word_ms = pair.timers.now_ms()
+    pair.part()
+    pair.timers.time_ms += 200
+    context.planned = PlannedTimers(pair.timers.time_ms)
+    pair.agent.orders._timers = context.planned
+    pair.join(RENAMED, (OWNER,))
+    context.told = pair.take_told()
+
+
+@when("its claim takes {delay_ms:d} ms")
+def claim_late(context, delay_ms):
+    pair = context.pair
+    pass_time(context, delay_ms)
+    pair.deliver(context.told)
+    pair.deliver(pair.take_told())
+    pair.tell_agent()
+
+
+@then("the runs go on, and have not been stopped")
+def go_on(context):
+    pass_time(context, 1_000)
+    assert not context.stops, context.stops
+    assert max(context.runner.renewals) > context.pair.timers.now_ms()
+
+
+@then("all runs were stopped {time_ms:d} ms after the owner's last word at the latest")
+def stopped_in_time(context, time_ms):
+    first_ms = min(context.stops)
+    assert first_ms - context.word_ms <= time_ms + STEP_MS, (context.stops, context.word_ms)
+    assert {run.stopping for run in context.runs} == {True}
+
+
+@when("one task is done before the claim comes")
+def done_before_claim(context):
+    pair = context.pair
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pass_time(context, 100)
+    pair.deliver(context.told)
+    pair.tell_agent()
+    pair.deliver(pair.take_told())
+    context.ordered = pair.tell_agent()
+
+
+@then("that task counts as done, and is not started again")
+def counts_as_done(context):
+    task = context.pair.dispatch.jobs[JOB].by_name[context.keys[0].task]
+    assert task.phase is TaskPhase.DONE, task.phase
+    assert not context.ordered, context.ordered
+
+
+@when("its stream ends, one task is done, and {more}")
+def done_meanwhile(context, more):
+    pair = context.pair
+    pair.part()
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.look()
+    pair.timers.time_ms += 200
+    if "another name" in more:
+        pair.join(RENAMED, (OWNER,))
+    else:
+        pair.join()
+        pair.part()
+        pair.timers.time_ms += 200
+        pair.join()
+    pair.tell_owner()
+    context.ordered = pair.tell_agent()
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -64,12 +64,12 @@
 
     # Streams.
 
-    def join(self, owner=OWNER, *former_owners):
+    def join(self, owner=OWNER, former_owners=()):
         """Open a stream, and deliver what the agent tells on it."""
         greeting = self.agent._greet()
         self.view = self.dispatch.fleet.agent_joined(greeting, self.timers.now_ms())
         self.link.stream = base.FakeStream()
-        self.agent.links._greeted(self.link, owner, *former_owners)
+        self.agent.links._greeted(self.link, owner, former_owners)
         self.echo()
 
     def part(self):
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -245,7 +245,7 @@
 
     # Streams.
 
-    def _greeted(self, link: EntryLink, owner: str) -> None:
+    def _greeted(self, link: EntryLink, owner: str, former_owners: Iterable[str] = ()) -> None:
         self._name_seed(entry_of_owner(owner), link.address)
         if self._links.get(link.entry) is not link:
             return
@@ -255,6 +255,8 @@
         if former:
             self.on_renamed(former, owner)
         else:
+            for name in former_owners:
+                self.on_renamed(name, owner)
             self.on_joined(link)
 
     async def _keep(self, link: EntryLink) -> None:
@@ -304,7 +306,7 @@
             if link.leaving:
                 continue  # the entry has taken back by now whatever it had ordered here
             if isinstance(message, orders.EntryGreeting):
-                self._greeted(link, message.owner)
+                self._greeted(link, message.owner, message.former_owners)
             else:
                 self.on_message(link, message)
         raise StreamClosedError("the entry ended the stream")
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -228,9 +228,14 @@
 @message(50)
 @attrs.frozen
 class EntryGreeting:
-    """The first message of an entry on an agent's stream."""
+    """The first message of an entry on an agent's stream.
+
+    ``former_owners`` are the names that the same process had before it lost its lease: it will
+    claim what runs for the callers that wait there.
+    """
 
     owner: str = text_field()
+    former_owners: tuple[str, ...] = attrs.field(converter=tuple, default=())
 
 
 @message(51)
--- a/src/gapdrum/entry/lease.py
+++ b/src/gapdrum/entry/lease.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import uuid
+from collections import deque
 from collections.abc import Callable
 
 import attrs
@@ -34,6 +35,8 @@
 LEASE_MS = 4_000
 # Others take a lease as lapsed only later, by their own clocks and timers.
 LAPSE_SLACK_MS = 600
+# Former names that agents are told: what runs under one outlives its lease by about a second.
+FORMER_OWNERS = 4
 # The incarnation of a lease that can't be read: no owner of any job is named so.
 UNREADABLE = "unreadable"
 
@@ -78,10 +81,12 @@
         self._leaving = False
         self._wake = asyncio.Event()
         self._written_address: EntryAddress | None = None
-        self._new_life()
+        self.former_owners: deque[str] = deque(maxlen=FORMER_OWNERS)
+        self.incarnation = _new_incarnation()
 
     def _new_life(self) -> None:
-        self.incarnation = uuid.uuid4().hex[:12]
+        self.former_owners.append(self.owner)
+        self.incarnation = _new_incarnation()
         self._version = ABSENT
 
     @property
@@ -267,3 +272,7 @@
             for depth in seen.lease.depths
             if depth.queue == queue
         )
+
+
+def _new_incarnation() -> str:
+    return uuid.uuid4().hex[:12]
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -28,6 +28,7 @@
         self._streams: dict[str, Stream] = {}
         self.dispatch: Dispatch | None = None
         self.owner: Callable[[], str] = str
+        self.former_owners: Callable[[], tuple[str, ...]] = tuple
         self.holds_lease: Callable[[], bool] = lambda: False
         self.unsettled_claims: Callable[[], tuple[orders.JobEpoch, ...]] = tuple
         self.zones = ZoneWatch(log)
@@ -88,7 +89,7 @@
             previous.close()
         view = self.dispatch.fleet.agent_joined(greeting, self._timers.now_ms())
         self._streams[greeting.agent] = stream
-        stream.send(orders.EntryGreeting(self.owner()))
+        stream.send(self.greeting())
         if self.zones.drains.known:
             stream.send(self.zones.drains_told())  # before any order: the agent starts nothing else
         # What this entry claims would be stopped before its first beat is echoed otherwise.
@@ -106,6 +107,10 @@
                 del self._streams[greeting.agent]
                 self.dispatch.fleet.agent_left(view)
 
+    def greeting(self) -> orders.EntryGreeting:
+        """Return who this entry is, as agents are told it."""
+        return orders.EntryGreeting(self.owner(), self.former_owners())
+
     def _tell_configuration(self, stream: Stream) -> None:
         value = self.configuration_value()
         if value is not None:
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -169,6 +169,7 @@
         self.lease.on_lost = self._lose_lease
         self.links.dispatch = self.dispatch
         self.links.owner = lambda: self.lease.owner
+        self.links.former_owners = lambda: tuple(self.lease.former_owners)
         self.links.holds_lease = lambda: self.lease.valid
         self.links.unsettled_claims = self.takeover.unsettled_claims
         self.links.zones = self.zones
@@ -245,7 +246,7 @@
         for job in list(self.dispatch.jobs.values()):
             if job.kept:
                 self.dispatch.drop_job(job.job_id, "lease_lost")
-        self.links.broadcast(orders.EntryGreeting(self.lease.owner))
+        self.links.broadcast(self.links.greeting())
         self.takeover.ask()
 
     def _show_readiness(self, _request: HttpRequest) -> HttpResponse:
