Let test systems on one machine hold their ports, and start with more entries than agents serve

Causes: find_port looked whether a port was free and gave it out before its process listened, and the ranges of processes began 97 ports apart. An agent serves four entries, and the harness waited until it had joined all. What an agent logs was taken for what its entries know.

Change: a process takes blocks of 100 ports by a locked file each, for as long as it lives. The harness waits until each agent has joined as many entries as it serves, and until the entries see all room.

--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -1,15 +1,16 @@
 """Starts the processes of a whole system on loopback, for demo, benchmark and tests."""
 
-import itertools
+import fcntl
 import json
-import os
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 from pathlib import Path
+from typing import IO
 
 import attrs
 import urllib3
@@ -25,8 +26,9 @@
 POLL_S = 0.05
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
-_FIRST_PORT = LOWEST_PORT + os.getpid() * 97 % (HIGHEST_PORT - LOWEST_PORT)
-_PORTS = itertools.cycle([*range(_FIRST_PORT, HIGHEST_PORT), *range(LOWEST_PORT, _FIRST_PORT)])
+PORT_BLOCK = 100
+# Blocks of ports that processes on this machine have taken, a locked file for each.
+PORT_LOCKS = Path(tempfile.gettempdir()) / "gapdrum-ports"
 CREDENTIALS = [
     {"name": "site-tablet", "token": CALLER_TOKEN, "role": "caller"},
     {"name": "school", "token": "schools-token", "role": "caller", "teams": ["schools"]},
@@ -41,6 +43,39 @@
 ]
 
 
+def _list_ports() -> Iterator[int]:
+    """Yield the ports of blocks that no other process holds, for as long as this one lives.
+
+    A port is free until its process listens, so a look at it alone would give it to two systems.
+    """
+    locks: dict[int, IO[str]] = {}
+    while True:
+        for first in range(LOWEST_PORT, HIGHEST_PORT, PORT_BLOCK):
+            if first not in locks:
+                lock = _lock_block(first)
+                if lock is None:
+                    continue
+                locks[first] = lock
+            yield from range(first, first + PORT_BLOCK)
+        if not locks:
+            raise OSError("other processes hold all blocks of ports")
+
+
+def _lock_block(first: int) -> IO[str] | None:
+    """Take a block of ports; None if another process holds it. The file must stay open."""
+    PORT_LOCKS.mkdir(exist_ok=True)
+    lock = (PORT_LOCKS / str(first)).open("w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return None
+    return lock
+
+
+_PORTS = _list_ports()
+
+
 def find_port() -> int:
     """Return a port that is free now, given out once, and below the ephemeral range.
 
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -12,6 +12,8 @@
 import urllib3
 from local_system import HOST, Process, find_port, wait_for
 
+from gapdrum.core.subsets import SERVED_ENTRIES
+
 ZONES = ("plaine-nord", "moka-hall", "curepipe-hall")
 UPSTREAM = "inspect-desk"
 CALLER_HOST = "inspections.example"
@@ -95,15 +97,33 @@
             process.start()
         for port in self.ready_ports:
             wait_for(lambda port=port: self._status(port, "/readyz") == 200, "an entry is ready")
+        served = min(len(self.entries), SERVED_ENTRIES)
         for number in range(len(self.agents)):
-            wait_for(lambda number=number: self._is_joined(number), f"agent {number} has joined")
+            wait_for(
+                lambda number=number: self._is_joined(number, served), f"agent {number} has joined"
+            )
+        wait_for(lambda: self._count_room() >= served * len(self.agents), "entries see all room")
 
-    def _is_joined(self, number: int) -> bool:
-        """Tell whether an agent knows its runner's room and all entries."""
+    def _is_joined(self, number: int, served: int) -> bool:
+        """Tell whether an agent knows its runner's room and the entries that it serves."""
         name = f"agent-{number}"
         joined = {row["entry"] for row in self.events(name, "entry_joined")}
         has_room = self.events(name, "runner_reported") or self.events(name, "runner_listed")
-        return len(joined) == len(self.entries) and bool(has_room)
+        return len(joined) >= served and bool(has_room)
+
+    def _count_room(self) -> float:
+        """Return how many idle runners the entries see, those at several entries again at each.
+
+        What an agent has told may not have been read yet, and a job that finds no room then is
+        refused soon.
+        """
+        lines = [
+            line
+            for number in range(len(self.entries))
+            for line in self.metrics(f"entry-{number}").splitlines()
+        ]
+        free = [line.split()[-1] for line in lines if line.startswith("gapdrum_free_cpu_milli ")]
+        return sum(map(float, free)) / RUNNER_CPU_MILLI
 
     def put_configuration(self, version: int, queues=QUEUES) -> None:
         """Write a version of the configuration, as operators do."""
