Show no room at a runner whose lease runs out beside an unanswered stop

Callers saw: starts that were rejected as late, again and again for up to 0.3 s, while the runner left the stop of another run unanswered; each cost an order, a call and a new placement.

Cause: a lease is one for all at a runner and is not renewed beyond the hold of a run that is to be stopped (1,150 ms). Orders were taken, and room told, until that had passed; a start got the few ms that were left as its expiry.

Change: a runner has no room for anybody while less than 250 ms are left, the time of a call and its repetition. Also an agent that cannot read what an entry sends writes a line: a stream that was ended before the greeting was read left none, and agents tried again five times a second unseen.

Before: unanswered_stops.feature on the code before, 1,000 and 1,250 ms after the stop 3,000 of 4,000 thousandths of a core are told as free and an order is taken. After: no room, the order is refused at once, and the runner has room again with the look that shows the run's end.

--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -263,7 +263,9 @@
         while True:
             try:
                 await self._serve(link)
-            except (StreamClosedError, FrameError) as error:
+            except FrameError as error:
+                self._log.write("stream_rejected", code=error.code, reason=error.message)
+            except StreamClosedError as error:
                 if link.owner:
                     self._log.write("entry_lost", entry=link.entry, code=error.code)
             finally:
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -7,7 +7,7 @@
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.core.look_schedule import LookSchedule
-from gapdrum.core.models import Resources
+from gapdrum.core.models import NOTHING, Resources
 from gapdrum.core.orders import RunEvent
 from gapdrum.core.room_offers import RoomOffers
 from gapdrum.core.room_shares import RoomShares
@@ -18,6 +18,8 @@
 
 # A lease ends at the runner at most this much later than asked: its clock may be 2% slow.
 LAPSE_SLACK_MS = 150
+# A start has the lease that is there, and needs so much of it: the call, and one repetition of it.
+LEAST_START_MS = 250
 
 
 @attrs.define(eq=False)
@@ -49,8 +51,22 @@
 
     def free_for(self, owner: str, now_ms: int) -> Resources:
         """Return the room that an owner may use now."""
+        if not self.may_start(now_ms):
+            return NOTHING
         return self.ledger.free - self.offers.kept_from(owner, now_ms)
 
+    def may_start(self, now_ms: int) -> bool:
+        """Tell whether a start could still take effect before the lease ends.
+
+        The lease is one for all, and not renewed beyond the hold of a run whose stop stays
+        unanswered: what is started in the last moments would be rejected as late.
+        """
+        return all(
+            self.grants.lease_limit_ms(run) - now_ms >= LEAST_START_MS
+            for run in self.ledger.runs.values()
+            if run.stopping
+        )
+
     def kept_cpu_milli(self, now_ms: int) -> dict[str, int]:
         """Return how much of the free room is kept from which queues."""
         ledger = self.ledger
