Count ends that a restarted agent finds only for what was ordered before its life

Cause: an agent that has begun anew does not know of which submission the ends are that its runner lists. They were compared by attempt and runner alone, so an order to that agent under the same name took an end that was under way as its own.

Change: such an end counts only if the attempt was ordered in an earlier life of the agent; what this life was ordered it knows. What an owner hears of a run that ended before its adoption names the submission that adopted it.

Before: a scenario of submissions.feature fails, one task of the present submission counts as done. After: it passes, and so does its counterpart, an end of what was ordered before the restart.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -283,3 +283,21 @@
     pair.dispatch.placer.place_waiting(pair.timers.now_ms())
     rows = (*context.keeper.ledger.held_runs(), found)
     pair.deliver([orders.Holdings("i-1", (), rows)])
+
+
+@when("an agent whose present life began {when} the order tells of an end that it has found")
+def found_end(context, when):
+    pair = context.pair
+    if when == "after":
+        pair.part()
+        pair.agent.incarnation = "next-life"
+        pair.join()
+    name = context.keys[0].task.text
+    event = orders.RunEvent(name, 1, 0, orders.ENDED, RunEnd.DONE.value, 7)
+    pair.deliver([orders.RunEvents("i-1", (event,))])
+
+
+@then("{count:d} of the job's tasks count as done")
+def done_tasks(context, count):
+    tasks = context.pair.dispatch.jobs[JOB].tasks
+    assert sum(task.phase is TaskPhase.DONE for task in tasks) == count, tasks
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -46,3 +46,16 @@
     And a job of a waiting caller that is at work there
     When the runner rejects a start, and a new life of the agent finds an end under its name as "done"
     Then the job has not ended, and no task counts as done or failed
+
+  # After a restart, an agent tells what it finds without knowing of which submission it is. What it has
+  # been ordered itself it knows.
+  Scenario Outline: an end that a new life of the agent has found is of what was ordered before
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When an agent whose present life began <when> the order tells of an end that it has found
+    Then <tasks> of the job's tasks count as done
+
+    Examples:
+      | when   | tasks |
+      | before | 0     |
+      | after  | 1     |
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -150,7 +150,7 @@
             key = RunKey(TaskName.parse(row.task), row.attempt)
             if row.epoch < self._epochs.get(key.task.job_id, 0):
                 continue
-            event = keeper.ledger.tell_adopted(key)
+            event = keeper.ledger.tell_adopted(key, row.submission)
             if event is None:
                 keeper.ledger.adopt(key, link.owner, row.epoch, row.kept, row.room, row.submission)
             else:
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -118,10 +118,12 @@
         """Take what happened to runs."""
         place = Place(view.agent, message.runner_id)
         for event in message.events:
-            self._take_event(place, event, now_ms)
+            self._take_event(view, place, event, now_ms)
         self.outside.place_soon()
 
-    def _take_event(self, place: Place, event: orders.RunEvent, now_ms: int) -> None:
+    def _take_event(
+        self, view: AgentView, place: Place, event: orders.RunEvent, now_ms: int
+    ) -> None:
         name = TaskName.parse(event.task)
         job = self.jobs.get(name.job_id)
         if job is None:
@@ -131,7 +133,7 @@
         task = job.by_name.get(name)
         if task is None:
             return
-        if not job.knows_run(task, event.attempt, place, event.submission):
+        if not job.knows_run(task, event.attempt, place, event.submission, view.incarnation):
             self._pass_over(place, event)
         elif event.kind == orders.ENDED:
             self._take_end(job, task, place, event, now_ms)
@@ -301,9 +303,9 @@
         held = set()
         adopted = []
         for row in holdings.runs:
-            if self._is_present(place, row):
+            if self._is_present(view, place, row):
                 held.add((row.task, row.attempt))
-            adopted.extend(self._take_held(place, row, now_ms))
+            adopted.extend(self._take_held(view, place, row, now_ms))
         if adopted:
             message = orders.AdoptRuns(holdings.runner_id, tuple(adopted))
             self.outside.send(view.agent, message)
@@ -315,7 +317,9 @@
             runner.synced = True
         self.outside.place_soon()
 
-    def _take_held(self, place: Place, row: orders.HeldRun, now_ms: int) -> list[orders.AdoptedRun]:
+    def _take_held(
+        self, view: AgentView, place: Place, row: orders.HeldRun, now_ms: int
+    ) -> list[orders.AdoptedRun]:
         name = TaskName.parse(row.task)
         job = self.jobs.get(name.job_id)
         task = job.by_name.get(name) if job is not None else None
@@ -333,7 +337,7 @@
             )
             if task is not None and task.phase is TaskPhase.UNKNOWN:
                 task.attempt = max(task.attempt, row.attempt)
-            self._take_event(place, event, now_ms)
+            self._take_event(view, place, event, now_ms)
             return []
         if task is None:
             if self.outside.has_ended(name.job_id):
@@ -357,7 +361,7 @@
             )
         ]
 
-    def _is_present(self, place: Place, row: orders.HeldRun) -> bool:
+    def _is_present(self, view: AgentView, place: Place, row: orders.HeldRun) -> bool:
         """Tell whether a row is of the present submission of its job, as far as is known.
 
         A run at work counts in any case: an earlier submission's must end before it runs anew.
@@ -367,7 +371,7 @@
         task = job.by_name.get(name) if job is not None else None
         if task is None or row.phase != orders.HELD_ENDED:
             return True
-        return job.knows_run(task, row.attempt, place, row.submission)
+        return job.knows_run(task, row.attempt, place, row.submission, view.incarnation)
 
     @staticmethod
     def _is_expected(task: Task, place: Place, row: orders.HeldRun) -> bool:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -54,7 +54,8 @@
     """One task of a job; ``attempt`` is the number of its last start.
 
     ``placed_at`` tells where each attempt was ordered or adopted, and ``slowness`` how many times
-    as long as usual the last one was expected to take there, 0 if not known.
+    as long as usual the last one was expected to take there, 0 if not known. ``ordered_in`` tells
+    in which life of its agent each attempt was ordered.
     """
 
     name: TaskName
@@ -64,6 +65,7 @@
     failed_attempts: set[int] = attrs.Factory(set)
     place: Place | None = None
     placed_at: dict[int, Place] = attrs.Factory(dict)
+    ordered_in: dict[int, str] = attrs.Factory(dict)
     started_ms: int = 0
     slowness: float = 0.0
     moves: int = 0
@@ -158,16 +160,22 @@
         """
         return self.wait_until_ms is None or now_ms < self.wait_until_ms
 
-    def knows_run(self, task: Task, attempt: int, place: Place, submission: int) -> bool:
+    def knows_run(
+        self, task: Task, attempt: int, place: Place, submission: int, agent_life: str
+    ) -> bool:
         """Tell whether a run at a place is one of this job's.
 
         Attempts of stored jobs are unique over all owners. Those of others begin at 1 with each
         submission, so a run of an earlier one may have the same name, also at the same place. An
-        agent that has begun anew does not know the submission (0), so the place tells alone.
+        agent does not know the submission (0) of what was ordered before its present life.
         """
         if self.kept:
             return True
-        return submission in (0, self.submission) and task.placed_at.get(attempt) == place
+        if task.placed_at.get(attempt) != place:
+            return False
+        if submission == self.submission:
+            return True
+        return submission == 0 and task.ordered_in.get(attempt) != agent_life
 
     def ready_tasks(self) -> list[Task]:
         """Return the waiting tasks whose turn has come."""
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -216,6 +216,7 @@
         task.attempt = job.next_attempt(task)
         task.phase = TaskPhase.ORDERED
         task.put(runner.place)
+        task.ordered_in[task.attempt] = runner.agent.incarnation
         task.started_ms = 0
         runner.order(task.step.resources)
         self.backlog.note_placed(work_of_task(task), now_ms)
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -456,14 +456,17 @@
                 owners.add(HeldOwner(end.owner, True))
         return frozenset(owners)
 
-    def tell_adopted(self, key: RunKey) -> orders.RunEvent | None:
+    def tell_adopted(self, key: RunKey, submission: int) -> orders.RunEvent | None:
         """Return what its new owner has to hear of a run that ended before it was adopted."""
         if key in self.runs:
             return None
         for number, end in self.ends.items():
             if end.key == key and not end.stored:
-                return end.to_event(number)
-        return orders.RunEvent(key.task.text, key.attempt, 0, orders.LOST, orders.ENDED_BEFORE)
+                return attrs.evolve(end.to_event(number), submission=submission)
+        task, kind = key.task.text, orders.LOST
+        return orders.RunEvent(
+            task, key.attempt, 0, kind, orders.ENDED_BEFORE, submission=submission
+        )
 
     def set_gone(self) -> list[tuple[Run, orders.RunEvent]]:
         """Note that this incarnation is gone with all its runs; return them as lost."""
--- a/tools/planted.py
+++ b/tools/planted.py
@@ -114,8 +114,8 @@
 def submission() -> None:
     """Take what is told of an earlier submission's run for the present one's."""
     knows_run = Job.knows_run
-    Job.knows_run = lambda self, task, attempt, place, _told: knows_run(
-        self, task, attempt, place, 0
+    Job.knows_run = lambda self, task, attempt, place, *_told: knows_run(
+        self, task, attempt, place, self.submission, ""
     )
 
 
