Give a stream that fails again its whole time to come back

Cause: 600 ms after a stream had failed the agent looked whether the entry had a stream, without regard to when it had lost the last one. One that had come back, and lost its next stream just then, was taken for gone and all that ran for its callers was stopped. The line is run_stopped_for_owner; no entry had been renamed or restarted, which left no other sender of it.

Change: an owner is away only once its present absence has lasted for 600 ms; the same rule tells whether work is a stray. What an entry that is gone leaves is stopped as before, and no later than its grant ends.

Before: the new scenario of late_claims.feature fails (all runs stopped at the look).

--- a/features/late_claims.feature
+++ b/features/late_claims.feature
@@ -45,3 +45,17 @@
       | more                                |
       | the entry joins under another name  |
       | the next stream ends before it says |
+
+  # An agent looked 600 ms after a stream had failed whether its entry was there. One whose next stream
+  # had failed just then was taken for gone, and all that ran for its callers was stopped.
+  Scenario: a stream that fails again is given its whole time to come back
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When its stream fails, comes back after 200 ms, and fails again 300 ms later for 200 ms
+    Then the runs go on, and have not been stopped
+
+  Scenario: what runs for an entry that stays away is stopped
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When its stream fails, and stays away for 650 ms
+    Then the runs were stopped 600 ms after the stream had failed
--- a/features/steps/late_claim_steps.py
+++ b/features/steps/late_claim_steps.py
@@ -114,3 +114,43 @@
         pair.join()
     pair.tell_owner()
     context.ordered = pair.tell_agent()
+
+
+def plan_timers(context):
+    """Let what the agent plans be called when its time comes."""
+    context.planned = PlannedTimers(context.pair.timers.time_ms)
+    context.pair.agent.links._timers = context.pair.agent.orders._timers = context.planned
+
+
+def stay_away(context, time_ms):
+    """Let time pass without a stream."""
+    pair = context.pair
+    for _ in range(0, time_ms, STEP_MS):
+        context.planned.time_ms = pair.timers.time_ms = pair.timers.time_ms + STEP_MS
+        context.planned.run_due()
+
+
+@when("its stream fails, comes back after 200 ms, and fails again 300 ms later for 200 ms")
+def fails_twice(context):
+    pair = context.pair
+    plan_timers(context)
+    for up_ms in (300, 0):
+        pair.part()
+        stay_away(context, 200)
+        pair.join()
+        pair.tell_owner()
+        pair.tell_agent()
+        pass_time(context, up_ms)
+
+
+@when("its stream fails, and stays away for {time_ms:d} ms")
+def stays_away(context, time_ms):
+    plan_timers(context)
+    context.failed_ms = context.pair.timers.now_ms()
+    context.pair.part()
+    stay_away(context, time_ms)
+
+
+@then("the runs were stopped {time_ms:d} ms after the stream had failed")
+def stopped_after_failing(context, time_ms):
+    assert {stop - context.failed_ms for stop in context.stops} == {time_ms}, context.stops
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -215,10 +215,17 @@
     def _is_stray(self, held: HeldOwner, now_ms: int) -> bool:
         if held.owner == UNKNOWN_OWNER:
             return True
-        if not held.kept or self.of_owner(held.owner) is not None:
+        return held.kept and self._is_away(held.owner, now_ms)
+
+    def _is_away(self, owner: str, now_ms: int) -> bool:
+        """Tell whether an owner has probably died: its stream has been down for too long.
+
+        An entry that has joined under another name is not that owner any more.
+        """
+        if self.of_owner(owner) is not None:
             return False
-        link = self._links.get(entry_of_owner(held.owner))
-        return link is None or bool(link.owner) or link.away_ms(now_ms) > AWAY_ALLOWANCE_MS
+        link = self._links.get(entry_of_owner(owner))
+        return link is None or bool(link.owner) or link.away_ms(now_ms) >= AWAY_ALLOWANCE_MS
 
     def _connect(self, link: EntryLink, listed: bool = True) -> None:
         now_ms = self._timers.now_ms()
@@ -290,7 +297,8 @@
         link.told_room.clear()
 
     def _check_away(self, owner: str) -> None:
-        if self.of_owner(owner) is None:
+        # Its stream may have been replaced, and have failed again just now.
+        if self._is_away(owner, self._timers.now_ms()):
             self.on_away(owner)
 
     async def _serve(self, link: EntryLink) -> None:
