Admit a job that the free room holds, whatever the rate of placing says

Callers saw: 429 overloaded from entries that saw 574 to 1,935 cores as free, 8 times within 0.4 s of a start.

Cause: the wait of a new job is estimated as the work ahead by the rate at which work was placed in the last second. An entry that has placed little, or got back what it had placed, takes any work that waits, even what will be placed in this turn of the loop, for a long wait.

Change: before it refuses, an entry looks whether the free room, in whole tasks of the new job and at runners that may be chosen, holds the job and all that goes before it. Counted only then, so that the common path is as it was.

Before: admission.feature, with a wait estimated as 117 s beside room for eight tasks, two of four examples fail. After: four of four.

--- a/src/gapdrum/core/backlog.py
+++ b/src/gapdrum/core/backlog.py
@@ -1,7 +1,7 @@
 """How much work waits at an entry, how fast it is placed, and whether more still has a chance."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -64,13 +64,16 @@
         return int(work_ahead / rate) if rate else 0
 
 
-def waiting_work(jobs: Iterable[Job], priority: int, begin_by_ms: int) -> int:
-    """Return the work of waiting tasks that go before a new job that should begin by a time."""
-    total = 0
+def tasks_ahead(jobs: Iterable[Job], priority: int, begin_by_ms: int) -> Iterator[Task]:
+    """Yield the waiting tasks that go before a new job that should begin by a time."""
     for job in jobs:
         if job.untouched and (job.priority, job.begin_by_ms) > (priority, begin_by_ms):
             continue
         for task in job.tasks:
             if task.phase is TaskPhase.WAITING:
-                total += work_of_task(task)
-    return total
+                yield task
+
+
+def waiting_work(jobs: Iterable[Job], priority: int, begin_by_ms: int) -> int:
+    """Return the work of waiting tasks that go before a new job that should begin by a time."""
+    return sum(map(work_of_task, tasks_ahead(jobs, priority, begin_by_ms)))
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -7,7 +7,14 @@
 import attrs
 
 from gapdrum.core import orders
-from gapdrum.core.backlog import OWN_SHARE, Backlog, waiting_work, work_of, work_of_task
+from gapdrum.core.backlog import (
+    OWN_SHARE,
+    Backlog,
+    tasks_ahead,
+    waiting_work,
+    work_of,
+    work_of_task,
+)
 from gapdrum.core.expected_end import distance
 from gapdrum.core.fleet import Fleet
 from gapdrum.core.fleet_speeds import measure_speeds
@@ -73,6 +80,33 @@
         ahead = waiting_work(jobs, priority, begin_by_ms) + OWN_SHARE * work_of(steps)
         return self.backlog.wait_ms(ahead, now_ms)
 
+    def fits_now(
+        self,
+        upstream: str,
+        steps: tuple[Step, ...],
+        priority: int,
+        begin_by_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Tell whether the free room holds a new job, and all that waits for it before that job.
+
+        Room counts in whole tasks of the new job: what is left over at full runners is of no use.
+        """
+        largest_cpu_milli = max(step.resources.cpu_milli for step in steps)
+        if not largest_cpu_milli:
+            return False
+        jobs = [job for job in map(self.jobs.get, self.waiting) if job.upstream == upstream]
+        ahead = tasks_ahead(jobs, priority, begin_by_ms)
+        needed = sum(task.step.resources.cpu_milli for task in ahead)
+        needed += sum(step.tasks * step.resources.cpu_milli for step in steps)
+        field = self._build_field(upstream, largest_cpu_milli)
+        free = sum(
+            view.free.cpu_milli // largest_cpu_milli
+            for view in field.with_room
+            if view.state == orders.READY and not view.agent.is_quiet(now_ms)
+        )
+        return free * largest_cpu_milli >= needed
+
     def is_shut_out(self, upstream: str, steps: tuple[Step, ...]) -> bool:
         """Tell whether a job could run in drained zones only, by the runners that are known.
 
--- a/src/gapdrum/entry/admission.py
+++ b/src/gapdrum/entry/admission.py
@@ -59,4 +59,7 @@
         if wait_ms <= DOUBT_FACTOR * within_ms:
             return None
         placer = self._placer
+        # An entry that has placed little lately takes any work that waits for a long wait.
+        if placer.fits_now(queue.upstream, steps, queue.priority, begin_by_ms, now_ms):
+            return None
         return Overload(wait_ms, within_ms, len(placer.waiting), placer.fleet.free_cpu_milli())
