Say that a stream could not be read also before its entry has joined

The line is stream_rejected, with code and reason; entry_lost follows it as before if the entry had joined.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -58,3 +58,10 @@
     When the store returns and names the entry
     Then the agent still has one stream to the entry
     And it knows the entry by its name alone
+
+  # An entry of another version sent a greeting that an agent could not read. The agent ended the stream
+  # and connected anew, five times a second for minutes, and wrote nothing.
+  Scenario: an agent that can't read what an entry sends says so
+    Given a run for a waiting caller, whose owner has just been heard
+    When its entry's next stream begins with a greeting that can't be read
+    Then the agent's log tells "stream_rejected" with the reason
--- a/features/steps/late_claim_steps.py
+++ b/features/steps/late_claim_steps.py
@@ -1,5 +1,10 @@
-"""Steps on claims that come late, after an entry has joined an agent under another name."""
+"""Steps on streams that fail, and on entries that join an agent under another name."""
 
+import asyncio
+import json
+from unittest.mock import patch
+
+import resubmission_steps as base
 from behave import then, when
 from core_model import ManualTimers
 from platform_core_steps import JOB, OWNER
@@ -8,6 +13,7 @@
 from gapdrum.core.jobs import TaskPhase
 from gapdrum.core.models import RunEnd
 from gapdrum.core.runner_models import RunningTask
+from gapdrum.exceptions import FrameError
 
 RENAMED = "entry-1/next-life"
 STEP_MS = 50
@@ -154,3 +160,32 @@
 @then("the runs were stopped {time_ms:d} ms after the stream had failed")
 def stopped_after_failing(context, time_ms):
     assert {stop - context.failed_ms for stop in context.stops} == {time_ms}, context.stops
+
+
+@when("its entry's next stream begins with a greeting that can't be read")
+def unreadable_greeting(context):
+    links, link = context.agent.links, context.link
+    links._end_stream(link)
+
+    class UnreadableStream(base.FakeStream):
+        async def __aiter__(self):
+            raise FrameError("EntryGreeting: too many fields")
+            yield
+
+    async def open_unreadable(*_arguments, **_names):
+        return UnreadableStream()
+
+    async def keep():
+        with patch("gapdrum.agent.entry_links.open_stream", open_unreadable):
+            keeping = asyncio.ensure_future(links._keep(link))
+            await asyncio.sleep(0.05)
+            keeping.cancel()
+
+    asyncio.run(keep())
+
+
+@then('the agent\'s log tells "{event}" with the reason')
+def log_tells(context, event):
+    lines = [json.loads(line) for line in context.agent.log._lines]
+    told = [line for line in lines if line["event"] == event]
+    assert told and told[0]["reason"] == "EntryGreeting: too many fields", lines
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -270,9 +270,9 @@
         while True:
             try:
                 await self._serve(link)
-            except FrameError as error:
-                self._log.write("stream_rejected", code=error.code, reason=error.message)
-            except StreamClosedError as error:
+            except (StreamClosedError, FrameError) as error:
+                if isinstance(error, FrameError):
+                    self._log.write("stream_rejected", code=error.code, reason=error.message)
                 if link.owner:
                     self._log.write("entry_lost", entry=link.entry, code=error.code)
             finally:
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -10,7 +10,7 @@
 
 import attrs
 import urllib3
-from local_system import HOST, Process, find_port, wait_for
+from local_system import HOST, READY_TIMEOUT_S, Process, find_port, wait_for
 
 from gapdrum.core.subsets import SERVED_ENTRIES
 
@@ -21,6 +21,7 @@
 RUNNER_CPU_MILLI = 16_000
 RESUBMIT_MS = 1_300  # how long after its connection broke a caller submits its job again
 CALL_TIMEOUT_S = 30
+START_S = 1.0  # what a process may add to the time in which a system starts on a busy machine
 PLANTED = Path(__file__).parent / "planted.py"
 
 
@@ -95,14 +96,21 @@
         self.put_configuration(1)
         for process in [*self.entries, *self.runners, *self.agents]:
             process.start()
+        processes = len(self.entries) + len(self.agents) + len(self.runners)
+        ready_s = READY_TIMEOUT_S + START_S * processes
         for port in self.ready_ports:
-            wait_for(lambda port=port: self._status(port, "/readyz") == 200, "an entry is ready")
+            wait_for(
+                lambda port=port: self._status(port, "/readyz") == 200, "an entry is ready", ready_s
+            )
         served = min(len(self.entries), SERVED_ENTRIES)
         for number in range(len(self.agents)):
             wait_for(
-                lambda number=number: self._is_joined(number, served), f"agent {number} has joined"
+                lambda number=number: self._is_joined(number, served),
+                f"agent {number} has joined",
+                ready_s,
             )
-        wait_for(lambda: self._count_room() >= served * len(self.agents), "entries see all room")
+        room = served * len(self.agents)
+        wait_for(lambda: self._count_room() >= room, "entries see all room", ready_s)
 
     def _is_joined(self, number: int, served: int) -> bool:
         """Tell whether an agent knows its runner's room and the entries that it serves."""
