Split what an owner makes of a run that an agent holds

What it does with an end, and how an adoption is built, have functions of their own; nothing else changes. Six features of the decision core, with submissions and late claims, pass.

--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -324,20 +324,9 @@
         job = self.jobs.get(name.job_id)
         task = job.by_name.get(name) if job is not None else None
         if row.phase == orders.HELD_ENDED:
-            if job is None:
-                return []  # its owner hears of it as well, or else the agent asks after it later
-            event = orders.RunEvent(
-                row.task,
-                row.attempt,
-                row.epoch,
-                orders.ENDED,
-                row.detail,
-                row.end_number,
-                submission=row.submission,
-            )
-            if task is not None and task.phase is TaskPhase.UNKNOWN:
-                task.attempt = max(task.attempt, row.attempt)
-            self._take_event(view, place, event, now_ms)
+            if job is not None:
+                self._take_held_end(view, place, row, task, now_ms)
+            # Else its owner hears of it as well, or the agent asks after it later.
             return []
         if task is None:
             if self.outside.has_ended(name.job_id):
@@ -347,19 +336,23 @@
             self._stop(place, RunKey(name, row.attempt))
             return []
         self._place_at(job, task, place, row.attempt, now_ms)
-        room = task.step.resources
-        return [
-            orders.AdoptedRun(
-                row.task,
-                row.attempt,
-                job.epoch,
-                job.kept,
-                room.cpu_milli,
-                room.memory_mb,
-                room.accelerators,
-                job.submission,
-            )
-        ]
+        return [_adopt(job, task, row)]
+
+    def _take_held_end(
+        self, view: AgentView, place: Place, row: orders.HeldRun, task: Task | None, now_ms: int
+    ) -> None:
+        if task is not None and task.phase is TaskPhase.UNKNOWN:
+            task.attempt = max(task.attempt, row.attempt)
+        event = orders.RunEvent(
+            row.task,
+            row.attempt,
+            row.epoch,
+            orders.ENDED,
+            row.detail,
+            row.end_number,
+            submission=row.submission,
+        )
+        self._take_event(view, place, event, now_ms)
 
     def _is_present(self, view: AgentView, place: Place, row: orders.HeldRun) -> bool:
         """Tell whether a row is of the present submission of its job, as far as is known.
@@ -421,6 +414,20 @@
             self.outside.job_ended(job)
 
 
+def _adopt(job: Job, task: Task, row: orders.HeldRun) -> orders.AdoptedRun:
+    room = task.step.resources
+    return orders.AdoptedRun(
+        row.task,
+        row.attempt,
+        job.epoch,
+        job.kept,
+        room.cpu_milli,
+        room.memory_mb,
+        room.accelerators,
+        job.submission,
+    )
+
+
 def build_dispatch(
     zone: str,
     outside: Outside,
