Let a caller that comes back find its entry when a busy machine starts it late

Seen: "entries and agents are killed together, and agents are back before leases lapse" ended with an error at a load of 22 to 25, three times in three plays: connection refused. The step submitted the job again once, 1.3 s after the kill, and the entry had not begun to listen by then.

The moment before which it submits nothing and the check, that no task ran twice at the same time, are as they were.

--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -7,9 +7,11 @@
 
 from behave import given, then, when
 from core_model import ManualTimers
+from local_system import READY_TIMEOUT_S
 from platform_core_steps import JOB, OWNER, RUN, TASK, FakeStore, new_lease
 from platform_steps import steps_of
 from platform_system import RESUBMIT_MS
+from urllib3.exceptions import NewConnectionError
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.agent.program import Agent
@@ -31,6 +33,7 @@
 ADDRESS = EntryAddress("life", "plaine-nord", "127.0.0.1", 1)
 RENEWED_LEFT_MS = 700
 RENEWAL_LIMIT_S = 3
+REFUSED_PAUSE_S = 0.005
 
 
 def lease_left_ms(system):
@@ -67,7 +70,18 @@
 def submit_again(context):
     job = context.submitted
     wait_until(context.broken_s + RESUBMIT_MS / 1_000)
-    context.answer = context.system.submit(job, steps_of(TASKS), entry=1, run_ms=RUN_MS, waits=True)
+    limit_s = time.monotonic() + READY_TIMEOUT_S
+    while True:
+        try:
+            context.answer = context.system.submit(
+                job, steps_of(TASKS), entry=1, run_ms=RUN_MS, waits=True
+            )
+        except NewConnectionError:
+            # On a busy machine an entry takes longer than the pause to start; it was told nothing.
+            assert time.monotonic() < limit_s, "entry 1 takes no connections"
+            time.sleep(REFUSED_PAUSE_S)
+        else:
+            return
 
 
 def wait_until(time_s):
