--- a/features/run_ownership.feature
+++ b/features/run_ownership.feature
@@ -18,6 +18,13 @@
     When its stream ends, and the entry joins again under another name and claims the run
     Then the run has not been stopped
 
+  # Guards against an agent that stops the runs of a former name RESTART_ALLOWANCE_MS after the entry
+  # has joined, though they were claimed in the meantime.
+  Scenario: a run that a renamed owner has claimed goes on once the time to claim it is over
+    Given a run for a waiting caller, whose owner has just been heard
+    When its stream ends, and the entry joins again under another name, claims the run, and the time for that ends
+    Then the run has not been stopped
+
   Scenario: a run that the next incarnation of its entry does not claim is stopped soon after it has joined
     Given a run for a waiting caller, whose owner has just been heard
     When its stream ends, and the entry joins again under another name and claims nothing
@@ -127,10 +134,10 @@
   # received them or not. An end that came while the stream was down, or just before it failed, was
   # lost: the owner found the run missing in the holdings and started the task again. The agent now
   # sends such ends again when the same entry joins.
-  Scenario: the end of a run that came while a stream was down is sent on the next one
+  Scenario: what was done while a stream was down is told on the next one
     Given a run for a waiting caller, whose owner has just been heard
     When its stream ends, the run ends as done, and the same owner joins again 200 ms later
-    Then its owner is notified on the new stream that it is done
+    Then its owner is told on the new stream that it is done
 
   Scenario: an owner that receives an end again does not start the task again
     Given an owner that sees one runner
--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -66,6 +66,20 @@
 
 @when("its stream ends, and the entry joins again under another name and claims the run")
 def rejoined_renamed(context):
+    context.agent.links._end_stream(context.link)
+    context.timers.time_ms += 200
+    context.link.stream = base.FakeStream()
+    context.agent.links._greeted(context.link, RENAMED)
+    base.echo(context)
+    base.claim(context)
+    base.let_time_pass(context, 600)
+
+
+@when(
+    "its stream ends, and the entry joins again under another name, claims the run, and the time "
+    "for that ends"
+)
+def claimed_in_time(context):
     scheduled = join_renamed(context)
     base.claim(context)
     run_scheduled(context, scheduled)
@@ -461,8 +475,8 @@
     return [one.detail for one in [*held, *reported]]
 
 
-@then("its owner is notified on the new stream that it is done")
-def sent_done(context):
+@then("its owner is told on the new stream that it is done")
+def told_done(context):
     assert RunEnd.DONE.value in sent_details(context), sent_details(context)
 
 
