Log why an agent does not hold a run that its owner expects there

What callers saw: a task that was started again, and the owner's line on it (task_released, not_held) did not tell whether its order had been lost, the agent had restarted, or the agent had seen the run and lost its end. These have different remedies, and could not be told apart from the owner's log.

Change: the line has a field `why`. The owner knows which incarnation of the agent last held the run or was ordered it, and whether it was ever reported as started: agent_restarted, unreported, outcome_unknown.

--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -230,6 +230,7 @@
     def __init__(self):
         self.sent = []
         self.ended = []
+        self.notes = []
 
     def send(self, _agent, message):
         self.sent.append(message)
@@ -250,8 +251,13 @@
     def schedule_placement(self):
         pass
 
-    def note(self, event, **_fields):
+    def note(self, event, **fields):
         assert event in KINDS, event
+        self.notes.append((event, fields))
+
+    def noted(self, event):
+        """Return the fields of all notes of an event."""
+        return [fields for name, fields in self.notes if name == event]
 
 
 @given("an owner that sees one runner")
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -25,19 +25,27 @@
 
 
 class ListingRunner(base.LeasedRunner):
-    """Answers polls with its running tasks and all ends since its start."""
+    """Answers polls with its running tasks and the ends that are not acknowledged."""
 
     def __init__(self, timers):
         super().__init__(timers)
         self.ended = []
+        self.last_end = 0
+        self.polls = 0
 
-    async def poll(self, until_ms, _seen, _fence, _wait_ms, _timeout_ms):
+    async def poll(self, until_ms, seen, _fence, _wait_ms, _timeout_ms):
+        self.polls += 1
         self.renewals.append(until_ms)
+        self.ended = [one for one in self.ended if one.number > seen]
         return RunnerSnapshot(self.read_clock(), self.running, tuple(self.ended))
 
     def end(self, key, end):
         self.running = tuple(one for one in self.running if one.run != key)
-        self.ended.append(EndedRun(len(self.ended) + 1, key, end))
+        self.last_end += 1
+        self.ended.append(EndedRun(self.last_end, key, end))
+
+    def close(self):
+        """Do nothing."""
 
 
 class Pair:
@@ -46,10 +54,9 @@
     def __init__(self, context):
         base.new_agent(context)
         self.context = context
-        self.agent, self.link = context.agent, context.link
         self.timers: ManualTimers = context.timers
-        context.runner = context.controller._context.calls = ListingRunner(self.timers)
-        context.controller.ledger.upstream = QUEUE.upstream
+        context.runner = ListingRunner(self.timers)
+        self._use_agent()
         self.effects = Effects()
         self.dispatch = build_dispatch(
             "plaine-nord", self.effects, lambda: True, self.timers.now_ms()
@@ -59,6 +66,23 @@
         self.ended = []
         self.view = None
 
+    def _use_agent(self):
+        context = self.context
+        self.agent, self.link = context.agent, context.link
+        context.controller._context.calls = context.runner
+        context.controller.ledger.upstream = QUEUE.upstream
+
+    def restart_agent(self):
+        """Replace the agent by its next incarnation, which finds the same runner."""
+        time_ms = self.timers.time_ms
+        base.new_agent(self.context)
+        self.timers = self.callers._timers = self.context.timers
+        self.timers.time_ms = time_ms
+        self.context.runner.read_clock = self.timers.now_ms
+        self._use_agent()
+        self.poll()  # the first call only reads the runner's clock
+        self.poll()
+
     def _end_job(self, job):
         self.ended.append(job.ending)
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -14,6 +14,11 @@
 from gapdrum.core.runner_views import AgentView
 from gapdrum.core.task_durations import PERMILLE, TaskDurations
 
+# Why an agent does not hold a run, as far as the owner knows.
+AGENT_RESTARTED = "agent_restarted"  # since it last reported the run
+UNREPORTED = "unreported"  # the agent never reported the run: its order was probably lost
+OUTCOME_UNKNOWN = "outcome_unknown"  # the agent has reported the run at work, and no outcome
+
 
 @attrs.define
 class Dispatch:
@@ -108,7 +113,7 @@
         for task in lost.tasks:
             self._release_unconfirmed(task, lost.reason, now_ms)
 
-    def _release_unconfirmed(self, task: Task, reason: str, now_ms: int) -> None:
+    def _release_unconfirmed(self, task: Task, reason: str, now_ms: int, why: str = "") -> None:
         """Requeue a task whose run can no longer be at work; its end is unknown.
 
         The run may have begun, so the job counts as begun.
@@ -116,7 +121,7 @@
         job = self.jobs.get(task.name.job_id)
         if job is not None:
             job.begun = True
-            self.placer.release(job, task, reason, now_ms)
+            self.placer.release(job, task, reason, now_ms, why)
 
     # Runs.
 
@@ -324,7 +329,8 @@
         if runner is not None and not holdings.jobs:
             for task in list(runner.out):
                 if (task.name.text, task.attempt) not in held:
-                    self._release_unconfirmed(task, "not_held", now_ms)
+                    why = _why_not_held(view, task)
+                    self._release_unconfirmed(task, "not_held", now_ms, why)
             runner.synced = True
         self.effects.schedule_placement()
 
@@ -348,6 +354,7 @@
             self._stop(place, RunKey(name, row.attempt))
             return []
         self._record_held_run(job, task, place, row.attempt, now_ms)
+        task.reported_by = view.incarnation
         return [_build_adopted_run(job, task, row)]
 
     def _apply_held_end(
@@ -428,6 +435,13 @@
             self.effects.job_ended(job)
 
 
+def _why_not_held(view: AgentView, task: Task) -> str:
+    """Return why an agent does not hold a task's run and has reported no outcome of it."""
+    if task.reported_by != view.incarnation:
+        return AGENT_RESTARTED
+    return OUTCOME_UNKNOWN if task.phase is TaskPhase.RUNNING else UNREPORTED
+
+
 def _build_adopted_run(job: Job, task: Task, row: orders.HeldRun) -> orders.AdoptedRun:
     room = task.step.resources
     return orders.AdoptedRun(
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -54,7 +54,8 @@
     """One task of a job; ``attempt`` is the number of its last attempt, 0 before the first.
 
     ``place_by_attempt`` holds where each attempt was ordered or adopted, and
-    ``incarnation_by_attempt`` the incarnation of the agent that each was ordered from.
+    ``incarnation_by_attempt`` the incarnation of the agent that each was ordered from;
+    ``reported_by`` is the incarnation that the last attempt was ordered from, or that last held it.
     ``slowness`` is the expected duration of the last attempt at its runner, relative to a usual
     runner (not to the estimate), 0 if not known. ``avoided`` are the identities of runners where
     an attempt failed, straggled or was rejected; ``moves`` counts the moves for straggling.
@@ -68,6 +69,7 @@
     place: Place | None = None
     place_by_attempt: dict[int, Place] = attrs.Factory(dict)
     incarnation_by_attempt: dict[int, str] = attrs.Factory(dict)
+    reported_by: str = ""
     started_ms: int = 0
     slowness: float = 0.0
     moves: int = 0
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -258,6 +258,7 @@
         task.phase = TaskPhase.ORDERED
         task.assign_place(runner.place)
         task.incarnation_by_attempt[task.attempt] = runner.agent.incarnation
+        task.reported_by = runner.agent.incarnation
         task.started_ms = 0
         runner.order(task.step.resources)
         self.backlog.record_placed(work_of_task(task), now_ms)
@@ -302,8 +303,11 @@
         median = self.durations.factor(job.queue, MEDIAN)
         return int(task.step.estimate_ms * task.slowness * median)
 
-    def release(self, job: Job, task: Task, reason: str, now_ms: int) -> None:
-        """Requeue a task that is ordered or running and whose run did not complete it."""
+    def release(self, job: Job, task: Task, reason: str, now_ms: int, why: str = "") -> None:
+        """Requeue a task that is ordered or running and whose run did not complete it.
+
+        ``why`` explains the reason in the log where it has several causes.
+        """
         if task.phase not in (TaskPhase.ORDERED, TaskPhase.RUNNING):
             return
         self.effects.note(
@@ -313,6 +317,7 @@
             attempt=task.attempt,
             runner=task.place.runner_id,
             reason=reason,
+            why=why,
         )
         if task.phase is TaskPhase.ORDERED:
             self.backlog.record_returned(work_of_task(task), now_ms)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -245,8 +245,10 @@
     "runner",
 )
 _add(
-    "task_released", "The task was not started; it waits again.",
-    "request", "task", "attempt", "runner", "reason",
+    "task_released",
+    "The task was not started, or its run is over without an end; it waits again. For `not_held`, "
+    "`why` tells whether the agent had restarted, never reported the run, or lost its outcome.",
+    "request", "task", "attempt", "runner", "reason", "why",
 )  # fmt: skip
 _add(
     "task_straggles",
