Report what a runner did to its owner, though the runner is gone by then

What callers saw: a task that was done while its entry's stream was down was done again, 2,150 ms after the stream came back, if its runner was replaced, deregistered or scaled in before that. Most callers' time is over by then.

Cause: the agent kept recent ends in its record of the runner, which it deletes once the runner is gone. On the next stream it said nothing of that runner: neither what had ended, nor what was lost with it, nor that it is gone. The owner waited until the silence limit (runner_not_told) and placed the tasks again. Ends were also forgotten 2,150 ms after the agent had seen them, though a stream that comes up and fails restarts the time for which an owner counts on its runs.

Ways weighed: (a) the agent keeps outcomes by owner, beside its runners; (b) it acknowledges no end at the runner before the owner has it. (b) alone does not mend this, as the runner is gone; (a) does.

Change: an outbox by owner keeps ends, losses and refusals until the owner has echoed a reading of the agent's clock that was sent later on the same stream, which proves their receipt without a further message, or until the owner has been without a stream for the silence limit. An entry that joins is sent what is unconfirmed, and which runners are gone. Lines: outcomes_resent, outcome_dropped.

Why this works: what the owner may count on no longer hangs on a record that has a shorter life than the owner's hope, and each rule that ends the record is one that ends the hope.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -15,6 +15,44 @@
       | ordered | its order is lost             | unreported      |
       | at work | the agent and the runner fail | agent_restarted |
 
+  # Guards against outcomes that are lost with the runner they were seen at: the owner expects its runs
+  # there until the silence limit, and then does work again that is done.
+  Scenario Outline: what a runner did before it was gone is reported on the next stream
+    Given an owner and an agent with one runner, joined by a stream
+    And <kind> that is at work there
+    When its stream ends, one task is done, the runner is replaced, and the same owner joins again <times>
+    Then that task counts as done, and is not started again
+    And the other task is started at the next runner at once
+
+    Examples:
+      | kind                       | times |
+      | a job of a waiting caller  | once  |
+      | a job of a waiting caller  | twice |
+      | a durable job              | once  |
+
+  # Guards against an owner that learns nothing of a runner that is gone while its stream is down, and
+  # waits for runs, or for orders that were lost, until the silence limit.
+  Scenario: the tasks ordered at a runner that is gone before the next stream wait no longer
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is ordered there
+    When its stream ends, the order and the runner are lost, and the same owner joins again 200 ms later
+    Then the owner's log tells that the tasks wait again: "runner_gone"
+
+  # Guards against outcomes that are forgotten 2,150 ms after they were seen, though a stream that came
+  # up meanwhile and failed again has renewed the owner's hope for its runs.
+  Scenario: an outcome is reported for as long as its owner may count on the run
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done while its stream is down, which comes up and fails, again and again for 4000 ms
+    Then that task counts as done, and is not started again
+
+  # An outcome that was received is not kept: it would be sent on each new stream.
+  Scenario: an outcome is not sent again once its owner has echoed a later heartbeat
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done, the owner echoes a later heartbeat, and its stream is replaced
+    Then the agent reports that end once in all
+
   # Guards, on real processes, against work that is done again because its end came while the stream was
   # down, and the agent's or the runner's next incarnation does not know it.
   Scenario Outline: what is done while a stream is down is not started again, real processes
@@ -23,5 +61,6 @@
     Then each task has been started once, and the caller has its answer
 
     Examples:
-      | fault              |
-      | nothing else fails |
+      | fault                  |
+      | nothing else fails     |
+      | the runner is replaced |
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -7,11 +7,15 @@
 
 from behave import given, then, when
 from local_system import wait_for
+from platform_core_steps import JOB, OWNER, QUEUE
 from platform_system import PlatformSystem
 from proxy import PASS, SILENT
 from soak_faults import Proxies
 
 from gapdrum.core import orders
+from gapdrum.core.models import Resources, RunEnd, Step
+from gapdrum.core.records import OpenJob, step_row
+from gapdrum.entry.acceptance import build_queue_job
 
 TASKS = 4
 RUN_MS = 800
@@ -62,6 +66,111 @@
     assert {(one["reason"], one["why"]) for one in released} == {("not_held", why)}, released
 
 
+@given("a durable job that is at work there")
+def durable_job_at_work(context):
+    pair = context.pair
+    steps = (Step(2, Resources(500, 10, 0), 900),)
+    rows = tuple(step_row(step) for step in steps)
+    record = OpenJob(QUEUE.name, QUEUE.upstream, "{}", OWNER, 1, 0, rows)
+    job = build_queue_job(JOB, record, 1, QUEUE, pair.timers.now_ms(), durable=True)
+    pair.dispatch.add_job(job, pair.timers.now_ms())
+    context.keys = pair.start_all()
+
+
+@when(
+    "its stream ends, one task is done, the runner is replaced, and the same owner joins again "
+    "{times}"
+)
+def done_and_replaced(context, times):
+    pair = context.pair
+    pair.part()
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.poll()
+    pair.replace_runner()
+    if times == "twice":
+        pair.timers.time_ms += 200
+        pair.join()
+        pair.part()
+    rejoin(context, 200)
+    context.started = context.ordered
+    context.ordered = [
+        order for order in context.ordered if context.keys[0].task in tasks_of(order)
+    ]
+
+
+def tasks_of(order):
+    return [order.key_of(row).task for row in order.runs]
+
+
+@then("the other task is started at the next runner at once")
+def other_started(context):
+    placed = {task: order.runner_id for order in context.started for task in tasks_of(order)}
+    assert placed == {context.keys[1].task: "i-2"}, placed
+
+
+@when(
+    "its stream ends, the order and the runner are lost, and the same owner joins again "
+    "{time_ms:d} ms later"
+)
+def order_and_runner_lost(context, time_ms):
+    pair = context.pair
+    pair.dispatch.placer.place_waiting(pair.timers.now_ms())
+    pair.part()
+    pair.replace_runner()
+    rejoin(context, time_ms)
+
+
+@then('the owner\'s log tells that the tasks wait again: "{reason}"')
+def released_for(context, reason):
+    released = context.pair.effects.noted("task_released")
+    assert [one["reason"] for one in released] == [reason] * 2, released
+
+
+@when(
+    "one task is done while its stream is down, which comes up and fails, again and again for "
+    "{time_ms:d} ms"
+)
+def fails_repeatedly(context, time_ms):
+    """Each stream fails when the owner has read the agent's greeting only."""
+    pair = context.pair
+    pair.part()
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.poll()
+    for _ in range(0, time_ms, 1_000):
+        pair.timers.time_ms += 1_000
+        pair.dispatch.expire_silent(pair.timers.now_ms())
+        pair.join()
+        pair.part()
+    rejoin(context, 200)
+
+
+@when("one task is done, the owner echoes a later heartbeat, and its stream is replaced")
+def received(context):
+    pair = context.pair
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.poll()
+    context.told = pair.drain_sent()
+    pair.deliver(context.told)
+    pair.timers.time_ms += orders.BEAT_INTERVAL_MS
+    pair.echo()
+    pair.part()
+    pair.timers.time_ms += 200
+    pair.join()
+    context.told += pair.drain_sent()
+
+
+@then("the agent reports that end once in all")
+def reported_once(context):
+    name = context.keys[0].task.text
+    rows = [
+        row
+        for message in context.told
+        for row in (*getattr(message, "events", ()), *getattr(message, "runs", ()))
+        if row.task == name and row.detail == RunEnd.DONE.value
+    ]
+    assert len(rows) == 1, rows
+
+
 # With real processes.
 
 
@@ -72,7 +181,8 @@
 
 
 @when(
-    "the stream is cut while {tasks:d} tasks of a caller are at work, and once they are done {fault}"
+    "the stream is cut while {tasks:d} tasks of a caller are at work, and once they are done "
+    "{fault}"
 )
 def cut_while_at_work(context, tasks, fault):
     """Play the fault until the agent is back before the owner has given it up.
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -15,6 +15,7 @@
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.lease_bound import LeaseBound
 from gapdrum.agent.notifier import EntryNotifier
+from gapdrum.agent.outcome_reporter import OutcomeReporter
 from gapdrum.agent.run_launcher import RunLauncher
 from gapdrum.agent.runner_context import RunnerContext
 from gapdrum.agent.runner_controller import RunnerController
@@ -636,7 +637,13 @@
     new_controller(context, lambda _poll: False)
     context.controller.ledger.upstream = "inspect-desk"
     context.controller.ledger.polled = True
-    context.reports = EntryNotifier(context.links, {"i-1": context.controller}, ManualTimers())
+    timers = ManualTimers()
+    context.reports = EntryNotifier(
+        context.links,
+        {"i-1": context.controller},
+        timers,
+        OutcomeReporter(timers, new_log(timers)),
+    )
 
 
 @when('a run of entry "{owner}" has ended')
--- a/features/steps/resubmission_steps.py
+++ b/features/steps/resubmission_steps.py
@@ -146,19 +146,24 @@
         resubmit_ms=RESUBMIT_MS, shutdown_grace_ms=6_000,
         callers=None, readiness=None, heartbeat_address=None, runner=None, machine_list=None,
     )  # fmt: skip
-    log = EventLog("side-1", timers)
-    context.agent = agent = Agent(boot, timers, log)
+    context.agent = Agent(boot, timers, EventLog("side-1", timers))
+    context.runs, context.stops = [], []
+    add_controller(context, "i-1", LeasedRunner(timers, running))
+    context.agent.links._links["entry-1"] = context.link = EntryLink("entry-1", ADDRESS)
+
+
+def add_controller(context, runner_id, runner):
+    """Let the agent find a runner; the calls to it are answered by ``runner``."""
+    agent = context.agent
     context.controller = controller = RunnerController(
-        "i-1", store, agent.grants, boot.run_lease_ms, timers, log,
+        runner_id, agent.boot.store, agent.grants, agent.boot.run_lease_ms, agent.timers, agent.log,
         agent.notifier.report, agent.notifier.broadcast_holdings,
     )  # fmt: skip
     controller.ledger.capacity = Resources(4_000, 100, 0)
-    controller._context.calls = context.runner = LeasedRunner(timers, running)
+    controller._context.calls = context.runner = runner
     controller.starts._call_start = lambda run, _spec, _ends_ms: context.runs.append(run)
     controller.starts._send_stop = lambda key, now_ms: context.stops.append(now_ms)
-    context.runs, context.stops = [], []
-    agent.controllers["i-1"] = controller
-    agent.links._links["entry-1"] = context.link = EntryLink("entry-1", ADDRESS)
+    agent.controllers[runner_id] = controller
 
 
 def join(context):
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -83,6 +83,16 @@
         self.poll()  # the first call only reads the runner's clock
         self.poll()
 
+    def replace_runner(self):
+        """End the runner's incarnation; the agent finds the next one at the same address."""
+        former = self.context.controller
+        former.set_gone("replaced")
+        asyncio.run(self.agent.runners._run_controller(former))
+        base.add_controller(self.context, "i-2", ListingRunner(self.timers))
+        self.context.controller.ledger.upstream = QUEUE.upstream
+        self.poll()
+        self.poll()
+
     def _end_job(self, job):
         self.ended.append(job.ending)
 
--- a/features/steps/zone_drain_steps.py
+++ b/features/steps/zone_drain_steps.py
@@ -17,6 +17,7 @@
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.notifier import EntryNotifier
+from gapdrum.agent.outcome_reporter import OutcomeReporter
 from gapdrum.agent.runner_registry import RunnerRegistry
 from gapdrum.agent.table_standby import TableStandby
 from gapdrum.core import orders
@@ -205,7 +206,8 @@
     context.link = link
     context.watch = ZoneWatch(log)
     controllers = {}
-    notifier = EntryNotifier(context.links, controllers, context.timers)
+    outcomes = OutcomeReporter(context.timers, log)
+    notifier = EntryNotifier(context.links, controllers, context.timers, outcomes)
     boot = SimpleNamespace(run_lease_ms=1_000, runner=None, machine_list=None, zone=zone)
     registry = RunnerRegistry(
         boot, controllers, context.grants, notifier, context.timers, log, context.watch
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -101,6 +101,7 @@
         self.held_owners: Callable[[], Iterable[HeldOwner]] = tuple
         self.on_joined: Callable[[EntryLink], None] = lambda _link: None
         self.on_renamed: Callable[[str, str], None] = lambda _former, _owner: None
+        self.on_disconnected: Callable[[str], None] = lambda _owner: None
         self.on_owner_lost: Callable[[str], None] = lambda _owner: None
         self.on_message: Callable[[EntryLink, object], None] = lambda _link, _message: None
 
@@ -298,6 +299,7 @@
             link.stream.close()
         if link.owner:
             link.disconnected_ms = self._timers.now_ms()
+            self.on_disconnected(link.owner)
             self._timers.call_after(OWNER_LOSS_DELAY_MS, partial(self._check_lost, link.owner))
         link.stream = None
         link.owner = ""
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -54,6 +54,7 @@
 
     def _apply_echo(self, link: EntryLink, echo: orders.BeatEcho) -> None:
         self._grants.note(link.owner, echo.clock_ms, echo.lease_held)
+        self._notifier.outcomes.confirm(link.owner, echo.clock_ms)
         link.follows_table = echo.table_followed
 
     def _apply_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
@@ -73,6 +74,7 @@
     def _apply_order(self, link: EntryLink, order: orders.StartOrder) -> None:
         link.orders += len(order.runs)
         self._grants.note(link.owner, order.clock_ms, order.durable)
+        self._notifier.outcomes.forget_ordered(link.owner, order)
         controller = self._controllers.get(order.runner_id)
         if self._epochs.get(order.job_id, 0) > order.epoch:
             refused = self._refuse_all(order, orders.JOB_SUPERSEDED)
@@ -84,6 +86,7 @@
             self._notifier.reoffer_room(controller, link)
         if refused:
             link.send(orders.RunEvents(order.runner_id, tuple(refused)))
+            self._notifier.outcomes.record_refusals(link.owner, order.runner_id, refused)
             self._log_refusals(refused)
             link.short_ms = self._timers.now_ms()
             if controller is not None:
@@ -198,6 +201,7 @@
         last_echo_ms = self._grants.last_echo_ms(former, durable=False)
         if last_echo_ms is not None:
             self._grants.note(owner, last_echo_ms, lease_held=False)
+        self._notifier.outcomes.rename(former, owner)
         for controller in self._controllers.values():
             for run in controller.ledger.runs.values():
                 if run.owner == former and not run.durable:
--- a/src/gapdrum/agent/notifier.py
+++ b/src/gapdrum/agent/notifier.py
@@ -1,13 +1,15 @@
 """Sends events of runs, free room and the runs at each runner to the entries."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from gapdrum.agent.entry_links import EntryLink, EntryLinks
+from gapdrum.agent.outcome_reporter import OutcomeReporter, send_unended
 from gapdrum.agent.reservation_log import ReservationLog
 from gapdrum.agent.runner_controller import RunnerController
 from gapdrum.core import orders
 from gapdrum.core.models import Resources
+from gapdrum.core.outbox import Outcome
 from gapdrum.core.runner_ledger import Run
 from gapdrum.timers import CoalescedCallback, Timers
 
@@ -38,11 +40,13 @@
         links: EntryLinks,
         controllers: Mapping[str, RunnerController],
         timers: Timers,
+        outcomes: OutcomeReporter,
         reservations: ReservationLog | None = None,
     ) -> None:
         self._links = links
         self._controllers = controllers
         self._timers = timers
+        self.outcomes = outcomes
         self._reservations = reservations
         # Runners with unsent changes of room: for entries that are short of room, and for all.
         self._changed_scarce: set[str] = set()
@@ -64,6 +68,8 @@
         owners = [link for link in map(self._links.of_owner, by_owner) if link is not None]
         for link in owners:
             link.send(orders.RunEvents(controller.runner_id, tuple(by_owner[link.owner])))
+        connected = {link.owner for link in owners}
+        self.outcomes.record(controller.runner_id, events, connected)
         if any(event.kind in FREES_ROOM for _, event in events):
             self._send_freed(controller, owners)
         self.mark_room_changed(controller.runner_id)
@@ -232,21 +238,32 @@
         self._relaxed_timer.schedule()
 
     def send_full_state(self, link: EntryLink) -> None:
-        """Send the state, room and runs of all runners to an entry that has just joined."""
+        """Send the state, room and runs of all runners to an entry that has just joined.
+
+        The outcomes that it may not have received come before, as it takes a run that is not held
+        for one that is over without an end.
+        """
+        outcomes = self.outcomes.take_unreceived(link.owner)
         for controller in self._controllers.values():
-            self._send_held(controller, link)
+            self._send_held(controller, link, outcomes.pop(controller.runner_id, ()))
+        for runner_id in dict.fromkeys((*outcomes, *self.outcomes.list_departed())):
+            self.outcomes.send_departed(runner_id, link, outcomes.get(runner_id, ()))
 
     def broadcast_holdings(self, controller: RunnerController) -> None:
         """Send a runner's runs to all entries, before any of them may order work there."""
         for link in self._links:
             self._send_held(controller, link)
 
-    def _send_held(self, controller: RunnerController, link: EntryLink) -> None:
+    def _send_held(
+        self, controller: RunnerController, link: EntryLink, outcomes: Sequence[Outcome] = ()
+    ) -> None:
         self.send_runner(controller, link)
+        ended = send_unended(controller.runner_id, link, outcomes)
         if controller.ledger.polled:
-            ended = controller.ledger.recent_ends_of(link.entry, self._timers.now_ms())
-            rows = (*controller.ledger.held_runs(), *ended)
-            link.send(orders.Holdings(controller.runner_id, (), rows))
+            held = controller.ledger.held_runs()
+            named = {(row.task, row.attempt) for row in held}
+            missing = tuple(row for row in ended if (row.task, row.attempt) not in named)
+            link.send(orders.Holdings(controller.runner_id, (), (*held, *missing)))
 
     def resend_unstored_ends(self) -> None:
         """Send ends that no entry has stored in time to a few random entries.
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -11,6 +11,7 @@
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.notifier import EntryNotifier
+from gapdrum.agent.outcome_reporter import OutcomeReporter
 from gapdrum.agent.reservation_log import RELEASE_DELAY_MS, ReservationLog
 from gapdrum.agent.runner_controller import RunnerController
 from gapdrum.agent.runner_registry import RunnerRegistry
@@ -53,7 +54,10 @@
         )
         self.directory = EntryDirectory(RowStore(boot.store, log), self.links, log, _seeds(boot))
         self.reservation_log = ReservationLog(log)
-        self.notifier = EntryNotifier(self.links, self.controllers, timers, self.reservation_log)
+        self.outcomes = OutcomeReporter(timers, log)
+        self.notifier = EntryNotifier(
+            self.links, self.controllers, timers, self.outcomes, self.reservation_log
+        )
         self.shares = RoomShares()
         self.orders = EntryOrders(
             self.links, self.controllers, self.grants, self.notifier, timers, log, self.shares
@@ -61,6 +65,7 @@
         self.links.held_owners = self._held_owners
         self.links.on_joined = self._handle_join
         self.links.on_renamed = self.orders.rename_owner
+        self.links.on_disconnected = self.outcomes.disconnect
         self.links.on_owner_lost = self.orders.stop_nondurable_runs
         self.links.on_message = self.orders.take
         self.operators = OperatorFeed(RowStore(boot.store, log), timers, log)
@@ -150,6 +155,7 @@
         await self.control.open(address.host, address.port)
         await open_metrics(self.boot.host, self.log.measures, self.timers)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
+        self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.outcomes.expire)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.standby.check)
         self.timers.subscribe(UPDATE_LINKS_INTERVAL_MS, self.links.update_links)
         self.timers.subscribe(
--- a/src/gapdrum/agent/runner_registry.py
+++ b/src/gapdrum/agent/runner_registry.py
@@ -151,6 +151,7 @@
     async def _run_controller(self, controller: RunnerController) -> None:
         await controller.keep()
         self._notifier.send_room()
+        self._notifier.outcomes.record_departure(controller.runner_id)
         if self._controllers.get(controller.runner_id) is controller:
             del self._controllers[controller.runner_id]
 
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -11,8 +11,6 @@
 
 from gapdrum.core import orders
 from gapdrum.core.models import ZERO_RESOURCES, Resources, RunEnd, RunKey
-from gapdrum.core.records import entry_of_owner
-from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.core.run_pace import MIN_AGE_MS, RECENT_MS, RECENT_RUNS, Pace, usual_permille
 from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_models import EndedRun, RunnerSnapshot
@@ -170,9 +168,6 @@
     last_end: int = 0
     runs: dict[RunKey, Run] = attrs.Factory(dict)
     ends: dict[int, ListedEnd] = attrs.Factory(dict)
-    # Ends that need not be stored, the oldest first, to be sent again if the owner's stream fails
-    # before it has received them.
-    recent_ends: dict[RunKey, ListedEnd] = attrs.Factory(dict)
     used: Resources = ZERO_RESOURCES
     used_cpu_milli: Counter[str] = attrs.Factory(Counter)  # by queue
     health: RunnerHealth = attrs.Factory(RunnerHealth)
@@ -221,11 +216,7 @@
             self.clock_read_ms = monotonic_ms
 
     def begin(self, run: Run) -> None:
-        """Take room for a run that is about to be started.
-
-        An end with the same key is of an earlier submission, whose caller has disconnected.
-        """
-        self.recent_ends.pop(run.key, None)
+        """Take room for a run that is about to be started."""
         self.runs[run.key] = run
         self.recent_runs.append(run)
         if run.room is None:
@@ -303,30 +294,9 @@
         self._record_outcome(run, ended.end, now_ms)
         listed.acknowledgeable = not (run.durable and ended.end in (RunEnd.DONE, RunEnd.FAILED))
         self.ends[ended.number] = listed
-        if listed.acknowledgeable and run.owner:
-            self._remember_recent_end(listed)
         event = _event(run, orders.ENDED, ended.end.value, ended.number)
         return run, event
 
-    def _remember_recent_end(self, listed: ListedEnd) -> None:
-        """Remember an end for as long as its owner may still expect the run to be at work."""
-        recent = self.recent_ends
-        recent.pop(listed.key, None)
-        recent[listed.key] = listed
-        while (
-            oldest := next(iter(recent.values()))
-        ).listed_ms < listed.listed_ms - SILENCE_LIMIT_MS:
-            del recent[oldest.key]
-
-    def recent_ends_of(self, entry: str, now_ms: int) -> tuple[orders.HeldRun, ...]:
-        """Return the recent ends of an entry's non-durable jobs, resent when the entry joins."""
-        return tuple(
-            listed.to_row(0)
-            for listed in self.recent_ends.values()
-            if entry_of_owner(listed.owner) == entry
-            and now_ms - listed.listed_ms <= SILENCE_LIMIT_MS
-        )
-
     def _record_running(
         self, key: RunKey, percent: int, now_ms: int
     ) -> list[tuple[Run, orders.RunEvent]]:
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -250,6 +250,16 @@
     "`why` tells whether the agent had restarted, never reported the run, or lost its outcome.",
     "request", "task", "attempt", "runner", "reason", "why",
 )  # fmt: skip
+_add(
+    "outcomes_resent",
+    "An entry has joined; the agent sends the outcomes of runs that it may not have received.",
+    "owner", "outcomes", "runners", "oldest_ms",
+)  # fmt: skip
+_add(
+    "outcome_dropped",
+    "The agent keeps too many outcomes for one owner, and has dropped the oldest.",
+    "request", "task", "attempt", "owner", "since_ms_ago",
+)  # fmt: skip
 _add(
     "task_straggles",
     "The run is stalled or slow; its expected end here, and on another runner from scratch.",
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -19,6 +19,7 @@
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.notifier import EntryNotifier
+from gapdrum.agent.outcome_reporter import OutcomeReporter
 from gapdrum.codec import message_name
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
@@ -85,7 +86,9 @@
         self.grants = Grants(RunBounds(RESUBMIT_MS))
         self.links = VirtualLinks()
         self.controllers: dict[str, VirtualController] = {}
-        self.notifier = EntryNotifier(self.links, self.controllers, self.timers)
+        self.notifier = EntryNotifier(
+            self.links, self.controllers, self.timers, OutcomeReporter(self.timers, self.log)
+        )
         self.orders = EntryOrders(
             self.links, self.controllers, self.grants, self.notifier, self.timers, self.log
         )
