Keep to an entry until it has received the outcomes of its runs

Cause: an agent serves a few entries, and one beyond them only while it holds runs of it. If the last of these ended while the stream was down, the entry counted as not needed at once: the agent did not connect again, and the owner waited until it took the agent for lost.

Evidence: the new scenario, red before: the link is left at the first update after the end.

Why this works: an owner of unconfirmed outcomes counts as one that the agent holds something of. These expire after the silence limit without a stream, so an entry that is gone is left as before.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -53,6 +53,14 @@
     When one task is done, the owner echoes a later heartbeat, and its stream is replaced
     Then the agent reports that end once in all
 
+  # Guards against an agent that serves other entries as soon as its last run for one has ended: the
+  # entry's stream is down, and it waits for the end until the silence limit.
+  Scenario: an agent does not leave an entry that may not have received an outcome
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When all tasks are done while its stream is down, and the agent is to serve other entries
+    Then the agent keeps to the entry for as long as that counts on its runs, and leaves it then
+
   # Guards, on real processes, against work that is done again because its end came while the stream was
   # down, and the agent's or the runner's next incarnation does not know it.
   Scenario Outline: what is done while a stream is down is not started again, real processes
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -12,9 +12,11 @@
 from proxy import PASS, SILENT
 from soak_faults import Proxies
 
+from gapdrum.agent.entry_links import UNNEEDED_KEPT_MS
 from gapdrum.core import orders
 from gapdrum.core.models import Resources, RunEnd, Step
 from gapdrum.core.records import OpenJob, step_row
+from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.entry.acceptance import build_queue_job
 
 TASKS = 4
@@ -171,6 +173,31 @@
     assert len(rows) == 1, rows
 
 
+@when("all tasks are done while its stream is down, and the agent is to serve other entries")
+def not_chosen(context):
+    pair = context.pair
+    pair.part()
+    for key in context.keys:
+        context.runner.end(key, RunEnd.DONE)
+    pair.poll()
+    pair.link.last_chosen_ms = pair.timers.now_ms() - UNNEEDED_KEPT_MS - 1
+
+
+@then("the agent keeps to the entry for as long as that counts on its runs, and leaves it then")
+def kept_until_expired(context):
+    agent, timers = context.agent, context.pair.timers
+    agent.links.update_links()
+    assert not context.link.leaving
+    timers.time_ms += SILENCE_LIMIT_MS
+    agent.outcomes.expire()
+    agent.links.update_links()
+    assert not context.link.leaving
+    timers.time_ms += 1
+    agent.outcomes.expire()
+    agent.links.update_links()
+    assert context.link.leaving
+
+
 # With real processes.
 
 
--- a/src/gapdrum/agent/outcome_reporter.py
+++ b/src/gapdrum/agent/outcome_reporter.py
@@ -87,6 +87,10 @@
         """Forget the outcomes of runs that their owners have given up by now."""
         self._outbox.take_expired(self._timers.now_ms())
 
+    def list_owners(self) -> list[str]:
+        """Return the owners that may not have received an outcome."""
+        return self._outbox.list_owners()
+
     # Entries that join.
 
     def take_unreceived(self, owner: str) -> dict[str, list[Outcome]]:
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -124,6 +124,7 @@
         now_ms = self.timers.now_ms()
         for controller in self.controllers.values():
             yield from controller.ledger.held_owners(now_ms)
+        yield from (HeldOwner(owner, durable=False) for owner in self.outcomes.list_owners())
 
     def _handle_join(self, link: EntryLink) -> None:
         """Send the held runs to an entry that has just joined, and have it claim its own."""
--- a/src/gapdrum/core/outbox.py
+++ b/src/gapdrum/core/outbox.py
@@ -137,6 +137,10 @@
         box = self.owners.get(owner)
         return list(box.take_received(clock_ms)) if box is not None else []
 
+    def list_owners(self) -> list[str]:
+        """Return the owners that may not have received an outcome."""
+        return [owner for owner, box in self.owners.items() if box.outcomes]
+
     def take_expired(self, now_ms: int) -> list[Outcome]:
         """Remove and return the outcomes of owners that have given their runs up."""
         expired = [one for box in self.owners.values() for one in box.take_expired(now_ms)]
