Let the runner keep an end while its owner's stream is down or seems to fail

What callers saw: a task that was done while its entry's stream was down was done again if the agent was killed before the stream came back.

Cause: the agent acknowledged the ends of jobs whose caller waits at the runner as soon as they were listed. From then on it alone knew them, and its next incarnation found neither run nor end (not_held, agent_restarted).

Change: an end is acknowledged at once only while its owner has echoed the last heartbeat but one or a later one; otherwise the runner keeps it until the owner has received it, or has given its runs up. It does not renew the lease of an idle runner. An entry acknowledges ends that a restarted agent has found for its waiting callers; they stayed listed until resent before.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -61,6 +61,55 @@
     When all tasks are done while its stream is down, and the agent is to serve other entries
     Then the agent keeps to the entry for as long as that counts on its runs, and leaves it then
 
+  # Guards against an end that only the agent knows, as the runner was told to forget it: an agent that
+  # restarts before its owner has received it can't report it, and the task is done again.
+  Scenario Outline: what a runner did is reported though the agent restarts before the next stream
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When <faults>, and the agent restarts before the same owner joins again
+    Then that task counts as done, and is not started again
+    And the runner may forget that end
+
+    Examples:
+      | faults                                                 |
+      | its stream ends, one task is done                      |
+      | its stream falls silent, one task is done 400 ms later |
+      | its stream ends, one task is done, twice in a row      |
+
+  # As above, for an end whose report is lost with a stream on which the owner has just been heard.
+  Scenario: what was reported on a stream that fails is reported again though the agent restarts
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done, its report is lost, and the agent restarts before the same owner joins again
+    Then that task counts as done, and is not started again
+
+  # Guards against several polls for each end: a runner that keeps an end answers polls at once.
+  Scenario: the runner is told to forget an end at the next poll while its owner is heard
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done, 250 ms after the owner's last echo
+    Then the runner is told to forget that end at the next poll
+
+  Scenario: the runner keeps an end whose owner seems to be gone until the owner has received it
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done, 400 ms after the owner's last echo
+    And 5 polls later the owner echoes a later heartbeat
+    Then the runner was told to forget that end at the next poll only
+
+  Scenario: the runner keeps no end for an owner that is gone
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done while its stream is down, and no stream follows
+    Then the runner was told to forget that end 2150 ms later
+
+  # A lease that is renewed for an end alone would be longer than the next run's owner allows.
+  Scenario: the lease of an idle runner is not renewed for ends that wait for their owner
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When all tasks are done while its stream is down
+    Then no poll has renewed the lease since
+
   # Guards, on real processes, against work that is done again because its end came while the stream was
   # down, and the agent's or the runner's next incarnation does not know it.
   Scenario Outline: what is done while a stream is down is not started again, real processes
@@ -72,3 +121,4 @@
       | fault                  |
       | nothing else fails     |
       | the runner is replaced |
+      | the agent is killed    |
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -198,6 +198,101 @@
     assert context.link.leaving
 
 
+@when("{faults}, and the agent restarts before the same owner joins again")
+def agent_restarts(context, faults):
+    pair = context.pair
+    if "stream ends" in faults:
+        pair.part()
+    elif "silent" in faults:
+        pair.timers.time_ms += 400
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.poll()
+    pair.poll()
+    pair.part()
+    for _ in range(2 if "twice" in faults else 1):
+        pair.timers.time_ms += 400
+        pair.restart_agent()
+        pair.poll()
+    rejoin(context, 200)
+
+
+@then("the runner may forget that end")
+def may_forget(context):
+    context.pair.poll()
+    assert context.keys[0] not in [one.run for one in context.runner.ended], context.runner.ended
+
+
+@when("one task is done, {time_ms:d} ms after the owner's last echo")
+def done_after_echo(context, time_ms):
+    pair = context.pair
+    pair.echo()
+    pair.timers.time_ms += time_ms
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.poll()
+    pair.deliver_to_owner()
+
+
+@then("the runner is told to forget that end at the next poll")
+def forgotten_at_once(context):
+    assert context.runner.ended
+    context.pair.poll()
+    assert not context.runner.ended, context.runner.ended
+
+
+@when("{count:d} polls later the owner echoes a later heartbeat")
+def echoed_later(context, count):
+    pair = context.pair
+    for _ in range(count):
+        pair.timers.time_ms += 20
+        pair.poll()
+    context.kept = list(context.runner.ended)
+    pair.echo()
+    pair.poll()
+
+
+@then("the runner was told to forget that end at the next poll only")
+def forgotten_once_received(context):
+    assert [one.run for one in context.kept] == [context.keys[0]], context.kept
+    assert not context.runner.ended, context.runner.ended
+
+
+@when("one task is done while its stream is down, and no stream follows")
+def no_stream_follows(context):
+    pair = context.pair
+    pair.part()
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    began_ms = pair.timers.now_ms()
+    while context.runner.ended:
+        pair.poll()
+        pair.timers.time_ms += 50
+        context.agent.outcomes.expire()
+    context.kept_ms = pair.timers.now_ms() - began_ms
+
+
+@then("the runner was told to forget that end {time_ms:d} ms later")
+def forgotten_after(context, time_ms):
+    assert time_ms <= context.kept_ms <= time_ms + 100, context.kept_ms
+
+
+@when("all tasks are done while its stream is down")
+def all_done_unheard(context):
+    pair = context.pair
+    pair.part()
+    for key in context.keys:
+        context.runner.end(key, RunEnd.DONE)
+    pair.poll()
+    del context.runner.renewals[:]
+    for _ in range(5):
+        pair.timers.time_ms += 20
+        pair.poll()
+
+
+@then("no poll has renewed the lease since")
+def not_renewed(context):
+    assert context.runner.ended
+    assert not any(context.runner.renewals), context.runner.renewals
+
+
 # With real processes.
 
 
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -55,8 +55,7 @@
         base.new_agent(context)
         self.context = context
         self.timers: ManualTimers = context.timers
-        context.runner = ListingRunner(self.timers)
-        self._use_agent()
+        self._use_agent(ListingRunner(self.timers))
         self.effects = Effects()
         self.dispatch = build_dispatch(
             "plaine-nord", self.effects, lambda: True, self.timers.now_ms()
@@ -66,20 +65,20 @@
         self.ended = []
         self.view = None
 
-    def _use_agent(self):
+    def _use_agent(self, runner):
         context = self.context
         self.agent, self.link = context.agent, context.link
-        context.controller._context.calls = context.runner
+        context.runner = context.controller._context.calls = runner
         context.controller.ledger.upstream = QUEUE.upstream
 
     def restart_agent(self):
         """Replace the agent by its next incarnation, which finds the same runner."""
-        time_ms = self.timers.time_ms
+        runner, time_ms = self.context.runner, self.timers.time_ms
         base.new_agent(self.context)
         self.timers = self.callers._timers = self.context.timers
         self.timers.time_ms = time_ms
-        self.context.runner.read_clock = self.timers.now_ms
-        self._use_agent()
+        runner.read_clock = self.timers.now_ms
+        self._use_agent(runner)
         self.poll()  # the first call only reads the runner's clock
         self.poll()
 
--- a/src/gapdrum/agent/notifier.py
+++ b/src/gapdrum/agent/notifier.py
@@ -47,6 +47,7 @@
         self._controllers = controllers
         self._timers = timers
         self.outcomes = outcomes
+        outcomes.on_settled = self._acknowledge
         self._reservations = reservations
         # Runners with unsent changes of room: for entries that are short of room, and for all.
         self._changed_scarce: set[str] = set()
@@ -69,11 +70,18 @@
         for link in owners:
             link.send(orders.RunEvents(controller.runner_id, tuple(by_owner[link.owner])))
         connected = {link.owner for link in owners}
-        self.outcomes.record(controller.runner_id, events, connected)
+        withheld = self.outcomes.record(controller.runner_id, events, connected)
+        controller.ledger.withhold_ends(withheld)
         if any(event.kind in FREES_ROOM for _, event in events):
             self._send_freed(controller, owners)
         self.mark_room_changed(controller.runner_id)
 
+    def _acknowledge(self, outcome: Outcome) -> None:
+        """Let the runner forget the end of a non-durable run once its owner does not need it."""
+        controller = self._controllers.get(outcome.runner_id)
+        if controller is not None and outcome.event.end_number and not outcome.event.durable:
+            controller.ledger.mark_acknowledgeable((outcome.event.end_number,), ())
+
     def _send_freed(self, controller: RunnerController, owners: list[EntryLink]) -> None:
         """Report freed room at once to the entry it is offered to, or else to the runs' owners."""
         chosen = self._choose_recipient(controller)
@@ -278,7 +286,10 @@
             rows = tuple(
                 end.to_event(number)
                 for number, end in controller.ledger.ends.items()
-                if end.listed_ms < limit_ms and not end.acknowledgeable and not end.superseded
+                if end.durable
+                and end.listed_ms < limit_ms
+                and not end.acknowledgeable
+                and not end.superseded
             )
             for link in chosen if rows else ():
                 link.send(orders.RunEvents(controller.runner_id, rows))
--- a/src/gapdrum/agent/outcome_reporter.py
+++ b/src/gapdrum/agent/outcome_reporter.py
@@ -1,18 +1,23 @@
 """Sees to it that owners learn the outcomes of their runs, across streams and runners that fail."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.core import orders
 from gapdrum.core.models import RunKey, TaskName
 from gapdrum.core.outbox import OUTCOMES, Outbox, Outcome
-from gapdrum.core.runner_ledger import UNKNOWN_OWNER, Run
+from gapdrum.core.runner_ledger import COUNTED_ENDS, UNKNOWN_OWNER, Run
 from gapdrum.event_log import EventLog
 from gapdrum.timers import Timers
 
 # An entry that joins is told that a runner is gone for so long after. It expects runs there for
 # SILENCE_LIMIT_MS after each stream, and several streams in a row may fail.
 DEPARTED_KEPT_MS = 10_000
+# A stream whose last echo is of an earlier heartbeat seems to fail. Echoes come each
+# BEAT_INTERVAL_MS, later by the delay of the link and of a busy entry.
+ECHO_OVERDUE_MS = orders.BEAT_INTERVAL_MS + orders.BEAT_INTERVAL_MS // 2
+
+COUNTED_DETAILS = tuple(end.value for end in COUNTED_ENDS)
 
 
 class OutcomeReporter:
@@ -26,17 +31,38 @@
         self._timers = timers
         self._log = log
         self._outbox = Outbox()
+        # The last reading of the agent's clock that each connected owner has echoed.
+        self._echoed_ms: dict[str, int] = {}
         self._departed_ms: dict[str, int] = {}  # when each runner that is gone was removed
+        # Called for each outcome that is not kept any more.
+        self.on_settled: Callable[[Outcome], None] = lambda _outcome: None
 
     # Outcomes.
 
     def record(
         self, runner_id: str, events: Iterable[tuple[Run, orders.RunEvent]], connected: set[str]
-    ) -> None:
-        """Keep the outcomes among events, which were sent to the connected owners."""
+    ) -> list[int]:
+        """Keep the outcomes among events, which were sent to the connected owners.
+
+        Returns the numbers of ends that the runner is to keep too until ``on_settled`` is called:
+        they are of non-durable runs, and their owner's stream is down or seems to fail, so that an
+        agent that restarts before the next stream could not report them. Keeping all ends until
+        they are confirmed would cost several polls for each.
+        """
+        withheld = []
         for run, event in events:
-            if event.kind in OUTCOMES and run.owner != UNKNOWN_OWNER:
-                self._keep(run.owner, runner_id, run.key, event, run.owner in connected)
+            if event.kind not in OUTCOMES or run.owner == UNKNOWN_OWNER:
+                continue
+            self._keep(run.owner, runner_id, run.key, event, run.owner in connected)
+            counts = event.end_number and event.detail in COUNTED_DETAILS
+            if counts and not event.durable and not self._is_heard(run.owner):
+                withheld.append(event.end_number)
+        return withheld
+
+    def _is_heard(self, owner: str) -> bool:
+        """Return whether an owner has echoed the last heartbeat but one, or a later one."""
+        echoed_ms = self._echoed_ms.get(owner)
+        return echoed_ms is not None and self._timers.now_ms() - echoed_ms <= ECHO_OVERDUE_MS
 
     def record_refusals(
         self, owner: str, runner_id: str, refused: Iterable[orders.RunEvent]
@@ -52,6 +78,7 @@
         outcome = Outcome(runner_id, key, event, self._timers.now_ms())
         dropped = self._outbox.add(owner, outcome, is_sent)
         if dropped is not None:
+            self.on_settled(dropped)
             self._log.write(
                 "outcome_dropped",
                 request=dropped.key.task.job_id,
@@ -67,25 +94,33 @@
         They are of an earlier submission, whose caller has disconnected.
         """
         for row in order.runs:
-            self._outbox.forget(owner, order.runner_id, order.key_of(row))
+            former = self._outbox.forget(owner, order.runner_id, order.key_of(row))
+            if former is not None:
+                self.on_settled(former)
 
     # Owners.
 
     def confirm(self, owner: str, clock_ms: int) -> None:
         """Forget what an owner has received, as it has echoed a later reading of the clock."""
-        self._outbox.take_received(owner, clock_ms)
+        self._echoed_ms[owner] = clock_ms
+        for outcome in self._outbox.take_received(owner, clock_ms):
+            self.on_settled(outcome)
 
     def disconnect(self, owner: str) -> None:
         """Record that an owner's stream has ended."""
+        self._echoed_ms.pop(owner, None)
         self._outbox.disconnect(owner, self._timers.now_ms())
 
     def rename(self, former: str, owner: str) -> None:
         """Pass outcomes on to the new name of the same entry."""
+        if former in self._echoed_ms:
+            self._echoed_ms[owner] = self._echoed_ms.pop(former)
         self._outbox.rename(former, owner)
 
     def expire(self) -> None:
         """Forget the outcomes of runs that their owners have given up by now."""
-        self._outbox.take_expired(self._timers.now_ms())
+        for outcome in self._outbox.take_expired(self._timers.now_ms()):
+            self.on_settled(outcome)
 
     def list_owners(self) -> list[str]:
         """Return the owners that may not have received an outcome."""
--- a/src/gapdrum/agent/runner_context.py
+++ b/src/gapdrum/agent/runner_context.py
@@ -94,7 +94,7 @@
         ledger = self.ledger
         if ledger.awaits_lapse() or ledger.leaving or not ledger.polled:
             return 0
-        if not ledger.runs and not ledger.ends:
+        if not ledger.runs and not ledger.has_unstored_ends:
             return 0
         return self.allowed_lease_ms(now_ms)
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -242,6 +242,9 @@
             if end is RunEnd.FAILED:
                 task.avoided.add(place.runner_id)
             job.record_end(task, event.attempt, end, now_ms)
+        if not job.durable and event.durable and event.end_number:
+            # A restarted agent does not know the job, and keeps the end until it is acknowledged.
+            self.acknowledge_ends(place, (event.end_number,))
         if job.durable and end in (RunEnd.DONE, RunEnd.FAILED):
             self._add_unstored_end(job, StoredEnd(place, event.end_number))
             job.unstored_progress_since_ms = job.unstored_progress_since_ms or now_ms
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Iterable
 
 import attrs
 
@@ -33,6 +34,8 @@
 STRAGGLER_REPEAT_MS = 300
 # Older ends without a known owner are sent to all entries, as any of them may own the job.
 OWNERLESS_END_MS = 3_000
+# The ends that count for a task; it is started anew after any other.
+COUNTED_ENDS = (RunEnd.DONE, RunEnd.FAILED)
 # The least rate of a runner's steady clock against the agent's.
 CLOCK_RATE_FLOOR = 0.98
 
@@ -99,11 +102,11 @@
 class ListedEnd:
     """An end that the runner lists until the agent acknowledges it.
 
-    Of the ends, only those of durable jobs' runs that are done or have failed must be stored
-    before that: a waiting caller submits its job again, and a stopped run is started anew in any
-    case. ``acknowledgeable`` is set once the end may be acknowledged: it is stored, need not be,
-    or must not count and has been voided by a lapse of the lease. ``listed_ms`` is when the agent
-    read it.
+    ``acknowledgeable`` is set once it may be. The end of a durable job's run that is done or has
+    failed must be stored before; one of a non-durable job is withheld only if its owner may not
+    receive it, as a waiting caller submits its job again. A stopped run is started anew in any
+    case. An end that must not count has to be voided by a lapse of the lease. ``listed_ms`` is
+    when the agent read it.
     """
 
     key: RunKey
@@ -112,6 +115,7 @@
     end: RunEnd
     listed_ms: int
     submission: int = 0
+    durable: bool = True
     acknowledgeable: bool = False
     superseded: bool = False
 
@@ -290,9 +294,11 @@
             self.acknowledged_end = ended.number - 1
         self.last_end = ended.number
         run = self.drop(ended.run) or Run(ended.run, UNKNOWN_OWNER, 0, ZERO_RESOURCES, 0, now_ms)
-        listed = ListedEnd(ended.run, run.owner, run.epoch, ended.end, now_ms, run.submission)
+        listed = ListedEnd(
+            ended.run, run.owner, run.epoch, ended.end, now_ms, run.submission, run.durable
+        )
         self._record_outcome(run, ended.end, now_ms)
-        listed.acknowledgeable = not (run.durable and ended.end in (RunEnd.DONE, RunEnd.FAILED))
+        listed.acknowledgeable = not (run.durable and ended.end in COUNTED_ENDS)
         self.ends[ended.number] = listed
         event = _event(run, orders.ENDED, ended.end.value, ended.number)
         return run, event
@@ -394,6 +400,20 @@
             if number in self.ends:
                 self.ends[number].superseded = True
 
+    def withhold_ends(self, numbers: Iterable[int]) -> None:
+        """Keep ends at the runner: their owner may not receive them from this agent's life.
+
+        A restarted agent finds in the runner's list what it can't remember.
+        """
+        for number in numbers:
+            if number in self.ends:
+                self.ends[number].acknowledgeable = False
+
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Return whether ends are listed that count only if they are stored under the lease."""
+        return any(end.durable for end in self.ends.values())
+
     def awaits_lapse(self) -> bool:
         """Return whether the runner's lease must lapse before a superseded end is acknowledged."""
         return any(end.superseded and not end.acknowledgeable for end in self.ends.values())
@@ -442,7 +462,7 @@
         for end in self.ends.values():
             is_young = now_ms - end.listed_ms < OWNERLESS_END_MS
             if not end.acknowledgeable and not (end.owner == UNKNOWN_OWNER and is_young):
-                owners.add(HeldOwner(end.owner, True))
+                owners.add(HeldOwner(end.owner, end.durable))
         return frozenset(owners)
 
     def event_for_adopter(self, key: RunKey, submission: int) -> orders.RunEvent | None:
@@ -450,7 +470,8 @@
         if key in self.runs:
             return None
         for number, end in self.ends.items():
-            if end.key == key and not end.acknowledgeable:
+            is_same = end.key == key and end.submission in (0, submission)
+            if is_same and not end.acknowledgeable:
                 return attrs.evolve(end.to_event(number), submission=submission)
         task, kind = key.task.text, orders.LOST
         return orders.RunEvent(
