--- a/features/steps/straggler_steps.py
+++ b/features/steps/straggler_steps.py
@@ -98,18 +98,6 @@
 # The owner.
 
 
-class RecordingEffects(Effects):
-    """Records logged events, too."""
-
-    def __init__(self):
-        super().__init__()
-        self.notes = []
-
-    def note(self, event, **fields):
-        super().note(event, **fields)
-        self.notes.append((event, fields))
-
-
 def report_room(context, runner_id, free, slowness_permille=0, labels=()):
     dispatch = context.dispatch
     report = orders.RunnerReport(runner_id, "inspect-desk", orders.READY, labels, 4_000, 4_000, 0)
@@ -121,7 +109,7 @@
 
 @given("an owner with a task of 500 ms at one of two runners, and {room} at the other")
 def owner_with_task(context, room):
-    context.outside = RecordingEffects()
+    context.outside = Effects()
     context.dispatch = build_dispatch("plaine-nord", context.outside, lambda: True, 0)
     context.now_ms = 1_000
     greeting = orders.AgentGreeting("side-1", "life-1", "plaine-nord", context.now_ms)
--- a/features/steps/uneven_runner_steps.py
+++ b/features/steps/uneven_runner_steps.py
@@ -255,18 +255,6 @@
 # An entry.
 
 
-class RecordingEffects(Effects):
-    """Records sent messages and logged events."""
-
-    def __init__(self):
-        super().__init__()
-        self.notes = []
-
-    def note(self, event, **fields):
-        self.notes.append((event, fields))
-        super().note(event, **fields)
-
-
 def add_runner(context, name, rack, free_cpu_milli):
     report = orders.RunnerReport(name, "inspect-desk", orders.READY, (rack,), 8_000, 8_000, 0)
     context.dispatch.apply_report(context.view, report, NOW_MS)
@@ -278,7 +266,7 @@
 @given('an entry that sees one runner on "{rack}", far tasks taking {far:g} times as long')
 def entry_with_far(context, rack, far):
     context.now_ms = NOW_MS
-    context.outside = RecordingEffects()
+    context.outside = Effects()
     context.dispatch = build_dispatch(
         ZONE, context.outside, lambda: True, 0, random.Random(1), far_factor=far
     )
