State the delay of links over which a renamed entry keeps its callers' runs

Evidence: from the constants, a claim comes 450 ms and 8 delays after the clock reading of the last echo at worst, and the grant lasts 850 ms: up to 49 ms in each direction are borne.

Change: none in the product, as a longer grant would outlast the callers' pause. The bound is computed by run_bounds.feature, played by late_claims.feature at 49 and 50 ms, and stands in docs/RUN-BOUNDS.md.

--- a/features/late_claims.feature
+++ b/features/late_claims.feature
@@ -59,3 +59,33 @@
     And a job of a waiting caller that is at work there
     When its stream fails, and stays away for 650 ms
     Then the runs were stopped 600 ms after the stream had failed
+
+  # From its last echo to its claim, a renamed entry needs 8 delays, a heartbeat's interval and the pause
+  # before the agent connects again: 450 ms and 8 delays, of a grant of 850 ms. Beyond that, the grant
+  # must end first: the callers may submit their jobs again.
+  Scenario Outline: links delay all messages, and a stream fails at the worst moment
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When its stream delays all by <delay_ms> ms, fails just before an echo comes, and the entry joins under another name
+    Then the runs <outcome>
+
+    Examples:
+      | delay_ms | outcome                            |
+      | 0        | go on, and have never been stopped |
+      | 25       | go on, and have never been stopped |
+      | 49       | go on, and have never been stopped |
+      | 50       | have been stopped                  |
+      | 250      | have been stopped                  |
+
+  # The same with real processes. The first entry is cut off from the store until the other one has ended
+  # its lease; it returns under another name.
+  Scenario Outline: an entry that lost its lease goes on with its callers' runs, real processes
+    Given two entries and one agent, with proxies that delay what the first entry exchanges by <delay_ms> ms
+    And a job of a caller that waits at the first entry
+    When that entry is cut off until its lease is ended, and its streams are reset as it returns
+    Then no run has been stopped, and the caller has its answer
+
+    Examples:
+      | delay_ms |
+      | 0        |
+      | 25       |
--- a/features/run_bounds.feature
+++ b/features/run_bounds.feature
@@ -22,6 +22,10 @@
     Given callers that submit again after 1300 ms, and leases of at most 1000 ms
     Then a silent stream is closed at least 75 ms before the first stop is due
 
+  Scenario: a renamed entry claims its runs in time over links that delay all messages
+    Given callers that submit again after 1300 ms, and leases of at most 1000 ms
+    Then it does so over links of up to 49 ms in each direction, whenever its stream fails
+
   Scenario: the lease of an unreachable runner has lapsed before the agent gives its runs up
     Given callers that submit again after 1300 ms, and leases of at most 1000 ms
     Then a runner's slow clock has passed the end of the lease at least 100 ms before
--- a/features/steps/run_bounds_steps.py
+++ b/features/steps/run_bounds_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then
 
-from gapdrum.agent.entry_links import SILENT_ENTRY_MS
+from gapdrum.agent.entry_links import RETRY_INTERVAL_MS, SILENT_ENTRY_MS
 from gapdrum.agent.runner_context import EXPIRY_MARGIN_MS as RUNNER_EXPIRY_MARGIN_MS
 from gapdrum.core.orders import BEAT_INTERVAL_MS
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS, RunBounds
@@ -54,6 +54,14 @@
     assert context.bounds.grant_ms(False) - close_ms >= margin_ms, close_ms
 
 
+@then("it does so over links of up to {delay_ms:d} ms in each direction, whenever its stream fails")
+def claims_in_time(context, delay_ms):
+    # The last echo is as old as a heartbeat's interval and two delays when the stream fails. The
+    # connection, the greetings, and the holdings with their claim take two delays each.
+    rest_ms = context.bounds.grant_ms(False) - BEAT_INTERVAL_MS - RETRY_INTERVAL_MS
+    assert 8 * delay_ms < rest_ms <= 8 * (delay_ms + 1), rest_ms
+
+
 @then("a runner's slow clock has passed the end of the lease at least {margin_ms:d} ms before")
 def lapse_assumed(context, margin_ms):
     late_ms = context.lease_ms / CLOCK_RATE_FLOOR - context.lease_ms
