Let streams fail in series in the soak, with runners, agents and leases

The soak reset streams, but seldom so that something else was lost while one was down: outcomes that are forgotten with a stream, a runner or a former name did not show. It lets the streams of an entry fail several times in a row now, kills a runner or an agent while one is down, and cuts entries off from the store until their lease is over, with streams that are slow and fail as they return. These faults have a generator of their own, so that former seeds inject what they did.

Checks, from the logs: no task is placed again because an agent that has not restarted lost its outcome (`why` is told for runner_not_told as well), and no run is stopped for a former name of an entry whose process goes on.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,3 +18,9 @@
     When the soak runs seed 600 for 10 s with 4 entries, 8 agents and 20 callers
     Then no promise is violated
     And callers have resubmitted jobs
+
+  # Guards against outcomes of runs that are lost with a stream, a runner or an agent, and against runs
+  # that are stopped as their entry has another name.
+  Scenario: the promises hold while streams fail in series, and runners, agents or leases with them
+    When the soak runs seed 7002 for 14 s with outages only
+    Then no promise is violated
--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -73,3 +73,29 @@
       | done    | 1500.0 | 1500  | 2000    | 0     |
       | done    | 1500.0 | 1501  | 2000    | 1     |
       | stopped | 1500.0 | 2900  | 3100    | 1     |
+
+  # An agent that has not restarted must report what became of each run that it has reported at work.
+  Scenario Outline: a task that is placed again as its outcome was lost
+    Given an entry placed a task again as "<reason>", "<why>"
+    When the entry's log is checked for outcomes
+    Then lost outcomes found: <count>
+
+    Examples:
+      | reason          | why             | count |
+      | not_held        | outcome_unknown | 1     |
+      | runner_not_told | outcome_unknown | 1     |
+      | not_held        | agent_restarted | 0     |
+      | not_held        | unreported      | 0     |
+
+  # Guards against runs that are stopped for a former name of an entry whose process goes on.
+  Scenario Outline: runs that are stopped for an owner
+    Given an entry logged "<entry>", and an agent "<agent>"
+    When both logs are checked for runs that were stopped
+    Then runs stopped for a former name found: <count>
+
+    Examples: words are EVENT@NAME
+      | entry                                           | agent                                             | count |
+      | lease_taken@a started@a lease_taken@b           | entry_joined@a entry_joined@b run_stopped_for_owner@a | 1 |
+      | lease_taken@a started@a lease_taken@b           | entry_joined@a run_stopped_for_owner@a entry_joined@b | 0 |
+      | lease_taken@a started@a lease_taken@b started@b | entry_joined@a entry_joined@b run_stopped_for_owner@a | 0 |
+      | lease_taken@a started@a lease_taken@b           | entry_joined@b started@x run_stopped_for_owner@a      | 0 |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,7 +3,13 @@
 from behave import given, then, when
 from soak import Soak
 from soak_callers import SubmittedJob
-from soak_checks import NS_PER_MS, check_runs, find_earlier_ends
+from soak_checks import (
+    NS_PER_MS,
+    check_runs,
+    find_earlier_ends,
+    find_lost_outcomes,
+    find_stopped_runs,
+)
 
 JOB = "00000000000000b1"
 
@@ -23,6 +29,12 @@
     context.violations = context.soak.run()
 
 
+@when("the soak runs seed {seed:d} for {seconds:d} s with outages only")
+def run_outages_only(context, seed, seconds):
+    context.soak = Soak(seed, seconds, only_outages=True)
+    context.violations = context.soak.run()
+
+
 @then("no promise is violated")
 def no_violations(context):
     assert not context.violations, (
@@ -113,3 +125,44 @@
 @then("ends of earlier submissions found: {count:d}")
 def earlier_ends_found(context, count):
     assert_found(context, "earlier end: ", count)
+
+
+@given('an entry placed a task again as "{reason}", "{why}"')
+def placed_again(context, reason, why):
+    task = {"task": f"{JOB}.0.0.0", "attempt": 1, "runner": "i-1", "t_ms": 1_000}
+    context.lines = [{"event": "task_released", **task, "reason": reason, "why": why}]
+
+
+@when("the entry's log is checked for outcomes")
+def check_outcomes(context):
+    context.violations = find_lost_outcomes(context.lines)
+
+
+@then("lost outcomes found: {count:d}")
+def lost_outcomes_found(context, count):
+    assert_found(context, "lost outcome: ", count)
+
+
+@given('an entry logged "{entry}", and an agent "{agent}"')
+def logged(context, entry, agent):
+    context.entry_lines, context.agent_lines = parse_lines(entry), parse_lines(agent)
+
+
+def parse_lines(text):
+    """Return log lines for EVENT@NAME words; NAME is an incarnation of entry-0."""
+    lines = []
+    for word in text.split():
+        event, _, name = word.partition("@")
+        owner = {"owner": f"entry-0/{name}", "life": name, "t_ms": 1_000}
+        lines.append({"event": event, **owner, "task": f"{JOB}.0.0.0", "attempt": 1})
+    return lines
+
+
+@when("both logs are checked for runs that were stopped")
+def check_stopped(context):
+    context.violations = find_stopped_runs(context.agent_lines, context.entry_lines)
+
+
+@then("runs stopped for a former name found: {count:d}")
+def stopped_runs_found(context, count):
+    assert_found(context, "renamed owner: ", count)
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -7,7 +7,7 @@
 
 from gapdrum.core import orders
 from gapdrum.core.effects import Effects
-from gapdrum.core.fleet import Fleet, LostRunner
+from gapdrum.core.fleet import RUNNER_NOT_REPORTED, Fleet, LostRunner
 from gapdrum.core.jobs import Job, Place, StoredEnd, Task, TaskPhase
 from gapdrum.core.models import RunEnd, RunKey, TaskName
 from gapdrum.core.placer import Placer
@@ -111,7 +111,9 @@
 
     def _release_lost(self, lost: LostRunner, now_ms: int) -> None:
         for task in lost.tasks:
-            self._release_unconfirmed(task, lost.reason, now_ms)
+            is_unreported = lost.reason == RUNNER_NOT_REPORTED
+            why = _why_not_held(lost.agent_incarnation, task) if is_unreported else ""
+            self._release_unconfirmed(task, lost.reason, now_ms, why)
 
     def _release_unconfirmed(self, task: Task, reason: str, now_ms: int, why: str = "") -> None:
         """Requeue a task whose run can no longer be at work; its end is unknown.
@@ -332,7 +334,7 @@
         if runner is not None and not holdings.jobs:
             for task in list(runner.out):
                 if (task.name.text, task.attempt) not in held:
-                    why = _why_not_held(view, task)
+                    why = _why_not_held(view.incarnation, task)
                     self._release_unconfirmed(task, "not_held", now_ms, why)
             runner.synced = True
         self.effects.schedule_placement()
@@ -438,9 +440,9 @@
             self.effects.job_ended(job)
 
 
-def _why_not_held(view: AgentView, task: Task) -> str:
+def _why_not_held(agent_incarnation: str, task: Task) -> str:
     """Return why an agent does not hold a task's run and has reported no outcome of it."""
-    if task.reported_by != view.incarnation:
+    if task.reported_by != agent_incarnation:
         return AGENT_RESTARTED
     return OUTCOME_UNKNOWN if task.phase is TaskPhase.RUNNING else UNREPORTED
 
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -11,15 +11,21 @@
 from gapdrum.core.runner_views import AgentView, RunnerView
 
 PERMILLE = 1_000
+# Why a runner is given up whose agent has joined without reporting it, as it appears in the logs.
+RUNNER_NOT_REPORTED = "runner_not_told"
 
 
 @attrs.frozen
 class LostRunner:
-    """A runner that the entry has given up, and the tasks that were placed there."""
+    """A runner that the entry has given up, and the tasks that were placed there.
+
+    ``agent_incarnation`` is the present one of its agent, as far as known.
+    """
 
     runner_id: str
     tasks: tuple[Task, ...]
     reason: str
+    agent_incarnation: str
 
 
 @attrs.define
@@ -126,12 +132,13 @@
                 not runner.synced
                 and now_ms - runner.unsynced_since_ms > run_bounds.SILENCE_LIMIT_MS
             ):
-                lost.append(self._remove(runner, "runner_not_told"))
+                lost.append(self._remove(runner, RUNNER_NOT_REPORTED))
         return lost
 
     def _remove(self, runner: RunnerView, reason: str) -> LostRunner:
         del self.runners[runner.place]
-        return LostRunner(runner.place.runner_id, tuple(runner.out), reason)
+        tasks, incarnation = tuple(runner.out), runner.agent.incarnation
+        return LostRunner(runner.place.runner_id, tasks, reason, incarnation)
 
     def _runners_of(self, agent: str) -> list[RunnerView]:
         return [runner for place, runner in self.runners.items() if place.agent == agent]
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -246,8 +246,9 @@
 )
 _add(
     "task_released",
-    "The task was not started, or its run is over without an end; it waits again. For `not_held`, "
-    "`why` tells whether the agent had restarted, never reported the run, or lost its outcome.",
+    "The task was not started, or its run is over without an end; it waits again. For `not_held` "
+    "and `runner_not_told`, `why` tells if the agent had restarted, never reported the run, or "
+    "lost its outcome.",
     "request", "task", "attempt", "runner", "reason", "why",
 )  # fmt: skip
 _add(
--- a/tools/planted.py
+++ b/tools/planted.py
@@ -9,8 +9,10 @@
 import sys
 from collections.abc import Callable
 
+from gapdrum.agent.entry_links import EntryLinks
 from gapdrum.agent.entry_orders import EntryOrders
 from gapdrum.agent.grants import Grants
+from gapdrum.agent.outcome_reporter import OutcomeReporter
 from gapdrum.core import fleet
 from gapdrum.core.jobs import Job
 from gapdrum.core.models import ZERO_RESOURCES
@@ -119,6 +121,33 @@
     )
 
 
+@mechanism
+def outcomes() -> None:
+    """Let agents forget the outcomes of runs as soon as they have seen them."""
+    OutcomeReporter.record = lambda *_arguments: []
+
+
+@mechanism
+def departures() -> None:
+    """Let agents forget a runner that is gone, with the outcomes of its runs."""
+    outcomes_of = OutcomeReporter.take_unreceived
+
+    def take_present(self, owner):
+        gone = self.list_departed()
+        found = outcomes_of(self, owner)
+        return {runner: rows for runner, rows in found.items() if runner not in gone}
+
+    OutcomeReporter.take_unreceived = take_present
+    OutcomeReporter.send_departed = lambda *_arguments: None
+
+
+@mechanism
+def names() -> None:
+    """Let agents ignore the former names of an entry that has lost its lease."""
+    greeted = EntryLinks._greeted
+    EntryLinks._greeted = lambda self, link, owner, _former=(): greeted(self, link, owner)
+
+
 @mechanism
 def resubmission() -> None:
     """Give runs of non-durable jobs the lease duration of durable ones."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,7 +12,8 @@
 briefly; no runner's capacity is exceeded; a durable task is not started again after a "done" end
 that counts (the runner was told to forget it, and its lease did not lapse before that); no end
 counts for a submission that began after it; a refused job never runs; an accepted durable job ends
-in the same state at all entries.
+in the same state at all entries; an agent that has not restarted loses no outcome, and stops no run
+of an entry that goes on under another name.
 
 ``--planted`` disables a mechanism, to check that the soak detects it: see ``planted.py``.
 """
@@ -29,7 +30,12 @@
 from local_system import Process, wait_for
 from platform_system import ZONES, PlatformSystem, RunnerPace
 from soak_callers import HOT_RACK, Callers, SubmittedJob
-from soak_checks import check_runs, find_earlier_ends
+from soak_checks import (
+    check_runs,
+    find_earlier_ends,
+    find_lost_outcomes,
+    find_stopped_runs,
+)
 from soak_faults import CALM_S, Faults, Proxies
 
 ENTRIES, AGENTS, CALLERS = 2, 3, 6
@@ -53,14 +59,16 @@
         entries: int = ENTRIES,
         agents: int = AGENTS,
         callers: int = CALLERS,
+        only_outages: bool = False,
     ) -> None:
         rng = random.Random(seed)
         proxies = Proxies()
         self.seconds = seconds
+        self._only_outages = only_outages
         self.system = PlatformSystem(
             entries,
             agents,
-            store_ports=proxies.add,
+            store_ports=proxies.add_store,
             stream_ports=proxies.add_stream,
             planted=planted,
             paces=PACES,
@@ -84,7 +92,7 @@
         with self.system:
             try:
                 self._callers.start()
-                self._faults.inject(self.seconds, self._callers)
+                self._faults.inject(self.seconds, self._callers, self._only_outages)
                 self._faults.recover()
                 violations = self._check_drain()
             finally:
@@ -94,9 +102,16 @@
             violations += self._check_durable()
             histories = self.system.histories()
         for entry in self.system.entries:
-            violations += find_earlier_ends(_read_lines(entry), histories)
+            violations += self._check_logs(_read_lines(entry), histories)
         return violations + check_runs(histories, self.jobs, self._faults.killed_ns)
 
+    def _check_logs(self, lines: list[dict], histories: list[list[dict]]) -> list[str]:
+        """Check what one entry, and the agents for it, have logged."""
+        violations = find_earlier_ends(lines, histories) + find_lost_outcomes(lines)
+        for agent in self.system.agents:
+            violations += find_stopped_runs(_read_lines(agent), lines)
+        return violations
+
     def _check_drain(self) -> list[str]:
         """Check under load that no run starts in a drained zone."""
         zone_number = self._faults.drain_random.randrange(min(len(ZONES), len(self.system.agents)))
@@ -164,6 +179,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--planted", default="", help="a mechanism of planted.py to disable")
+    parser.add_argument("--only-outages", action="store_true", help="see soak_outages.py")
     parser.add_argument("--entries", type=int, default=ENTRIES)
     parser.add_argument("--agents", type=int, default=AGENTS)
     parser.add_argument("--callers", type=int, default=CALLERS)
@@ -182,6 +198,7 @@
             options.entries,
             options.agents,
             options.callers,
+            options.only_outages,
         )
         violations = soak.run()
         failed += bool(violations)
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -152,3 +152,59 @@
         if len(active) * TASK_CPU_MILLI > RUNNER_CPU_MILLI:
             violations.append(f"room: {run.task} {run.describe()} beside {len(active) - 1} others")
     return violations
+
+
+def find_lost_outcomes(entry_lines: list[dict]) -> list[str]:
+    """Return the tasks that an entry placed again as their agent had lost what became of them.
+
+    An agent must report each outcome that its owner may count on, unless it has restarted.
+    """
+    return [
+        f"lost outcome: {line['task']} attempt {line['attempt']} at {line['runner']}, "
+        f"{line['reason']}, at {line['t_ms']}"
+        for line in entry_lines
+        if line["event"] == "task_released" and line.get("why") == "outcome_unknown"
+    ]
+
+
+def find_stopped_runs(agent_lines: list[dict], entry_lines: list[dict]) -> list[str]:
+    """Return the runs that an agent stopped for a former name of an entry that goes on.
+
+    The entry has lost its lease and joined under another name; its process has not ended between.
+    """
+    same_process = _list_owners(entry_lines)
+    joined: set[str] = set()
+    violations = []
+    for line in agent_lines:
+        if line["event"] == "started":
+            joined.clear()
+        elif line["event"] == "entry_joined":
+            joined.add(line["owner"])
+        elif line["event"] == "run_stopped_for_owner":
+            later = joined & same_process.get(line["owner"], set())
+            violations += [
+                f"renamed owner: {line['task']} attempt {line['attempt']} stopped at "
+                f"{line['t_ms']} for {line['owner']}, now {owner}"
+                for owner in sorted(later)
+            ]
+    return violations
+
+
+def _list_owners(entry_lines: list[dict]) -> dict[str, set[str]]:
+    """Return for each owner name of an entry the names that the same process took later."""
+    later: dict[str, set[str]] = {}
+    names: list[str] = []
+    for line in entry_lines:
+        if line["event"] == "lease_taken":
+            for name in names:
+                later[name].add(line["owner"])
+            if line["owner"] not in names:
+                names.append(line["owner"])
+                later[line["owner"]] = set()
+        elif line["event"] == "started":
+            # The process may take its first name just before it writes this line.
+            ended = [name for name in names if not name.endswith(line["life"])]
+            names = [name for name in names if name not in ended]
+            for name in ended:
+                later[name] -= set(names)
+    return later
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -11,6 +11,7 @@
 from platform_system import ZONES, PlatformSystem
 from proxy import MODES, ONE_WAY, PASS, SILENT, Proxy
 from soak_callers import Callers
+from soak_outages import Outages, run_outages
 
 DRAIN_SHARE = 0.25  # of the single faults: followed by a change of the drained zones
 CALM_S = 3.0
@@ -22,6 +23,7 @@
 
     def __init__(self) -> None:
         self.all: list[Proxy] = []
+        self.stores: list[Proxy] = []  # of the entries first, as the system adds them first
         self.streams: list[Proxy] = []
 
     def add(self, port: int) -> int:
@@ -30,6 +32,12 @@
         self.all.append(proxy)
         return proxy.port
 
+    def add_store(self, port: int) -> int:
+        """Start a proxy to the store for one process; return the proxy's port."""
+        proxy_port = self.add(port)
+        self.stores.append(self.all[-1])
+        return proxy_port
+
     def add_stream(self, port: int) -> int:
         """Start a proxy to the streams of one entry; return the proxy's port."""
         proxy_port = self.add(port)
@@ -40,8 +48,8 @@
 class Faults:
     """Injects random faults and undoes each after a while.
 
-    Single faults, drains, combined faults and resets have a generator each, so that a seed injects
-    the same faults of one kind whatever happens to the others.
+    Single faults, drains, combined faults, resets and outages have a generator each, so that a seed
+    injects the same faults of one kind whatever happens to the others.
     """
 
     def __init__(
@@ -53,6 +61,9 @@
         self.random = rng
         self._combined_random = random.Random(f"herds {seed}")
         self._reset_random = random.Random(f"resets {seed}")
+        self._outages = Outages(
+            seed, proxies.streams, proxies.stores, lambda one: self._kill_all([one]), self._start
+        )
         self._system = system
         self._proxies = proxies
         self._timers: list[threading.Timer] = []
@@ -63,11 +74,18 @@
     def _processes(self) -> list[Process]:
         return [*self._system.entries, *self._system.agents]
 
-    def inject(self, seconds: float, callers: Callers) -> None:
-        """Inject faults for some time: single ones, with combined ones and resets in parallel."""
+    def inject(self, seconds: float, callers: Callers, only_outages: bool = False) -> None:
+        """Inject faults for some time: single ones, and all others in parallel.
+
+        The other faults hide most of what outages alone bring about, as they make tasks start
+        again themselves.
+        """
+        if only_outages:
+            self._inject_outages(seconds, callers)
+            return
         threads = [
             threading.Thread(target=inject, args=(seconds, callers))
-            for inject in (self._inject_combined, self._inject_resets)
+            for inject in (self._inject_combined, self._inject_resets, self._inject_outages)
         ]
         for thread in threads:
             thread.start()
@@ -323,6 +341,17 @@
                 self._proxies.streams[number].reset()
             time.sleep(self._reset_random.uniform(0.5, 2.0))
 
+    def _inject_outages(self, seconds: float, _callers: Callers) -> None:
+        """Inject outages of streams in series, with what fails beside them."""
+        system = self._system
+        run_outages(
+            self._outages,
+            seconds,
+            self._ended,
+            self._record,
+            lambda: (system.runners, system.agents),
+        )
+
     # Recovery
 
     def _schedule(self, delay_s: float, work: Callable[[], object]) -> None:
