Give up a task that crashes its runners, and let suspects run alone

What callers saw: a task under which each runner crashes was started on one runner after the other for as long as its job was open, and took down what ran beside it.

Cause: a run that is lost with its runner requeues its task, and nothing counts how often. A plain limit would give up innocent tasks that ran beside such a one, as the owner hears of all that ran there alike.

Change: the owner counts the crashes under each task. A runner that has announced its end is no crash (runner_ended); one that refuses connections is, also if its lease lapses first. After two crashes a task is a suspect: for a second it is placed at an idle runner only, and the agent starts nothing beside it; after three it runs only alone. A task under which two runners have crashed while it ran alone is given up, and its job fails: five starts at most. The counts are stored with the progress, so that the next owner knows them. Freed room is not asked for on behalf of a suspect. Line: runner_crashed_under.

Why this works: only what happens while a task runs alone condemns it, and once does not, so that a coincidence does not either; a task that is innocent is done when it runs alone.

Left: a suspect waits while no runner is idle; an agent that restarts does not know that a run is exclusive.

--- a/src/gapdrum/agent/run_launcher.py
+++ b/src/gapdrum/agent/run_launcher.py
@@ -60,6 +60,8 @@
             return orders.ORDER_EXPIRED
         if self._context.lease_exceeds_grant(owner, order.durable, now_ms):
             return orders.ORDER_EXPIRED  # the owner's echo is too old for the runner's lease
+        if order.exclusive and self.ledger.runs:
+            return orders.NO_ROOM
         free = self._context.free_for(owner, now_ms)
         if not free.holds(row.room):
             return orders.NO_ROOM
@@ -87,6 +89,7 @@
             queue=order.queue,
             priority=order.priority,
             submission=order.submission,
+            exclusive=order.exclusive,
         )
         self.ledger.begin(run)
         self._context.offers.use(owner, row.room)
--- a/src/gapdrum/agent/runner_controller.py
+++ b/src/gapdrum/agent/runner_controller.py
@@ -122,7 +122,7 @@
                     self.set_gone("deregistered")
                     continue
                 self._check_unresponsive(error.code)
-                self._check_lapse()
+                self._check_lapse(crashed=isinstance(error, RefusedConnectionError))
                 if self._should_pause(error):
                     await backoff.pause()
         self._poller.close()
@@ -268,13 +268,17 @@
             self._log.write("runner_reachable", runner=self.runner_id)
             self._context.report([])
 
-    def _check_lapse(self) -> None:
-        """Report the runs of an unreachable runner as lost once their lease has lapsed there."""
+    def _check_lapse(self, crashed: bool) -> None:
+        """Report the runs of an unreachable runner as lost once their lease has lapsed there.
+
+        A runner on this machine that refuses connections has crashed.
+        """
         if self.ledger.runs and self._timers.monotonic_ms() > self._context.bound.ends_ms:
             lapsed = [run for run in self.ledger.runs.values() if not run.calling]
             if lapsed:
                 self._log.write("runs_lapsed_unseen", runner=self.runner_id, runs=len(lapsed))
-            self._context.report(self.ledger.lose(lapsed, orders.LEASE_LAPSED))
+            reason = orders.RUNNER_GONE if crashed else orders.LEASE_LAPSED
+            self._context.report(self.ledger.lose(lapsed, reason))
 
     def set_gone(self, reason: str) -> None:
         """Record that this incarnation is gone, and report its runs as lost."""
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -113,7 +113,12 @@
         for task in lost.tasks:
             is_unreported = lost.reason == RUNNER_NOT_REPORTED
             why = _why_not_held(lost.agent_incarnation, task) if is_unreported else ""
+            job = self.jobs.get(task.name.job_id)
+            if job is not None and lost.reason == orders.RUNNER_GONE:
+                self._record_crash(job, task, now_ms)
             self._release_unconfirmed(task, lost.reason, now_ms, why)
+            if job is not None:
+                self._check_outcome(job)
 
     def _release_unconfirmed(self, task: Task, reason: str, now_ms: int, why: str = "") -> None:
         """Requeue a task whose run can no longer be at work; its end is unknown.
@@ -167,7 +172,26 @@
             self.placer.release(job, task, event.detail, now_ms)
         else:
             job.begun = True
+            if event.detail == orders.RUNNER_GONE:
+                self._record_crash(job, task, now_ms)
             self.placer.release(job, task, event.detail, now_ms)
+            self._check_outcome(job)
+
+    def _record_crash(self, job: Job, task: Task, now_ms: int) -> None:
+        """Record that a runner has crashed with a task, which may be the cause."""
+        if task.phase not in (TaskPhase.ORDERED, TaskPhase.RUNNING):
+            return
+        task.record_crash(task.attempt, now_ms)
+        job.unstored_progress_since_ms = job.unstored_progress_since_ms or now_ms
+        self.effects.note(
+            "runner_crashed_under",
+            request=job.job_id,
+            task=task.name.text,
+            attempt=task.attempt,
+            runner=task.place.runner_id,
+            crashes=task.crashes,
+            alone=task.attempt in task.exclusive_attempts,
+        )
 
     def _ignore_event(self, place: Place, event: orders.RunEvent) -> None:
         """Log an event of an earlier submission, and don't apply it to the job.
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -105,10 +105,14 @@
                 return None
             runner = RunnerView(place, view, unsynced_since_ms=now_ms)
             self.runners[place] = runner
-        if runner.state != report.state:
+        former_state = runner.state
+        if former_state != report.state:
             self.effects.note("runner_state", runner=report.runner_id, state=report.state)
         runner.apply_report(report)
-        return self._remove(runner, "runner_gone") if report.state == orders.GONE else None
+        if report.state != orders.GONE:
+            return None
+        planned = former_state == orders.DRAINING
+        return self._remove(runner, orders.RUNNER_ENDED if planned else orders.RUNNER_GONE)
 
     def apply_room(self, view: AgentView, report: orders.RoomReport) -> None:
         """Apply a report of a runner's free room; ignore it if the runner was lost meanwhile."""
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -23,6 +23,17 @@
 BEGIN_SHARE = 0.5
 
 
+# A task at work on so many runners as they crashed is suspected to crash them: it runs alone next,
+# to distinguish it from tasks that only ran beside it.
+SUSPECT_CRASHES = 2
+# For so long a suspect waits for an idle runner before it runs beside others once more.
+SUSPECT_WAIT_MS = 1_000
+# From so many crashes on it runs only alone. The platform allows two more starts after three.
+ALONE_CRASHES = 3
+# A task is given up once so many runners have crashed under it alone. One may be a coincidence.
+GIVE_UP_CRASHES = 2
+
+
 class TaskPhase(enum.Enum):
     """The phase of a task at its job's owner."""
 
@@ -59,6 +70,8 @@
     ``slowness`` is the expected duration of the last attempt at its runner, relative to a usual
     runner (not to the estimate), 0 if not known. ``avoided`` are the identities of runners where
     an attempt failed, straggled or was rejected; ``moves`` counts the moves for straggling.
+    ``crashes`` counts the runners that crashed while they held an attempt, ``crashes_alone`` those
+    at which it ran alone, as ``exclusive_attempts`` do; ``crashed_ms`` is when the last one did.
     """
 
     name: TaskName
@@ -75,6 +88,27 @@
     moves: int = 0
     avoided: set[str] = attrs.Factory(set)
     hold_logged: bool = False
+    crashes: int = 0
+    crashes_alone: int = 0
+    exclusive_attempts: set[int] = attrs.Factory(set)
+    crashed_ms: int = 0
+
+    @property
+    def is_given_up(self) -> bool:
+        """Tell whether the task is known to crash the runners that start it."""
+        return self.crashes_alone >= GIVE_UP_CRASHES
+
+    def must_run_alone(self, now_ms: int) -> bool:
+        """Tell whether the task may only be placed on an idle runner now."""
+        if self.crashes < SUSPECT_CRASHES:
+            return False
+        return self.crashes >= ALONE_CRASHES or now_ms - self.crashed_ms < SUSPECT_WAIT_MS
+
+    def record_crash(self, attempt: int, now_ms: int) -> None:
+        """Record that a runner has crashed while it held an attempt."""
+        self.crashes += 1
+        self.crashes_alone += attempt in self.exclusive_attempts
+        self.crashed_ms = now_ms
 
     @property
     def run(self) -> RunKey:
@@ -224,7 +258,8 @@
 
     def outcome(self) -> JobState | None:
         """Return the final state that follows from its tasks, None while the job is open."""
-        if any(len(task.failed_attempts) >= self.failure_limit for task in self.tasks):
+        limit = self.failure_limit
+        if any(len(task.failed_attempts) >= limit or task.is_given_up for task in self.tasks):
             return JobState.FAILED
         if all(task.phase is TaskPhase.DONE for task in self.tasks):
             return JobState.SUCCEEDED
@@ -237,7 +272,7 @@
                 yield task
 
     def progress(self) -> JobProgress:
-        """Return the facts on its tasks that never change back: done ones and failed attempts."""
+        """Return the facts on its tasks that never change back: done, failed and crashed ones."""
         return JobProgress(
             tuple(
                 TaskProgress(
@@ -245,9 +280,11 @@
                     task.name.index,
                     task.phase is TaskPhase.DONE,
                     sorted(task.failed_attempts),
+                    task.crashes,
+                    task.crashes_alone,
                 )
                 for task in self.tasks
-                if task.phase is TaskPhase.DONE or task.failed_attempts
+                if task.phase is TaskPhase.DONE or task.failed_attempts or task.crashes
             )
         )
 
@@ -256,6 +293,8 @@
         for row in progress.tasks:
             task = self.by_name[task_name(self.job_id, row.step, row.index)]
             task.failed_attempts = set(row.failed_attempts)
+            task.crashes = row.crashes
+            task.crashes_alone = row.crashes_alone
             if row.done:
                 task.phase = TaskPhase.DONE
 
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -51,7 +51,8 @@
 # thousand times a second.
 REJECTED_THERE = (RUNNER_REJECTED, RUN_PRESENT)
 
-# Why a run was lost, other than RUNNER_GONE.
+# Why a run was lost, other than RUNNER_GONE, which stands for a runner that has crashed.
+RUNNER_ENDED = "runner_ended"  # after it had announced that
 LEASE_LAPSED = "lease_lapsed"  # of an unreachable runner; RunEnd.LEASE_LAPSED is a listed end
 ENDED_BEFORE = "ended_before_adoption"
 
@@ -280,7 +281,7 @@
 
     The queue and its priority, 0 for the most urgent one, let the agent weigh the work of all
     entries. ``submission`` distinguishes the submissions of a non-durable job, each of which begins
-    with attempt 1; it is 0 for a durable job.
+    with attempt 1; it is 0 for a durable job. An ``exclusive`` run gets the runner for itself.
     """
 
     runner_id: str = text_field()
@@ -293,6 +294,7 @@
     queue: str = text_field(default="")
     priority: int = count_field(default=0)
     submission: int = count_field(default=0)
+    exclusive: bool = attrs.field(default=False, validator=attrs.validators.instance_of(bool))
 
     def key_of(self, row: OrderedRun) -> RunKey:
         """Return the key of one of the runs."""
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -42,6 +42,8 @@
 MAX_DEFERRED_JOBS = 8
 # Minimum interval of placement passes while no runner has room.
 TRY_INTERVAL_MS = 20
+# Why a task is held that must run alone.
+NO_IDLE_RUNNER = "no_idle_runner"
 MEDIAN = 0.5  # the quantile of the queue's durations that a task is expected to take
 # Agents that start together with an entry join after 0.7 s and report free room 1.5 s later.
 WARM_UP_MS = 2_500
@@ -192,7 +194,8 @@
             if job.ending is not None or not self._place_job(job, pool, now_ms):
                 self.waiting.discard(job.job_id)
                 continue
-            ready = job.ready_tasks()
+            # Freed room is of no use to a task that needs an idle runner.
+            ready = [task for task in job.ready_tasks() if not task.must_run_alone(now_ms)]
             if any(waits_for_better(job, task, pool, now_ms) for task in ready):
                 continue  # it could be placed where it would end late; others may use that room
             if any(may_ever_fit(task, pool) for task in ready):
@@ -223,6 +226,9 @@
         refused = None
         ready = job.ready_tasks()
         for task in ready:
+            if task.must_run_alone(now_ms):
+                deferred |= not self._place_alone(job, task, now_ms)
+                continue
             runner = choose_runner(job, task, pool, self.zone, now_ms, self.rng)
             if runner is None:
                 deferred = True
@@ -238,11 +244,32 @@
             self._send_order(job, self.fleet.runners[key], tasks, now_ms)
         return deferred or any(task.phase is TaskPhase.WAITING for task in ready)
 
+    def _place_alone(self, job: Job, task: Task, now_ms: int) -> bool:
+        """Order a task at an idle runner that takes nothing else meanwhile; return whether one is.
+
+        Runners crash under some tasks. Only one that runs alone shows which task it is.
+        """
+        idle = [view for view in self.fleet.open_runners() if view.is_idle]
+        pool = build_pool(idle, job.upstream, task.step.resources.cpu_milli, self.far_factor)
+        runner = choose_runner(job, task, pool, self.zone, now_ms, self.rng)
+        if runner is None:
+            if not task.hold_logged:
+                task.hold_logged = True
+                self._note_held(job, task, NO_IDLE_RUNNER)
+            return False
+        self._assign(job, task, runner, now_ms)
+        task.exclusive_attempts.add(task.attempt)
+        runner.order(runner.free)  # nothing else is ordered there before its next report
+        self._send_order(job, runner, [task], now_ms, exclusive=True)
+        return True
+
+    def _note_held(self, job: Job, task: Task, reason: str) -> None:
+        self.effects.note("task_held", request=job.job_id, task=task.name.text, reason=reason)
+
     def _log_deferral(self, job: Job, task: Task, pool: RunnerPool, now_ms: int) -> None:
         if not task.hold_logged:
             task.hold_logged = True
-            reason = self._deferral_reason(job, task, pool, now_ms)
-            self.effects.note("task_held", request=job.job_id, task=task.name.text, reason=reason)
+            self._note_held(job, task, self._deferral_reason(job, task, pool, now_ms))
 
     @staticmethod
     def _deferral_reason(job: Job, task: Task, pool: RunnerPool, now_ms: int) -> str:
@@ -265,7 +292,14 @@
         self.stragglers.budget.earn()
         runner.out.add(task)
 
-    def _send_order(self, job: Job, runner: RunnerView, tasks: list[Task], now_ms: int) -> None:
+    def _send_order(
+        self,
+        job: Job,
+        runner: RunnerView,
+        tasks: list[Task],
+        now_ms: int,
+        exclusive: bool = False,
+    ) -> None:
         runs = tuple(
             _ordered_run(task, distance(task.step, runner, self.far_factor)) for task in tasks
         )
@@ -280,6 +314,7 @@
             job.queue,
             job.priority,
             job.submission,
+            exclusive,
         )
         sent = self.effects.send(runner.place.agent, order)
         for task in tasks:
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -123,12 +123,18 @@
 
 @attrs.frozen
 class TaskProgress:
-    """Whether a task of an open job is done, and its failed attempts; neither is undone."""
+    """Whether a task of an open job is done, its failed attempts, and the crashes under it.
+
+    Nothing of it is undone. ``crashes`` counts the runners that crashed while they held the task,
+    ``crashes_alone`` those that held nothing else.
+    """
 
     step: int = count_field()
     index: int = count_field()
     done: bool = attrs.field(validator=validators.instance_of(bool))
     failed_attempts: tuple[int, ...] = attrs.field(converter=tuple, validator=_COUNTS)
+    crashes: int = count_field(default=0)
+    crashes_alone: int = count_field(default=0)
 
 
 @message(61)
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -70,6 +70,7 @@
     queue: str = ""
     priority: int = 0
     submission: int = 0
+    exclusive: bool = False
     started_ms: int = 0
     straggler_reported_ms: int = 0
     done_ms: int = 0
@@ -204,6 +205,8 @@
         known = self.polled and self.reachable and self.capacity is not None
         if not known or self.unknown_runs or (self.health.half_open and self.runs):
             return ZERO_RESOURCES
+        if any(run.exclusive for run in self.runs.values()):
+            return ZERO_RESOURCES
         return self.capacity - self.used
 
     def clock_floor(self, monotonic_ms: int) -> int:
@@ -479,9 +482,14 @@
         )
 
     def set_gone(self) -> list[tuple[Run, orders.RunEvent]]:
-        """Mark this incarnation as gone; return its runs as lost."""
+        """Mark this incarnation as gone; return its runs as lost.
+
+        A runner that has not announced its end has crashed.
+        """
         self.gone = True
-        return self.lose(list(self.runs.values()), orders.RUNNER_GONE)
+        planned = self.draining or self.leaving
+        reason = orders.RUNNER_ENDED if planned else orders.RUNNER_GONE
+        return self.lose(list(self.runs.values()), reason)
 
     def lose(self, runs: list[Run], reason: str) -> list[tuple[Run, orders.RunEvent]]:
         """Remove runs whose end the runner will not list; return them as lost."""
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -73,6 +73,11 @@
             self.unreported_orders.popleft()
         self._update_free()
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing runs there, and nothing is ordered."""
+        return self.free == self.capacity and not self.out
+
     def is_reserved_from(self, queue: str, room: Resources) -> bool:
         """Return whether a task would fit, but only into room reserved for other queues."""
         kept = self.kept_cpu_milli.get(queue, 0)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -251,6 +251,11 @@
     "lost its outcome.",
     "request", "task", "attempt", "runner", "reason", "why",
 )  # fmt: skip
+_add(
+    "runner_crashed_under",
+    "A runner has crashed while it held the task; `alone` tells whether nothing else ran there.",
+    "request", "task", "attempt", "runner", "crashes", "alone",
+)  # fmt: skip
 _add(
     "outcomes_resent",
     "An entry has joined; the agent sends the outcomes of runs that it may not have received.",
--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -1,7 +1,8 @@
 """Stand-in for a runner of the platform: leases, starts, stops, ends and fault injection.
 
 A task's ``spec`` is JSON text: ``{"run_ms": 80, "fail": false}``, optionally with the ``"rack"`` of
-its data: the task takes longer on another rack, and on a slow runner. ``GET /history`` returns the
+its data: the task takes longer on another rack, and on a slow runner. With ``"crash": true`` the
+runner crashes when the task would end. ``GET /history`` returns the
 starts and ends of all runs with their times, so that a test can check that no task ran twice at
 once and that the capacity was not exceeded. ``GET /lease`` returns the remaining time of the lease.
 ``POST /faults`` takes ``{"mode": "hang" | "errors" | "unanswered" | "late" | "answers_lost",
@@ -43,6 +44,7 @@
     fails: bool
     hangs: bool
     began_ms: int
+    crashes: bool = False
 
 
 @attrs.frozen
@@ -92,6 +94,8 @@
             if now_ms >= self.lease_ms:
                 self._end(run, "lapsed")
             elif not run.hangs and now_ms - run.began_ms >= run.run_ms:
+                if run.crashes:
+                    os._exit(1)
                 self._end(run, "failed" if run.fails else "done")
         return self.last_end != before
 
@@ -144,6 +148,7 @@
             bool(spec.get("fail")) or mode == "errors",
             mode == "hang",
             self.now_ms,
+            bool(spec.get("crash")),
         )
         self.runs[task] = run
         self.highest[task] = attempt
