Count a held run as started, though the report of its start was lost

What callers saw: the number of jobs that have not begun, as asked of an entry, included jobs at work: the report of the start was sent on a stream that failed, and the holdings on the next one, which list the run as at work, left the task as ordered. Found by looking for the same fault elsewhere (messages that are lost with a stream and not sent again); not seen in a run.

Change: a run that the agent holds as at work counts as started, at a time that is not known, so that no duration is learned from it.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -110,6 +110,14 @@
     When all tasks are done while its stream is down
     Then no poll has renewed the lease since
 
+  # Guards against a run that counts as not begun while it is at work, as the report of its start was
+  # lost with the stream: its job is shown as waiting.
+  Scenario: a run whose start was reported on a stream that fails counts as started
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is ordered there
+    When its start is reported on a stream that fails, and the same owner joins again 200 ms later
+    Then its tasks count as started, and its job as begun
+
   # Guards, on real processes, against work that is done again because its end came while the stream was
   # down, and the agent's or the runner's next incarnation does not know it.
   Scenario Outline: what is done while a stream is down is not started again, real processes
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -14,9 +14,11 @@
 
 from gapdrum.agent.entry_links import UNNEEDED_KEPT_MS
 from gapdrum.core import orders
+from gapdrum.core.jobs import TaskPhase
 from gapdrum.core.models import Resources, RunEnd, Step
 from gapdrum.core.records import OpenJob, step_row
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
+from gapdrum.core.runner_models import RunningTask
 from gapdrum.entry.acceptance import build_queue_job
 
 TASKS = 4
@@ -293,6 +295,28 @@
     assert not any(context.runner.renewals), context.runner.renewals
 
 
+@when(
+    "its start is reported on a stream that fails, and the same owner joins again {time_ms:d} ms "
+    "later"
+)
+def start_report_lost(context, time_ms):
+    pair = context.pair
+    keys = [order.key_of(row) for order in pair.deliver_to_agent() for row in order.runs]
+    for run in context.runs:
+        run.calling = False
+    context.runner.running = tuple(RunningTask(key, 5) for key in keys)
+    pair.poll()
+    pair.part()
+    rejoin(context, time_ms)
+
+
+@then("its tasks count as started, and its job as begun")
+def counts_as_started(context):
+    job = context.pair.dispatch.jobs[JOB]
+    assert {task.phase for task in job.tasks} == {TaskPhase.RUNNING}, job.tasks
+    assert job.begun
+
+
 # With real processes.
 
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -225,10 +225,10 @@
             self.stop_runs(job)
             self.drop_job(cancelled.job_id, "cancelled_elsewhere")
 
-    def _mark_started(self, job: Job, task: Task, now_ms: int) -> None:
+    def _mark_started(self, job: Job, task: Task, started_ms: int) -> None:
         if task.phase is TaskPhase.ORDERED:
             task.phase = TaskPhase.RUNNING
-            task.started_ms = now_ms
+            task.started_ms = started_ms
             job.begun = True
             self.effects.note(
                 "task_started",
@@ -384,6 +384,9 @@
             return []
         self._record_held_run(job, task, place, row.attempt, now_ms)
         task.reported_by = view.incarnation
+        if row.phase == orders.HELD_RUNNING:
+            # The report of its start may have been lost, so its time is not known.
+            self._mark_started(job, task, started_ms=0)
         return [_build_adopted_run(job, task, row)]
 
     def _apply_held_end(
