Count an exclusive order once, and crashes for tasks that were at work only

An exclusive order was counted as two by the owner and as one by the agent, so that the owner took 3,500 of 4,000 thousandths of a core for occupied there until the next stream (-3,500 free while it ran). And a task whose order never came counted the end of that runner as a crash of its own, if the agent reported it on the next stream only.

Both scenarios are red before (free room of -3,500; one crash counted) and green now.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -54,6 +54,22 @@
     When an exclusive order comes, and again once nothing runs there, and a common one after it
     Then the first and the last one are refused for room
 
+  # Guards against an owner that counts an exclusive order in another way than the agent does, and so
+  # takes room there for occupied until the next stream.
+  Scenario: an exclusive run takes the whole room, and gives it back
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller under whose task 3 runners have crashed
+    When its task is started, and has been done
+    Then the owner saw no room there meanwhile, and sees all of it again
+
+  # Guards against an order that never came, which counts as a crash of its runner.
+  Scenario: a crash counts for tasks that were at work only
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a job of 1 tasks
+    When its runner is gone before its start is reported
+    Then no crash counts for its task
+
   # The same with real processes. A crashed runner refuses connections until it is back, and the lease of
   # its runs may have lapsed before.
   Scenario: a job whose task crashes its runners fails, and other jobs are done, real processes
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -8,7 +8,7 @@
 from platform_system import PlatformSystem
 
 from gapdrum.core import orders
-from gapdrum.core.models import JobState
+from gapdrum.core.models import ZERO_RESOURCES, JobState, RunEnd
 
 
 @when("each runner at which it is started crashes, {count:d} of them one after the other")
@@ -213,6 +213,42 @@
     assert context.refused == [[orders.NO_ROOM], [], [orders.NO_ROOM]], context.refused
 
 
+@given("a job of a waiting caller under whose task {count:d} runners have crashed")
+def suspect_job(context, count):
+    (task,) = context.pair.submit(tasks=1)
+    task.crashes = count
+
+
+@when("its task is started, and has been done")
+def started_and_done(context):
+    pair = context.pair
+    (view,) = pair.dispatch.fleet.runners.values()
+    (key,) = pair.start_all()
+    context.room_meanwhile = view.free
+    context.runner.end(key, RunEnd.DONE)
+    pair.poll()
+    pair.deliver_to_owner()
+    context.view = view
+
+
+@then("the owner saw no room there meanwhile, and sees all of it again")
+def room_given_back(context):
+    assert context.room_meanwhile == ZERO_RESOURCES, context.room_meanwhile
+    assert context.view.free == context.view.capacity, context.view
+
+
+@when("its runner is gone before its start is reported")
+def gone_before_start(context):
+    gone = orders.RunnerReport("i-1", "inspect-desk", orders.GONE, (), 0, 0, 0)
+    context.dispatch.apply_report(context.view, gone, context.now_ms)
+
+
+@then("no crash counts for its task")
+def no_crash(context):
+    (task,) = context.job.tasks
+    assert not task.crashes, task.crashes
+
+
 # With real processes.
 
 CHECK_S = 0.5
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -114,7 +114,8 @@
             is_unreported = lost.reason == RUNNER_NOT_REPORTED
             why = _why_not_held(lost.agent_incarnation, task) if is_unreported else ""
             job = self.jobs.get(task.name.job_id)
-            if job is not None and lost.reason == orders.RUNNER_GONE:
+            was_running = job is not None and task.phase is TaskPhase.RUNNING
+            if was_running and lost.reason == orders.RUNNER_GONE:
                 self._record_crash(job, task, now_ms)
             self._release_unconfirmed(task, lost.reason, now_ms, why)
             if job is not None:
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -257,9 +257,8 @@
                 task.hold_logged = True
                 self._note_held(job, task, NO_IDLE_RUNNER)
             return False
-        self._assign(job, task, runner, now_ms)
+        self._assign(job, task, runner, now_ms, exclusive=True)
         task.exclusive_attempts.add(task.attempt)
-        runner.order(runner.free)  # nothing else is ordered there before its next report
         self._send_order(job, runner, [task], now_ms, exclusive=True)
         return True
 
@@ -280,14 +279,16 @@
         reserved = any(view.is_reserved_from(job.queue, room) for view in pool.with_room)
         return orders.ROOM_KEPT if reserved else orders.NO_ROOM
 
-    def _assign(self, job: Job, task: Task, runner: RunnerView, now_ms: int) -> None:
+    def _assign(
+        self, job: Job, task: Task, runner: RunnerView, now_ms: int, exclusive: bool = False
+    ) -> None:
         task.attempt = job.next_attempt(task)
         task.phase = TaskPhase.ORDERED
         task.assign_place(runner.place)
         task.incarnation_by_attempt[task.attempt] = runner.agent.incarnation
         task.reported_by = runner.agent.incarnation
         task.started_ms = 0
-        runner.order(task.step.resources)
+        runner.order(runner.free if exclusive else task.step.resources)
         self.backlog.record_placed(work_of_task(task), now_ms)
         self.stragglers.budget.earn()
         runner.out.add(task)
