Let the runner keep each end of a waiting caller's run until the owner has it

What callers saw: tasks that were done were started again, whenever the link of their entry fell silent around their ends and the agent ended within 375 ms.

Cause: the agent acknowledged an end at the runner as soon as it was sent if the owner had echoed a heartbeat in the last 375 ms. That tells that the stream worked then; on a link that is silent the report is lost, and the agent's next incarnation finds neither run nor end.

Why this works: the runner keeps the end until the owner says that it has it, so no guess about the stream is left. Messages with such ends are numbered; the order for the freed room confirms the number, or a message of its own in the same iteration of the entry's event loop. Numbers count for one stream: the entry resets them when an agent joins. The agent puts off its next poll until then, by 20 ms at most, as the runner answers it at once otherwise. 400 ends are kept at a runner, so that no poll's list of 500 hides new ones.

A scenario is replaced: "the runner is told to forget an end at the next poll while its owner is heard" stated the guess itself. In its place: at the next poll once the owner confirms it, by either message, and kept until then however late the echo is; and lost_answers.feature counts the polls of a real controller whose owner confirms after 1, 3 and 15 ms, or never (one poll an end and five a second as before; 50 a second).

--- a/features/lost_answers.feature
+++ b/features/lost_answers.feature
@@ -66,3 +66,31 @@
     Given a controller of a runner that loses every second answer
     When another incarnation answers after 1000 ms
     Then its runs are reported as lost once
+
+  # Guards against several polls for each end, and late ones: a runner that keeps an end until its
+  # owner has confirmed it answers polls at once meanwhile.
+  Scenario Outline: ends that wait for their owner's receipt are polled once and seen soon
+    Given a controller of a runner that loses no answer, and an owner that confirms ends after <ms> ms
+    When 40 runs of 110 ms end there one after the other
+    Then at most 1 polls were pending at once
+    And there was at most 1 poll for each end, and 5 more each second
+    And at least 40 of 40 ends are seen within 30 ms, and all within 30 ms
+    And the runner was told to forget each end
+
+    Examples:
+      | ms |
+      | 1  |
+      | 3  |
+      | 15 |
+
+  Scenario: a runner whose ends wait for a silent owner is polled at a limited rate, and seen soon
+    Given a controller of a runner that loses no answer, and an owner that confirms nothing
+    When 40 runs of 110 ms end there one after the other
+    Then in the last 1000 ms it was polled at most 50 times
+    And at least 40 of 40 ends are seen within 30 ms, and all within 30 ms
+
+  Scenario: ends that wait for receipts are seen soon though a quarter of the answers is lost
+    Given a controller of a runner that loses every fourth answer, and an owner that confirms ends after 3 ms
+    When 40 runs of 110 ms end there one after the other
+    Then at least 30 of 40 ends are seen within 30 ms, and all within 350 ms
+    And of the last 24 ends all are seen within 60 ms
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -83,13 +83,48 @@
     When one task is done, its report is lost, and the agent restarts before the same owner joins again
     Then that task counts as done, and is not started again
 
+  Scenario: what was reported on a stream that fails is reported to an owner that was renamed
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done, its report is lost, the agent restarts, and the owner joins renamed
+    Then that task counts as done, and is not started again
+    And the runner may forget that end
+
   # Guards against several polls for each end: a runner that keeps an end answers polls at once.
-  Scenario: the runner is told to forget an end at the next poll while its owner is heard
+  Scenario Outline: the runner is told to forget an end at the next poll once its owner confirms it
     Given an owner and an agent with one runner, joined by a stream
     And a job of a waiting caller that is at work there
     When one task is done, 250 ms after the owner's last echo
+    And the owner confirms it with <message>
     Then the runner is told to forget that end at the next poll
 
+    Examples:
+      | message       |
+      | a receipt     |
+      | a start order |
+
+  # Guards against an end that is forgotten on a guess: a stream may fail just after an echo.
+  Scenario: the runner keeps an end until its owner confirms it, however late its last echo is
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done, 0 ms after the owner's last echo
+    And 5 polls later the owner echoes a later heartbeat
+    Then the runner was told to forget that end at the next poll only
+
+  # Guards against a receipt of a former stream that counts on the present one: both number their
+  # messages from 1 if the agent has restarted.
+  Scenario: an owner confirms nothing of an agent's former incarnation
+    Given an owner and an agent with one runner, joined by a stream
+    And a job of a waiting caller that is at work there
+    When one task is done and received, and the agent restarts before the receipt is sent
+    Then the owner confirms nothing on the next stream
+
+  # Guards against a poll that hides new ends behind those that wait for a silent owner.
+  Scenario: the runner keeps a limited number of ends for a silent owner
+    Given an owner and an agent with one runner, joined by a stream
+    When 450 tasks of a waiting caller are done there, and the owner is silent
+    Then the runner keeps 400 ends, and the agent's log names the other 50
+
   Scenario: the runner keeps an end whose owner seems to be gone until the owner has received it
     Given an owner and an agent with one runner, joined by a stream
     And a job of a waiting caller that is at work there
@@ -118,6 +153,21 @@
     When its start is reported on a stream that fails, and the same owner joins again 200 ms later
     Then its tasks count as started, and its job as begun
 
+  # Guards, on real processes, against work that is done again because its end was reported on a link
+  # that had fallen silent, which nobody could know, and the agent restarted before the next stream.
+  Scenario Outline: what is done while a link is silent is not started again, real processes
+    Given a system with one entry and one agent, and a proxy between them
+    When the link falls silent 60 ms before 4 tasks of a caller end, and after their ends <fault>
+    Then each task has been started once, and the caller has its answer
+
+    Examples:
+      | fault                                       |
+      | nothing else fails                          |
+      | the agent is killed after 30 ms             |
+      | the agent is killed after 200 ms            |
+      | the agent is killed after 200 ms and 500 ms |
+      | the agent is terminated after 30 ms         |
+
   # Guards, on real processes, against work that is done again because its end came while the stream was
   # down, and the agent's or the runner's next incarnation does not know it.
   Scenario Outline: what is done while a stream is down is not started again, real processes
--- a/features/steps/lost_answer_steps.py
+++ b/features/steps/lost_answer_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import selectors
+from functools import partial
 
 from behave import given, then, when
 from platform_core_steps import BOUNDS, JOB, OWNER, new_log
@@ -152,6 +153,50 @@
     new_controller(context, lambda number: number % 4 == 0)
 
 
+def add_owner(context, confirms_after_ms):
+    """Withhold ends until the owner confirms each after a time; None for a silent owner."""
+    loop, controller = context.loop, context.controller
+    report = controller._context.report
+
+    def report_and_withhold(events):
+        report(events)
+        numbers = [event.end_number for _, event in events if event.kind == orders.ENDED]
+        controller.withhold_ends(numbers)
+        for number in numbers if confirms_after_ms is not None else ():
+            loop.call_after(confirms_after_ms, partial(controller.release_end, number))
+
+    controller._context.report = report_and_withhold
+
+
+@given(
+    "a controller of a runner that loses no answer, and an owner that confirms ends after "
+    "{time_ms:d} ms"
+)
+def confirmed_after(context, time_ms):
+    loses_none(context)
+    add_owner(context, time_ms)
+
+
+@given("a controller of a runner that loses no answer, and an owner that confirms nothing")
+def confirmed_never(context):
+    loses_none(context)
+    add_owner(context, None)
+
+
+@given(
+    "a controller of a runner that loses every fourth answer, and an owner that confirms ends "
+    "after {time_ms:d} ms"
+)
+def lossy_confirmed_after(context, time_ms):
+    loses_fourth(context)
+    add_owner(context, time_ms)
+
+
+@then("the runner was told to forget each end")
+def all_forgotten(context):
+    assert context.controller.ledger.acknowledged_end == len(context.runner.ends)
+
+
 @given("a controller of a runner that loses every second answer")
 def loses_second(context):
     new_controller(context, lambda number: number > 2 and number % 2 == 0)
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -1,25 +1,35 @@
 """Steps on the outcomes of runs that agents report while streams, runners and agents fail."""
 
+import asyncio
 import json
+import re
+import signal
 import threading
 import time
 from collections import Counter
+from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from local_system import wait_for
 from platform_core_steps import JOB, OWNER, QUEUE
 from platform_system import PlatformSystem
 from proxy import PASS, SILENT
+from run_ownership_steps import RENAMED
 from soak_faults import Proxies
 
 from gapdrum.agent.entry_links import UNNEEDED_KEPT_MS
 from gapdrum.core import orders
 from gapdrum.core.jobs import TaskPhase
-from gapdrum.core.models import Resources, RunEnd, Step
+from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.records import OpenJob, step_row
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
+from gapdrum.core.runner_ledger import Run
 from gapdrum.core.runner_models import RunningTask
 from gapdrum.entry.acceptance import build_queue_job
+from gapdrum.entry.receipts import ReceiptSender
+from gapdrum.entry.waiting_callers import Caller
+from gapdrum.timers import MS_PER_S
 
 TASKS = 4
 RUN_MS = 800
@@ -28,6 +38,9 @@
 CUT_S = 1.4  # the owner gives a silent agent up after 2,150 ms
 MAX_PLAYS = 5
 ENDS = ("done", "stopped", "lapsed")
+OTHER_JOB = "00000000000000f2"
+SILENT_BEFORE_S = 0.06
+SILENT_S = 1.4  # the owner gives a silent agent up after 2,150 ms
 
 
 @given("a job of a waiting caller that is ordered there")
@@ -219,6 +232,21 @@
     rejoin(context, 200)
 
 
+@when("one task is done, its report is lost, the agent restarts, and the owner joins renamed")
+def restarts_and_renamed(context):
+    pair = context.pair
+    context.runner.end(context.keys[0], RunEnd.DONE)
+    pair.poll()
+    pair.poll()
+    pair.part()
+    pair.timers.time_ms += 400
+    pair.restart_agent()
+    pair.timers.time_ms += 200
+    pair.join(RENAMED, (OWNER,))
+    pair.deliver_to_owner()
+    context.ordered = pair.deliver_to_agent()
+
+
 @then("the runner may forget that end")
 def may_forget(context):
     context.pair.poll()
@@ -235,6 +263,75 @@
     pair.deliver_to_owner()
 
 
+@when("the owner confirms it with a receipt")
+def confirmed_by_receipt(context):
+    pair = context.pair
+    assert pair.view.received
+    pair.agent.orders.take(pair.link, orders.OutcomesReceived(pair.view.received))
+
+
+@when("the owner confirms it with a start order")
+def confirmed_by_order(context):
+    pair = context.pair
+    steps = (Step(1, Resources(500, 10, 0), 900),)
+    caller = Caller(asyncio.Future(loop=asyncio.new_event_loop()), pair.timers.now_ms())
+    pair.callers._begin(OTHER_JOB, QUEUE, "{}", steps, caller)
+    (order,) = pair.deliver_to_agent()
+    assert order.received == pair.view.received == pair.view.confirmed
+
+
+@when("one task is done and received, and the agent restarts before the receipt is sent")
+def restarted_before_receipt(context):
+    pair = context.pair
+    scheduled = []
+    with patch.object(pair.timers, "call_after", lambda *plan: scheduled.append(plan)):
+        receipts = ReceiptSender(pair.dispatch.fleet, pair.effects.send, pair.timers)
+        context.runner.end(context.keys[0], RunEnd.DONE)
+        pair.poll()
+        pair.deliver_to_owner()
+        receipts.schedule(pair.view.agent)
+    pair.part()
+    pair.restart_agent()
+    rejoin(context, 200)
+    ((_, send_due),) = scheduled
+    send_due()
+
+
+@then("the owner confirms nothing on the next stream")
+def nothing_confirmed(context):
+    pair = context.pair
+    assert (pair.view.received, pair.view.confirmed) == (0, 0), pair.view
+    assert not any(isinstance(one, orders.OutcomesReceived) for one in pair.effects.sent)
+    assert all(order.received == 0 for order in context.ordered), context.ordered
+
+
+@when("{count:d} tasks of a waiting caller are done there, and the owner is silent")
+def many_done(context, count):
+    """End the tasks in ten polls."""
+    pair = context.pair
+    ledger = context.controller.ledger
+    context.lines = []
+    context.controller._log = SimpleNamespace(
+        write=lambda event, **fields: context.lines.append((event, fields))
+    )
+    for number in range(count):
+        key = RunKey(TaskName(JOB, 0, 0, number), 1)
+        ledger.begin(Run(key, OWNER, 1, Resources(1, 1, 0), 0, pair.timers.now_ms(), durable=False))
+        context.runner.end(key, RunEnd.DONE)
+        if number % (count // 10) == 0:
+            pair.poll()
+    pair.poll()
+    pair.poll()
+
+
+@then("the runner keeps {kept:d} ends, and the agent's log names the other {count:d}")
+def some_kept(context, kept, count):
+    assert len(context.runner.ended) == kept, len(context.runner.ended)
+    named = [fields["task"] for event, fields in context.lines if event == "end_not_withheld"]
+    oldest = [TaskName(JOB, 0, 0, number).text for number in range(count)]
+    assert named == oldest, named
+
+
 @then("the runner is told to forget that end at the next poll")
 def forgotten_at_once(context):
     assert context.runner.ended
@@ -369,6 +466,36 @@
     return all_done
 
 
+@when(
+    "the link falls silent 60 ms before {tasks:d} tasks of a caller end, and after their ends "
+    "{fault}"
+)
+def silent_before_ends(context, tasks, fault):
+    """Hold all that the link carries, and lose it when the link comes back."""
+    (agent,), (proxy,) = context.system.agents, context.proxies.streams
+    context.job = f"{1:016x}"
+    asking = threading.Thread(target=submit_waiting, args=(context, tasks))
+    asking.start()
+    wait_for(lambda: count_rows(context, "started") == tasks, "all tasks are at work")
+    time.sleep(RUN_MS / MS_PER_S - SILENT_BEFORE_S)
+    proxy.mode = SILENT
+    silent_s = time.monotonic()
+    wait_for(lambda: count_rows(context, *ENDS) == tasks, "all runs have ended")
+    ended_s = time.monotonic()
+    for delay_ms in map(int, re.findall("([0-9]+) ms", fault)):
+        time.sleep(max(0.0, ended_s + delay_ms / MS_PER_S - time.monotonic()))
+        if "terminated" in fault:
+            agent.signal(signal.SIGTERM)
+            agent.wait()
+        else:
+            agent.kill()
+        agent.start()
+    time.sleep(max(0.0, silent_s + SILENT_S - time.monotonic()))
+    proxy.reset()
+    proxy.mode = PASS
+    asking.join()
+
+
 def submit_waiting(context, tasks):
     steps = [{"count": tasks, "cpu": 500, "mem_mb": 10, "estimate_ms": RUN_MS}]
     context.answer = context.system.submit(context.job, steps, run_ms=RUN_MS, waits=True)
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -57,6 +57,9 @@
         self._notifier.outcomes.confirm(link.owner, echo.clock_ms)
         link.follows_table = echo.table_followed
 
+    def _apply_receipt(self, link: EntryLink, receipt: orders.OutcomesReceived) -> None:
+        self._notifier.outcomes.confirm_number(link.owner, receipt.number)
+
     def _apply_demand(self, link: EntryLink, demand: orders.RoomDemand) -> None:
         if link.demand:
             link.short_ms = self._timers.now_ms()
@@ -74,6 +77,7 @@
     def _apply_order(self, link: EntryLink, order: orders.StartOrder) -> None:
         link.orders += len(order.runs)
         self._grants.note(link.owner, order.clock_ms, order.durable)
+        self._notifier.outcomes.confirm_number(link.owner, order.received)
         self._notifier.outcomes.forget_ordered(link.owner, order)
         controller = self._controllers.get(order.runner_id)
         if self._epochs.get(order.job_id, 0) > order.epoch:
@@ -223,6 +227,7 @@
 
     _HANDLERS: dict[type, Callable] = {
         orders.BeatEcho: _apply_echo,
+        orders.OutcomesReceived: _apply_receipt,
         orders.RoomDemand: _apply_demand,
         orders.QueueDemands: _apply_queue_demands,
         orders.ZoneDrainsTold: _apply_zones,
--- a/src/gapdrum/agent/notifier.py
+++ b/src/gapdrum/agent/notifier.py
@@ -67,11 +67,12 @@
         for run, event in events:
             by_owner.setdefault(run.owner, []).append(event)
         owners = [link for link in map(self._links.of_owner, by_owner) if link is not None]
+        numbers = {}
         for link in owners:
-            link.send(orders.RunEvents(controller.runner_id, tuple(by_owner[link.owner])))
-        connected = {link.owner for link in owners}
-        withheld = self.outcomes.record(controller.runner_id, events, connected)
-        controller.ledger.withhold_ends(withheld)
+            rows = tuple(by_owner[link.owner])
+            numbers[link.owner] = number = self.outcomes.next_number(rows)
+            link.send(orders.RunEvents(controller.runner_id, rows, number))
+        controller.withhold_ends(self.outcomes.record(controller.runner_id, events, numbers))
         if any(event.kind in FREES_ROOM for _, event in events):
             self._send_freed(controller, owners)
         self.mark_room_changed(controller.runner_id)
@@ -80,7 +81,7 @@
         """Let the runner forget the end of a non-durable run once its owner does not need it."""
         controller = self._controllers.get(outcome.runner_id)
         if controller is not None and outcome.event.end_number and not outcome.event.durable:
-            controller.ledger.mark_acknowledgeable((outcome.event.end_number,), ())
+            controller.release_end(outcome.event.end_number)
 
     def _send_freed(self, controller: RunnerController, owners: list[EntryLink]) -> None:
         """Report freed room at once to the entry it is offered to, or else to the runs' owners."""
--- a/src/gapdrum/agent/outcome_reporter.py
+++ b/src/gapdrum/agent/outcome_reporter.py
@@ -1,6 +1,6 @@
 """Sees to it that owners learn the outcomes of their runs, across streams and runners that fail."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.core import orders
@@ -13,9 +13,6 @@
 # An entry that joins is told that a runner is gone for so long after. It expects runs there for
 # SILENCE_LIMIT_MS after each stream, and several streams in a row may fail.
 DEPARTED_KEPT_MS = 10_000
-# A stream whose last echo is of an earlier heartbeat seems to fail. Echoes come each
-# BEAT_INTERVAL_MS, later by the delay of the link and of a busy entry.
-ECHO_OVERDUE_MS = orders.BEAT_INTERVAL_MS + orders.BEAT_INTERVAL_MS // 2
 
 COUNTED_DETAILS = tuple(end.value for end in COUNTED_ENDS)
 
@@ -31,52 +28,60 @@
         self._timers = timers
         self._log = log
         self._outbox = Outbox()
-        # The last reading of the agent's clock that each connected owner has echoed.
-        self._echoed_ms: dict[str, int] = {}
+        self._last_number = 0  # of the messages that owners are to confirm
         self._departed_ms: dict[str, int] = {}  # when each runner that is gone was removed
         # Called for each outcome that is not kept any more.
         self.on_settled: Callable[[Outcome], None] = lambda _outcome: None
 
     # Outcomes.
 
+    def next_number(self, events: Iterable[orders.RunEvent]) -> int:
+        """Return the number for a message with these events, 0 if it needs no confirmation."""
+        if not any(map(_is_withheld, events)):
+            return 0
+        self._last_number += 1
+        return self._last_number
+
     def record(
-        self, runner_id: str, events: Iterable[tuple[Run, orders.RunEvent]], connected: set[str]
+        self,
+        runner_id: str,
+        events: Iterable[tuple[Run, orders.RunEvent]],
+        sent_numbers: Mapping[str, int],
     ) -> list[int]:
-        """Keep the outcomes among events, which were sent to the connected owners.
+        """Keep the outcomes among events; ``sent_numbers`` has the connected owners' messages.
 
         Returns the numbers of ends that the runner is to keep too until ``on_settled`` is called:
-        they are of non-durable runs, and their owner's stream is down or seems to fail, so that an
-        agent that restarts before the next stream could not report them. Keeping all ends until
-        they are confirmed would cost several polls for each.
+        those that count for non-durable runs. An agent that restarts before the owner has received
+        one finds it there, whether or not it could know that the stream was failing.
         """
         withheld = []
         for run, event in events:
             if event.kind not in OUTCOMES or run.owner == UNKNOWN_OWNER:
                 continue
-            self._keep(run.owner, runner_id, run.key, event, run.owner in connected)
-            counts = event.end_number and event.detail in COUNTED_DETAILS
-            if counts and not event.durable and not self._is_heard(run.owner):
+            self._keep(run.owner, runner_id, run.key, event, sent_numbers.get(run.owner))
+            if _is_withheld(event):
                 withheld.append(event.end_number)
         return withheld
 
-    def _is_heard(self, owner: str) -> bool:
-        """Return whether an owner has echoed the last heartbeat but one, or a later one."""
-        echoed_ms = self._echoed_ms.get(owner)
-        return echoed_ms is not None and self._timers.now_ms() - echoed_ms <= ECHO_OVERDUE_MS
-
     def record_refusals(
         self, owner: str, runner_id: str, refused: Iterable[orders.RunEvent]
     ) -> None:
         """Keep the refusals of an order, which were sent to its owner."""
         for event in refused:
             key = RunKey(TaskName.parse(event.task), event.attempt)
-            self._keep(owner, runner_id, key, event, is_sent=True)
+            self._keep(owner, runner_id, key, event, sent_number=0)
 
     def _keep(
-        self, owner: str, runner_id: str, key: RunKey, event: orders.RunEvent, is_sent: bool
+        self,
+        owner: str,
+        runner_id: str,
+        key: RunKey,
+        event: orders.RunEvent,
+        sent_number: int | None,
     ) -> None:
-        outcome = Outcome(runner_id, key, event, self._timers.now_ms())
-        dropped = self._outbox.add(owner, outcome, is_sent)
+        """Keep an outcome, sent in a message with this number; None if its owner has no stream."""
+        outcome = Outcome(runner_id, key, event, self._timers.now_ms(), number=sent_number or 0)
+        dropped = self._outbox.add(owner, outcome, is_sent=sent_number is not None)
         if dropped is not None:
             self.on_settled(dropped)
             self._log.write(
@@ -102,19 +107,20 @@
 
     def confirm(self, owner: str, clock_ms: int) -> None:
         """Forget what an owner has received, as it has echoed a later reading of the clock."""
-        self._echoed_ms[owner] = clock_ms
         for outcome in self._outbox.take_received(owner, clock_ms):
             self.on_settled(outcome)
 
+    def confirm_number(self, owner: str, number: int) -> None:
+        """Forget what an owner has received, as it has confirmed the number of a message."""
+        for outcome in self._outbox.take_confirmed(owner, number):
+            self.on_settled(outcome)
+
     def disconnect(self, owner: str) -> None:
         """Record that an owner's stream has ended."""
-        self._echoed_ms.pop(owner, None)
         self._outbox.disconnect(owner, self._timers.now_ms())
 
     def rename(self, former: str, owner: str) -> None:
         """Pass outcomes on to the new name of the same entry."""
-        if former in self._echoed_ms:
-            self._echoed_ms[owner] = self._echoed_ms.pop(former)
         self._outbox.rename(former, owner)
 
     def expire(self) -> None:
@@ -166,6 +172,12 @@
         link.send(orders.RunnerReport(runner_id, "", orders.GONE, (), 0, 0, 0))
 
 
+def _is_withheld(event: orders.RunEvent) -> bool:
+    """Return whether the runner keeps an end until its owner has received it."""
+    is_counted = event.end_number and event.detail in COUNTED_DETAILS
+    return bool(is_counted) and not event.durable
+
+
 def send_unended(
     runner_id: str, link: EntryLink, outcomes: Sequence[Outcome]
 ) -> tuple[orders.HeldRun, ...]:
--- a/src/gapdrum/agent/runner_controller.py
+++ b/src/gapdrum/agent/runner_controller.py
@@ -1,7 +1,7 @@
 """Polls one incarnation of a runner, renews its lease, and records its runs and their ends."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from gapdrum.agent.grants import Grants
 from gapdrum.agent.run_launcher import RETRY_MAX_MS, RETRY_MIN_MS, RunLauncher
@@ -39,6 +39,10 @@
 INTERRUPTED_ENDS = (RunEnd.STOPPED.value, RunEnd.LEASE_LAPSED.value)
 # An entry stores an end within about 10 ms; an earlier poll returns the same ends.
 UNSTORED_PAUSE_MS = 10
+# While an end waits for its owner's receipt, the next poll is put off for so long at most: it would
+# be answered at once with the same end. Other ends are then seen late by a third of a short task's
+# slack of 60 ms, and a runner whose owner is silent is polled 50 times a second.
+RECEIPT_WAIT_MS = 20
 
 ReportEvents = Callable[["RunnerController", list[tuple[Run, orders.RunEvent]]], None]
 FirstPollCallback = Callable[["RunnerController"], None]
@@ -84,6 +88,7 @@
         self._log = log
         self._on_first_poll = on_first_poll
         self._sequence = 0
+        self._receipts: asyncio.Future | None = None  # while a poll is put off for receipts
 
     @property
     def offers(self) -> RoomOffers:
@@ -158,11 +163,43 @@
             self._complete_first_poll(snapshot)
         if events:
             self._context.report(events)
-        elif snapshot.ended:
+        if self.ledger.has_withheld_ends:
+            await self._await_receipts()
+        elif snapshot.ended and not events:
             # While an end is not acknowledged, the runner answers polls at once with that end.
             await asyncio.sleep(UNSTORED_PAUSE_MS / MS_PER_S)
         return True
 
+    async def _await_receipts(self) -> None:
+        """Wait until owners have received all ends, for a limited time.
+
+        While polls overlap, as answers get lost, their interval limits their rate.
+        """
+        if self._schedule.has_pending_poll:
+            return
+        self._receipts = asyncio.get_running_loop().create_future()
+        await asyncio.wait((self._receipts,), timeout=RECEIPT_WAIT_MS / MS_PER_S)
+        self._receipts = None
+
+    def withhold_ends(self, numbers: Iterable[int]) -> None:
+        """Let the runner keep ends until ``release_end`` is called for each."""
+        for end in self.ledger.withhold_ends(numbers):
+            self._log.write(
+                "end_not_withheld",
+                request=end.key.task.job_id,
+                task=end.key.task.text,
+                attempt=end.key.attempt,
+                owner=end.owner,
+                since_ms_ago=self._timers.now_ms() - end.listed_ms,
+            )
+
+    def release_end(self, number: int) -> None:
+        """Let the runner forget an end, as its owner has received it or does not need it."""
+        self.ledger.mark_acknowledgeable((number,), ())
+        waits = self._receipts is not None and not self._receipts.done()
+        if waits and not self.ledger.has_withheld_ends:
+            self._receipts.set_result(None)
+
     def _wait_ms(self, now_ms: int) -> int:
         """Return how long a poll may wait for an end: at most until the next stop is due.
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -138,6 +138,7 @@
         place = Place(view.agent, message.runner_id)
         for event in message.events:
             self._apply_event(view, place, event, now_ms)
+        view.received = max(view.received, message.number)
         self.effects.schedule_placement()
 
     def _apply_event(
--- a/src/gapdrum/core/fleet.py
+++ b/src/gapdrum/core/fleet.py
@@ -77,6 +77,7 @@
         view.connected = True
         view.clock_ms = greeting.clock_ms
         view.heard_ms = now_ms
+        view.received = view.confirmed = 0
         for runner in self._runners_of(greeting.agent):
             runner.agent = view
             runner.reset_orders(now_ms)
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -169,10 +169,15 @@
 @message(43)
 @attrs.frozen
 class RunEvents:
-    """Events of runs at one runner."""
+    """Events of runs at one runner.
+
+    The owner confirms ``number``, which rises with each message of the agent, in its next
+    ``StartOrder`` or in ``OutcomesReceived``. It is 0 if nothing needs to be confirmed.
+    """
 
     runner_id: str = text_field()
     events: tuple[RunEvent, ...] = rows_field(RunEvent, MAX_ROWS)
+    number: int = count_field(default=0)
 
 
 @attrs.frozen
@@ -282,6 +287,7 @@
     The queue and its priority, 0 for the most urgent one, let the agent weigh the work of all
     entries. ``submission`` distinguishes the submissions of a non-durable job, each of which begins
     with attempt 1; it is 0 for a durable job. An ``exclusive`` run gets the runner for itself.
+    ``received`` is the last ``RunEvents.number`` on this stream.
     """
 
     runner_id: str = text_field()
@@ -295,6 +301,7 @@
     priority: int = count_field(default=0)
     submission: int = count_field(default=0)
     exclusive: bool = attrs.field(default=False, validator=attrs.validators.instance_of(bool))
+    received: int = count_field(default=0)
 
     def key_of(self, row: OrderedRun) -> RunKey:
         """Return the key of one of the runs."""
@@ -333,6 +340,14 @@
     superseded: tuple[int, ...] = attrs.field(converter=tuple)
 
 
+@message(58)
+@attrs.frozen
+class OutcomesReceived:
+    """The entry has handled the agent's ``RunEvents`` up to this number on this stream."""
+
+    number: int = count_field()
+
+
 @attrs.frozen
 class UpstreamDemand:
     """The jobs that wait for room at an upstream: their number, the first one's urgency and queue.
--- a/src/gapdrum/core/outbox.py
+++ b/src/gapdrum/core/outbox.py
@@ -16,13 +16,17 @@
 
 @attrs.define(eq=False)
 class Outcome:
-    """The outcome of a run; ``sent_ms`` is None until it is sent on the owner's present stream."""
+    """The outcome of a run; ``sent_ms`` is None until it is sent on the owner's present stream.
+
+    ``number`` is that of the ``RunEvents`` it was sent in, 0 if the owner is to confirm none.
+    """
 
     runner_id: str
     key: RunKey
     event: orders.RunEvent
     since_ms: int
     sent_ms: int | None = None
+    number: int = 0
 
     def to_row(self) -> orders.HeldRun:
         """Return an end as a row of the agent's holdings."""
@@ -56,6 +60,19 @@
             del self.outcomes[key]
             yield outcome
 
+    def take_confirmed(self, number: int) -> Iterator[Outcome]:
+        """Remove and yield the outcomes that were sent in messages up to a number."""
+        for key, outcome in list(self.outcomes.items()):
+            if 0 < outcome.number <= number:
+                del self.outcomes[key]
+                yield outcome
+
+    def mark_sent(self, sent_ms: int | None) -> None:
+        """Record that all outcomes are sent again now, without a number, or on no stream."""
+        for outcome in self.outcomes.values():
+            outcome.sent_ms = sent_ms
+            outcome.number = 0
+
     def take_expired(self, now_ms: int) -> Iterator[Outcome]:
         """Remove and yield the outcomes of runs that the owner has given up by now."""
         if self.disconnected_ms is None:
@@ -70,14 +87,16 @@
 class Outbox:
     """Keeps outcomes until their owner has received them, whatever streams and runners fail.
 
-    A message may be lost if its stream fails. An owner has received an outcome once it echoes a
-    reading of the agent's clock that was sent later on the same stream. An owner without a stream
+    A message may be lost if its stream fails. An owner has received an outcome once it confirms
+    the number of its message, or echoes a reading of the agent's clock that was sent later on the
+    same stream. An owner without a stream
     counts on its runs for ``SILENCE_LIMIT_MS`` at most, so its outcomes are kept for as long.
     Callers pass the time::
 
         outbox.add(owner, outcome, is_sent=False)       # the stream is down
         outbox.resend(owner, now_ms)                    # on the next one
         outbox.take_received(owner, clock_ms)           # echoed: they have arrived
+        outbox.take_confirmed(owner, number)            # confirmed, sooner than by an echo
     """
 
     owners: dict[str, OwnerOutbox] = attrs.Factory(dict)
@@ -108,8 +127,7 @@
         if box is None:
             return []
         box.disconnected_ms = None
-        for outcome in box.outcomes.values():
-            outcome.sent_ms = now_ms
+        box.mark_sent(now_ms)
         return list(box.outcomes.values())
 
     def disconnect(self, owner: str, now_ms: int) -> None:
@@ -118,8 +136,7 @@
         if box is None:
             return
         box.disconnected_ms = now_ms
-        for outcome in box.outcomes.values():
-            outcome.sent_ms = None
+        box.mark_sent(None)
 
     def rename(self, former: str, owner: str) -> None:
         """Pass outcomes on to the same entry's new name, which it got when it lost its lease."""
@@ -137,6 +154,11 @@
         box = self.owners.get(owner)
         return list(box.take_received(clock_ms)) if box is not None else []
 
+    def take_confirmed(self, owner: str, number: int) -> list[Outcome]:
+        """Remove and return the outcomes in messages that an owner has confirmed by number."""
+        box = self.owners.get(owner)
+        return list(box.take_confirmed(number)) if box is not None else []
+
     def list_owners(self) -> list[str]:
         """Return the owners that may not have received an outcome."""
         return [owner for owner, box in self.owners.items() if box.outcomes]
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -316,8 +316,11 @@
             job.priority,
             job.submission,
             exclusive,
+            runner.agent.received,
         )
         sent = self.effects.send(runner.place.agent, order)
+        if sent:
+            runner.agent.confirmed = order.received
         for task in tasks:
             self.effects.note(
                 "task_placed",
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -38,6 +38,8 @@
 COUNTED_ENDS = (RunEnd.DONE, RunEnd.FAILED)
 # The least rate of a runner's steady clock against the agent's.
 CLOCK_RATE_FLOOR = 0.98
+# A poll lists 500 ends at most, the oldest first, so later ones would be hidden behind more.
+MAX_WITHHELD_ENDS = 400
 
 
 @attrs.define(eq=False)
@@ -120,6 +122,11 @@
     acknowledgeable: bool = False
     superseded: bool = False
 
+    @property
+    def is_withheld(self) -> bool:
+        """Return whether the end waits for its non-durable run's owner to receive it."""
+        return not self.durable and not self.acknowledgeable
+
     def to_row(self, number: int) -> orders.HeldRun:
         """Return the end as a row of the agent's holdings."""
         return orders.HeldRun(
@@ -403,14 +410,25 @@
             if number in self.ends:
                 self.ends[number].superseded = True
 
-    def withhold_ends(self, numbers: Iterable[int]) -> None:
-        """Keep ends at the runner: their owner may not receive them from this agent's life.
+    def withhold_ends(self, numbers: Iterable[int]) -> list[ListedEnd]:
+        """Keep ends at the runner until their owners have received them.
 
-        A restarted agent finds in the runner's list what it can't remember.
+        A restarted agent finds in the runner's list what it can't remember. Returns the oldest ones
+        if they are too many, which are not kept any more.
         """
         for number in numbers:
             if number in self.ends:
                 self.ends[number].acknowledgeable = False
+        withheld = [end for end in self.ends.values() if end.is_withheld]
+        excess = withheld[: max(0, len(withheld) - MAX_WITHHELD_ENDS)]
+        for end in excess:
+            end.acknowledgeable = True
+        return excess
+
+    @property
+    def has_withheld_ends(self) -> bool:
+        """Return whether ends are listed that their owners have not received."""
+        return any(end.is_withheld for end in self.ends.values())
 
     @property
     def has_unstored_ends(self) -> bool:
--- a/src/gapdrum/core/runner_views.py
+++ b/src/gapdrum/core/runner_views.py
@@ -14,7 +14,11 @@
 
 @attrs.define(eq=False)
 class AgentView:
-    """One incarnation of an agent; ``clock_ms`` is its clock as last received."""
+    """One incarnation of an agent; ``clock_ms`` is its clock as last received.
+
+    ``received`` is the last ``RunEvents.number`` on its present stream, ``confirmed`` the last one
+    that it was told of.
+    """
 
     agent: str
     incarnation: str
@@ -22,6 +26,8 @@
     clock_ms: int
     heard_ms: int
     connected: bool = True
+    received: int = 0
+    confirmed: int = 0
 
     def is_stale(self, now_ms: int) -> bool:
         """Return whether the agent has been silent for too long to get new work."""
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -7,6 +7,7 @@
 from gapdrum.core import orders
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.runner_views import AgentView
+from gapdrum.entry.receipts import ReceiptSender
 from gapdrum.event_log import EventLog
 from gapdrum.exceptions import FrameError, StreamClosedError
 from gapdrum.streams import Stream
@@ -27,6 +28,7 @@
         self._received = received
         self._streams: dict[str, Stream] = {}
         self.dispatch: Dispatch | None = None
+        self.receipts: ReceiptSender | None = None
         self.owner: Callable[[], str] = str
         self.former_owners: Callable[[], tuple[str, ...]] = tuple
         self.holds_lease: Callable[[], bool] = lambda: False
@@ -130,6 +132,8 @@
             self.send(view.agent, self._echo(message.clock_ms))
         elif isinstance(message, orders.RunEvents):
             dispatch.apply_events(view, message, now_ms)
+            if message.number:
+                self.receipts.schedule(view.agent)
         elif isinstance(message, orders.RoomReport):
             dispatch.apply_room(view, message)
         elif isinstance(message, orders.RunnerReport):
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -26,6 +26,7 @@
 from gapdrum.entry.peer_configuration import FETCH_INTERVAL_MS, PeerConfigurationFetcher
 from gapdrum.entry.peer_notifier import PeerNotifier
 from gapdrum.entry.queue_demand import QUEUE_DEMAND_INTERVAL_MS, QueueDemandPublisher
+from gapdrum.entry.receipts import ReceiptSender
 from gapdrum.entry.refusal_counts import WRITE_INTERVAL_MS
 from gapdrum.entry.room_demand import RoomDemandPublisher
 from gapdrum.entry.store_access import StoreAccess
@@ -171,6 +172,7 @@
         self.lease.on_orphaned_jobs = self.takeover.request_scan
         self.lease.on_lease_lost = self._drop_durable_jobs
         self.links.dispatch = self.dispatch
+        self.links.receipts = ReceiptSender(self.dispatch.fleet, self.links.send, self.timers)
         self.links.owner = lambda: self.lease.owner
         self.links.former_owners = lambda: tuple(self.lease.former_owners)
         self.links.holds_lease = lambda: self.lease.valid
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -266,6 +266,12 @@
     "The agent keeps too many outcomes for one owner, and has dropped the oldest.",
     "request", "task", "attempt", "owner", "since_ms_ago",
 )  # fmt: skip
+_add(
+    "end_not_withheld",
+    "Too many ends wait for their owners; the runner may forget the oldest. An agent that restarts "
+    "before its owner has received it can't report it.",
+    "request", "task", "attempt", "owner", "since_ms_ago",
+)  # fmt: skip
 _add(
     "task_straggles",
     "The run is stalled or slow; its expected end here, and on another runner from scratch.",
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -32,6 +32,7 @@
 from gapdrum.entry.acceptance import build_queue_job, initial_record
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.queue_demand import QUEUE_DEMAND_INTERVAL_MS, QueueDemandPublisher
+from gapdrum.entry.receipts import ReceiptSender
 from gapdrum.entry.room_demand import RoomDemandPublisher
 
 LATENCY_FACTOR = 1.6
@@ -154,6 +155,7 @@
             self.zone, self, lambda: True, now_ms, rng, fleet.load.far_factor
         )
         self.admission = Admission(self.dispatch.placer, self.timers)
+        self.receipts = ReceiptSender(self.dispatch.fleet, self.send, self.timers)
         self.demand = RoomDemandPublisher(self, self.timers)
         notices = QueueDemandPublisher(self, self.dispatch.placer, self.timers)
         self.timers.subscribe(QUEUE_DEMAND_INTERVAL_MS, notices.publish)
@@ -175,6 +177,8 @@
             self.send(agent.name, orders.BeatEcho(message.clock_ms, True, True))
         elif isinstance(message, orders.RunEvents):
             self.dispatch.apply_events(view, message, now_ms)
+            if message.number:
+                self.receipts.schedule(agent.name)
         elif isinstance(message, orders.RoomReport):
             self.dispatch.apply_room(view, message)
         elif isinstance(message, orders.RunnerReport):
--- a/tools/virtual_runner.py
+++ b/tools/virtual_runner.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -241,6 +241,14 @@
         if events:
             self._report(events)
 
+    def withhold_ends(self, numbers: Iterable[int]) -> None:
+        """Let the runner keep ends until their owners have received them."""
+        self.ledger.withhold_ends(numbers)
+
+    def release_end(self, number: int) -> None:
+        """Let the runner forget an end."""
+        self.ledger.mark_acknowledgeable((number,), ())
+
     def set_zone_closed(self, closed: bool) -> None:
         """Set whether the runner's zone is closed to starts."""
         if self.ledger.zone_closed != closed:
