Let a process tell whether it was not run, was busy, or waited in a call

An agent that blocks its own loop, or forgets to renew, looks the same from outside, and no log line told them apart.

Change: entries and agents check themselves each 250 ms. A check that comes 100 ms late, or in whose interval the process was ready but not run for as long, writes process_stalled: how late, the processor time used meanwhile, how often it was preempted and waited (the standard library's resource), and for how long the machine did not run it (the scheduler's statistics of the process, where the kernel has them). cause is not_run, busy, blocked or suspended; a start that was not run for long is told as well.

Evidence: stalls.feature, with the causes in manual time and real stalls of a process (a call that sleeps, a stop by signal, computing).

--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -26,6 +26,7 @@
 from gapdrum.operator_feed import OperatorFeed
 from gapdrum.platform.boot import BootSettings, load_boot_settings
 from gapdrum.platform.rows import RowStore
+from gapdrum.stalls import CHECK_INTERVAL_MS, StallMonitor
 from gapdrum.timers import Timers
 from gapdrum.transport.http_server import HttpLimits, HttpListener
 from gapdrum.transport.metrics_listener import open_metrics
@@ -86,6 +87,7 @@
             shares=self.shares,
         )
         self.control = HttpListener(self.runners.handle, HttpLimits(), timers)
+        self.stalls = StallMonitor(timers, log)
         self._background = Background(log)
         self._add_gauges()
 
@@ -155,6 +157,8 @@
         address = self.boot.heartbeat_address
         await self.control.open(address.host, address.port)
         await open_metrics(self.boot.host, self.log.measures, self.timers)
+        self.stalls.check_start()
+        self.timers.subscribe(CHECK_INTERVAL_MS, self.stalls.check)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.outcomes.expire)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.standby.check)
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -37,6 +37,7 @@
 from gapdrum.pauses import TICK_MS
 from gapdrum.platform.boot import BootSettings, load_boot_settings
 from gapdrum.platform.rows import RowStore
+from gapdrum.stalls import CHECK_INTERVAL_MS, StallMonitor
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.http_server import HttpLimits, HttpListener
@@ -106,6 +107,7 @@
         self.takeover = self._build_takeover()
         self.callers = WaitingCallers(self.dispatch, self.lease, timers, log)
         self.job_api = self._build_job_api()
+        self.stalls = StallMonitor(timers, log)
         self.limits = HttpLimits()
         self.listener = HttpListener(self.job_api.handle, self.limits, timers)
         self.readiness = HttpListener(self._show_readiness, HttpLimits(), timers)
@@ -314,6 +316,8 @@
         self.background.keep(self._keep_lease)
         await self.listener.open(boot.callers.host, boot.callers.port)
         await open_metrics(boot.host, self.log.measures, self.timers)
+        self.stalls.check_start()
+        self.timers.subscribe(CHECK_INTERVAL_MS, self.stalls.check)
         self.timers.subscribe(TICK_MS, self._tick)
         self.timers.subscribe(FETCH_INTERVAL_MS, self.configuration_fetcher.fetch_if_needed)
         self.timers.subscribe(WRITE_INTERVAL_MS, self.job_api.refusals.write)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -25,6 +25,13 @@
 
 # Processes and their dependencies.
 _add("started", "The process is ready to serve.", "role", "zone", "life")
+_add(
+    "process_stalled",
+    "The process came late by `late_ms`, or was not run by its machine for `not_run_ms`, in a "
+    "quarter of a second or since its start (`phase`); `cause` is `not_run`, `busy`, `blocked` (in "
+    "a call, or stopped by a signal) or `suspended`, with the processor time used meanwhile.",
+    "phase", "late_ms", "cpu_ms", "not_run_ms", "preemptions", "waits", "cause",
+)  # fmt: skip
 _add("stopping", "The process received SIGTERM; it finishes open work before it exits.", "open")
 _add("stopped", "The process exits.", "jobs_handed_over")
 _add("settings_signal", "The process received SIGHUP.", "note")
