Let half of the soak's outages fall silent before they are reset

The soak's streams failed by a reset, which both sides notice at once.

Each interruption now is one or the other at even odds: the streams stay open and silent, with a kill of an agent or a runner meanwhile, and are reset when the link comes back, so that what they held is lost.

--- a/tools/soak_outages.py
+++ b/tools/soak_outages.py
@@ -13,6 +13,8 @@
 BEFORE_KILL_S = (0.1, 0.4)
 AFTER_KILL_S = (0.7, 1.3)
 SHORT_S = (0.1, 0.6)
+# Streams fall silent as often as they are reset: neither side then knows that they have failed.
+SILENT_SHARE = 0.5
 # An entry is cut off for longer than its lease lasts, and until another one has ended that.
 CUT_OFF_S = (5.0, 6.0)
 # Its streams delay all messages meanwhile, so that it claims its runs late.
@@ -59,9 +61,21 @@
         return f"streams of entry-{number} down {times} times, kill {victim.name}"
 
     def _interrupt(self, proxy: Proxy, victim: Process | None) -> None:
-        """Take the streams of an entry down for a while."""
+        """Take the streams of an entry down for a while: by a reset, or silently.
+
+        Streams that fall silent stay open at both ends, and lose what was sent on them.
+        """
         proxy.mode = SILENT
-        proxy.reset()
+        if self._random.random() < SILENT_SHARE:
+            self._fail(victim)
+            proxy.reset()
+        else:
+            proxy.reset()
+            self._fail(victim)
+        proxy.mode = PASS
+
+    def _fail(self, victim: Process | None) -> None:
+        """Wait for a while, in which a process is killed and started again if one is given."""
         if victim is None:
             time.sleep(self._random.uniform(*SHORT_S))
         else:
@@ -69,7 +83,6 @@
             self._kill(victim)
             self._start(victim)
             time.sleep(self._random.uniform(*AFTER_KILL_S))
-        proxy.mode = PASS
 
     def _cut_off(self, number: int) -> str:
         """Cut an entry off from the store until its lease is over; reset its streams then."""
