--- a/src/gapdrum/core/outbox.py
+++ b/src/gapdrum/core/outbox.py
@@ -89,8 +89,8 @@
 
     A message may be lost if its stream fails. An owner has received an outcome once it confirms
     the number of its message, or echoes a reading of the agent's clock that was sent later on the
-    same stream. An owner without a stream
-    counts on its runs for ``SILENCE_LIMIT_MS`` at most, so its outcomes are kept for as long.
+    same stream. An owner without a stream counts on its runs for ``SILENCE_LIMIT_MS`` at most, so
+    its outcomes are kept for as long.
     Callers pass the time::
 
         outbox.add(owner, outcome, is_sent=False)       # the stream is down
--- a/src/gapdrum/stalls.py
+++ b/src/gapdrum/stalls.py
@@ -10,8 +10,8 @@
 from gapdrum.timers import MS_PER_S, Timers
 
 CHECK_INTERVAL_MS = 250
-# Shorter stalls stay within the slack of the run bounds: 100 ms of a stop that is late, and of an
-# order's age.
+# The run bounds allow for an order that is so much older than a heartbeat's interval, as its entry
+# or agent was late (MAX_ORDER_AGE_MS).
 STALL_MS = 100
 SCHEDULER_FILE = "/proc/self/schedstat"  # "RAN_NS WAITED_NS SLICES", of the main thread
 NS_PER_MS = 1_000_000
