Log that the kernel does not tell how long a process was not run

If the scheduler's statistics could not be opened or read, process_stalled lost its not_run_ms and its cause not_run without a line that says so. The first failure writes stall_causes_unknown with the reason, and they are read no more.

Evidence: the new scenario; no such line was written before.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -54,3 +54,9 @@
       | running | blocked | 400  | 10    | has    |
       | start   | not_run | 390  | 390   | has    |
       | start   | not_run | 710  | 710   | has no |
+
+  # Guards against a process that can't tell a wait for its machine, and does not say so.
+  Scenario: a process whose kernel has no scheduler statistics tells so once
+    Given a process that can't read how long it was not run
+    When it checks itself 3 times
+    Then its log tells once that this is unknown
--- a/features/steps/stall_steps.py
+++ b/features/steps/stall_steps.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from core_model import ManualTimers
@@ -129,6 +130,27 @@
     )
 
 
+@given("a process that can't read how long it was not run")
+def unknown_waits(context):
+    with patch("gapdrum.stalls.SCHEDULER_FILE", "/nonexistent/schedstat"):
+        context.timers = ManualTimers()
+        context.monitor = new_monitor(context, context.timers)
+
+
+@when("it checks itself {count:d} times")
+def checks_often(context, count):
+    context.monitor.check_start()
+    for _ in range(count):
+        context.timers.time_ms += CHECK_INTERVAL_MS
+        context.monitor.check()
+
+
+@then("its log tells once that this is unknown")
+def told_unknown(context):
+    named = [fields for event, fields in context.log.events if event == "stall_causes_unknown"]
+    assert len(named) == 1 and named[0]["reason"], context.log.events
+
+
 @then("a play that bears {running_ms:d} ms, and {starting_ms:d} ms of a start, {has} a verdict")
 def has_verdict(context, running_ms, starting_ms, has):
     names, slack = ("entry-0", "agent-0"), Slack(running_ms, starting_ms)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -32,6 +32,12 @@
     "a call, or stopped by a signal) or `suspended`, with the processor time used meanwhile.",
     "phase", "late_ms", "cpu_ms", "not_run_ms", "preemptions", "waits", "cause",
 )  # fmt: skip
+_add(
+    "stall_causes_unknown",
+    "The kernel does not tell for how long the process was not run: `process_stalled` has no "
+    "`not_run_ms`, and no cause `not_run`.",
+    "reason",
+)  # fmt: skip
 _add("stopping", "The process received SIGTERM; it finishes open work before it exits.", "open")
 _add("stopped", "The process exits.", "jobs_handed_over")
 _add("settings_signal", "The process received SIGHUP.", "note")
--- a/src/gapdrum/stalls.py
+++ b/src/gapdrum/stalls.py
@@ -54,11 +54,13 @@
 class UsageReader:
     """Reads the usage of this process; a kernel without scheduler statistics tells no waiting."""
 
-    def __init__(self) -> None:
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._file: int | None = None
         try:
             self._file = os.open(SCHEDULER_FILE, os.O_RDONLY | os.O_CLOEXEC)
-        except OSError:
-            self._file = None
+        except OSError as error:
+            self._give_up(error)
 
     def read(self) -> Usage:
         """Return the present usage."""
@@ -71,9 +73,15 @@
             return None
         try:
             return int(os.pread(self._file, 128, 0).split()[1]) // NS_PER_MS
-        except (OSError, ValueError, IndexError):
+        except (OSError, ValueError, IndexError) as error:
+            self._give_up(error)
             return None
 
+    def _give_up(self, error: Exception) -> None:
+        """Log that the statistics can't be read, and read them no more."""
+        self._file = None
+        self._log.write("stall_causes_unknown", reason=str(error))
+
 
 class StallMonitor:
     """Logs each interval in which this process came late or was not run for ``STALL_MS``.
@@ -90,7 +98,7 @@
     ) -> None:
         self._timers = timers
         self._log = log
-        self._read = read or UsageReader().read
+        self._read = read or UsageReader(log).read
         self._usage = Usage()
         self._checked_ms = 0
         self._suspended_ms = 0
