Show a cancelled job that goes on after a lost answer of the store

Cause: an entry that cancels the job of another one tells the owner only after an answered write. If the answer is lost, the repeated request is answered from the store, and nobody tells the owner.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
