--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -108,11 +108,12 @@
     def _start(self, body: dict[str, Any]) -> tuple[int, Any, dict[str, str]]:
         task, attempt = body["task"], body["attempt"]
         present = self._runs.get(task)
+        if present is not None and present["attempt"] == attempt:
+            self._extend(body["deadline_ms"])
+            return self._answer(200)
         if body["deadline_ms"] <= self._clock_ms():
             return self._answer(409, reason="late")
         self._extend(body["deadline_ms"])
-        if present is not None and present["attempt"] == attempt:
-            return self._answer(200)
         if present is not None or attempt <= self._highest.get(task, 0):
             return self._answer(409, reason="old")
         spec = json.loads(body["spec"])
