End all processes of a case when its script is interrupted

Cause: a script that got SIGHUP or SIGKILL left nine processes, and an error in a script ended with the code of a broken rule.

Change: the kernel ends each process with the script; signals, errors and 110 s end a case as not run, with code 2; the temporary folder is removed. Checks, bounds and disruptions are unchanged.

--- a/review/system.py
+++ b/review/system.py
@@ -2,10 +2,12 @@
 
 import base64
 import contextlib
+import ctypes
 import http.client
 import json
 import os
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -13,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -30,7 +33,11 @@
 FIRST_PORT, PORT_BLOCKS, PORTS_A_BLOCK = 12_000, 100, 200
 CALL_S = 5.0
 RETRY_S = 0.3
+LIMIT_S = 110  # a case may take 120 s
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1  # of linux/prctl.h
+SCRIPT_PID = os.getpid()
 
 # As the platform writes them for ``palgakoda-prod-grown``, with this machine's addresses.
 SETTINGS = """node_name = "{name}"
@@ -126,6 +133,54 @@
     """The case can't run here."""
 
 
+class Interruption:
+    """Ends the case on a signal, once, but not while processes are being started or ended."""
+
+    def __init__(self) -> None:
+        self._held = 0
+        self._received = False
+        self._over = False
+
+    def listen(self) -> None:
+        """End the case on the signals that ask for it, and once its time is over."""
+        for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM, signal.SIGALRM):
+            signal.signal(number, self._handle)
+        signal.alarm(LIMIT_S)
+
+    def stop(self) -> None:
+        """Ignore signals from now on, as the case has its result."""
+        self._over = True
+
+    def _handle(self, _number: int, _frame: object) -> None:
+        self._received = True
+        self._raise_if_due()
+
+    def _raise_if_due(self) -> None:
+        if self._received and not self._held and not self._over:
+            self._over = True
+            raise NotRunError("interrupted, or over its time")
+
+    @contextlib.contextmanager
+    def held(self) -> Iterator[None]:
+        """Put a signal off until the block is left."""
+        self._held += 1
+        try:
+            yield
+        finally:
+            self._held -= 1
+        self._raise_if_due()
+
+
+INTERRUPTION = Interruption()
+
+
+def end_with_parent() -> None:
+    """Have the kernel kill this new process once the script is gone, even if that is killed."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != SCRIPT_PID:
+        os._exit(1)  # the script was killed before the call
+
+
 class Ports:
     """Free ports; each is returned once.
 
@@ -161,9 +216,14 @@
 
     def start(self) -> None:
         """Start the process at the repository's root; its output goes to its log."""
-        with self._log.open("ab") as log:
+        with self._log.open("ab") as log, INTERRUPTION.held():
             self._popen = subprocess.Popen(
-                self._command, cwd=ROOT, env=self._environment, stdout=log, stderr=log
+                self._command,
+                cwd=ROOT,
+                env=self._environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,  # the script has no threads
             )
 
     def kill(self) -> None:
@@ -260,7 +320,6 @@
 
     def __enter__(self) -> "System":
         """Start all processes and wait until jobs can be placed."""
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         try:
             self._start()
         except BaseException:
@@ -270,8 +329,10 @@
 
     def __exit__(self, *_error: object) -> None:
         """End all processes."""
-        for process in [*self.entries, *self.agents, *self.runners, self.store]:
-            process.kill()
+        with INTERRUPTION.held():
+            for process in [*self.entries, *self.agents, *self.runners, self.store]:
+                process.kill()
+            shutil.rmtree(self._folder, ignore_errors=True)
 
     def _start(self) -> None:
         self.store.start()
@@ -433,12 +494,21 @@
 
 
 def run_case(folder: Path, play: Callable[[bool], int]) -> None:
-    """Run a case with or without its disruption, and exit with its result."""
+    """Run a case with or without its disruption, and exit with its result.
+
+    Whatever goes wrong in the script itself, it has not run: only its check tells that the rule
+    was broken.
+    """
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    INTERRUPTION.listen()
     try:
         result = play(with_trouble)
+        INTERRUPTION.stop()
     except NotRunError as error:
         print(f"not run: {error}", flush=True)
         result = NOT_RUN
+    except Exception:
+        traceback.print_exc()
+        result = NOT_RUN
     print({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "not run"}[result])
     sys.exit(result)
