Count only the last attempt's end of a job that was taken over

Cause, third part of the case: the record of an ended job leaves out each task whose last attempt is the first one of its owner's epoch, 1001 after a takeover. An entry that was sent the end of attempt 1 later took the attempt of a task that is left out for the one that counts. The record now names the epoch whose first attempts count, and stored progress names the attempt that has done a task, which a new owner did not know either (0 before). A run's end that is sent again as an event, not among an agent's holdings, was taken for superseded by an owner that did not know the task's last attempt yet; it counts now.

It works as the attempt that counts follows from the record alone, at any entry, so a superseded end is acknowledged only after the runner's lease has lapsed.

--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -1068,6 +1068,11 @@
     def row(self, at):
         return self.rows.get(at) or Row(at, None, ABSENT)
 
+    async def read_row(self, at):
+        if self.away:
+            raise StoreRejectedError("away")
+        return self.rows.get(at)
+
     async def read_all(self, table, part):
         if self.away:
             raise StoreRejectedError("away")
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -253,6 +253,8 @@
             runner=place.runner_id,
             ran_ms=now_ms - task.started_ms if task.started_ms else 0,
         )
+        if task.phase is TaskPhase.UNKNOWN:
+            task.attempt = max(task.attempt, event.attempt)
         if event.attempt != task.attempt and end is RunEnd.DONE:
             # An earlier attempt has done the work. A durable job's task is done only by its last
             # attempt, so this end must not count; a non-durable task is done, and its newer run
@@ -373,7 +375,7 @@
         task = job.by_name.get(name) if job is not None else None
         if row.phase == orders.HELD_ENDED:
             if job is not None:
-                self._apply_held_end(view, place, row, task, now_ms)
+                self._apply_held_end(view, place, row, now_ms)
             # An unowned end needs nothing here: the agent sends it to its owner too, or resends it
             # later to any entry.
             return []
@@ -392,10 +394,8 @@
         return [_build_adopted_run(job, task, row)]
 
     def _apply_held_end(
-        self, view: AgentView, place: Place, row: orders.HeldRun, task: Task | None, now_ms: int
+        self, view: AgentView, place: Place, row: orders.HeldRun, now_ms: int
     ) -> None:
-        if task is not None and task.phase is TaskPhase.UNKNOWN:
-            task.attempt = max(task.attempt, row.attempt)
         event = orders.RunEvent(
             row.task,
             row.attempt,
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -6,11 +6,14 @@
 import attrs
 
 from gapdrum.core.models import JobState, RunEnd, RunKey, Step, TaskName
-from gapdrum.core.records import JobProgress, OpenJob, TaskProgress, task_name
+from gapdrum.core.records import (
+    JobProgress,
+    OpenJob,
+    TaskProgress,
+    first_attempt,
+    task_name,
+)
 
-# Attempt numbers of an epoch are above those of all earlier epochs: a new owner, which does not
-# know how often a task was started, never reuses a number.
-ATTEMPTS_PER_EPOCH = 1_000
 # A job that ends after this many times its objective has no value to its caller.
 LATE_FACTOR = 3
 # Time that a job takes beside waiting and running: the request and its answer, the order to the
@@ -229,8 +232,7 @@
 
     def next_attempt(self, task: Task) -> int:
         """Return a task's next attempt number, above those of all owners' attempts so far."""
-        floor = (self.epoch - 1) * ATTEMPTS_PER_EPOCH
-        return max(task.attempt, floor) + 1
+        return max(task.attempt + 1, first_attempt(self.epoch))
 
     def record_end(self, task: Task, attempt: int, end: RunEnd, now_ms: int) -> None:
         """Record how a run ended that counts for the task; a task that is done stays done."""
@@ -282,6 +284,7 @@
                     sorted(task.failed_attempts),
                     task.crashes,
                     task.crashes_alone,
+                    task.attempt if task.phase is TaskPhase.DONE else 0,
                 )
                 for task in self.tasks
                 if task.phase is TaskPhase.DONE or task.failed_attempts or task.crashes
@@ -297,6 +300,7 @@
             task.crashes_alone = row.crashes_alone
             if row.done:
                 task.phase = TaskPhase.DONE
+                task.attempt = row.attempt
 
 
 def build_job(
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -31,6 +31,9 @@
 MAX_STEPS = 1_000
 MAX_TASKS = 10_000
 MAX_QUEUES = 10_000
+# Attempt numbers of an epoch are above those of all earlier epochs: a new owner, which does not
+# know how often a task was started, never reuses a number.
+ATTEMPTS_PER_EPOCH = 1_000
 _COUNTS = validators.deep_iterable(validators.instance_of(int))
 
 
@@ -125,8 +128,9 @@
 class TaskProgress:
     """Whether a task of an open job is done, its failed attempts, and the crashes under it.
 
-    Nothing of it is undone. ``crashes`` counts the runners that crashed while they held the task,
-    ``crashes_alone`` those that held nothing else.
+    Nothing of it is undone. ``attempt`` is the one that has done the task, 0 if that is not known.
+    ``crashes`` counts the runners that crashed while they held the task, ``crashes_alone`` those
+    that held nothing else.
     """
 
     step: int = count_field()
@@ -135,6 +139,7 @@
     failed_attempts: tuple[int, ...] = attrs.field(converter=tuple, validator=_COUNTS)
     crashes: int = count_field(default=0)
     crashes_alone: int = count_field(default=0)
+    attempt: int = count_field(default=0)
 
 
 @message(61)
@@ -147,7 +152,7 @@
 
 @attrs.frozen
 class Restart:
-    """A task that was started more than once, and the attempt that counts."""
+    """A task and the attempt that counts, 0 if any may count."""
 
     step: int = count_field()
     index: int = count_field()
@@ -157,13 +162,18 @@
 @message(62)
 @attrs.frozen
 class EndedJob:
-    """An ended job; its owner and epoch tell a repeated write from another entry's."""
+    """An ended job; its owner and epoch tell a repeated write from another entry's.
+
+    The first attempt of ``counted_epoch`` counts for each task that is not among the restarts; 0
+    stands for any attempt, as an entry that cancels another one's job knows none of them.
+    """
 
     queue: str = text_field()
     state: str = attrs.field(validator=validators.in_([state.value for state in JobState]))
     owner: str = text_field()
     epoch: int = count_field()
     restarts: tuple[Restart, ...] = rows_field(Restart, MAX_TASKS)
+    counted_epoch: int = count_field(default=0)
 
     @property
     def job_state(self) -> JobState:
@@ -235,6 +245,11 @@
     return owner.rpartition("/")[0]
 
 
+def first_attempt(epoch: int) -> int:
+    """Return the number of a task's first attempt in an epoch."""
+    return (epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+
+
 def task_name(job_id: str, step: int, index: int) -> TaskName:
     """Return the name of a task; its occurrence is 0, as jobs here don't repeat."""
     return TaskName(job_id, 0, step, index)
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -7,7 +7,7 @@
 
 from gapdrum.background import Background
 from gapdrum.core.dispatch import Dispatch
-from gapdrum.core.jobs import ATTEMPTS_PER_EPOCH, Job, Place
+from gapdrum.core.jobs import Job, Place
 from gapdrum.core.models import JobState, RunEnd, TaskName
 from gapdrum.core.orders import EndsStored, JobEpoch, JobsClaimed, RunEvent
 from gapdrum.core.records import (
@@ -16,6 +16,7 @@
     Restart,
     dump_record,
     ended_row,
+    first_attempt,
     job_part,
     load_record,
     open_row,
@@ -42,11 +43,16 @@
 
 @attrs.frozen
 class KnownEnd:
-    """An ended job, and the attempts of its tasks that were started more than once."""
+    """An ended job, and the attempts that count for the tasks among its restarts."""
 
     record: EndedJob
     attempts: dict[tuple[int, int], int]
 
+    def counted_attempt(self, step: int, index: int) -> int:
+        """Return the attempt that counts for a task, 0 if any may count."""
+        epoch = self.record.counted_epoch
+        return self.attempts.get((step, index), first_attempt(epoch) if epoch else 0)
+
 
 class JobEndRecorder:
     """Moves ended jobs to the ended table, and acknowledges the ends of their runs to agents."""
@@ -92,7 +98,9 @@
 
     async def finish(self, job: Job) -> bool:
         """Store a job's end; return whether this entry's record is the one that is stored."""
-        record = EndedJob(job.queue, job.ending.value, job.owner, job.epoch, _restarts(job))
+        record = EndedJob(
+            job.queue, job.ending.value, job.owner, job.epoch, _restarts(job), job.epoch
+        )
         transaction = _ending(job.job_id, job.version, record, job.has_progress_row)
         began_ms = self._timers.now_ms()
         while self._dispatch.jobs.get(job.job_id) is job:
@@ -213,8 +221,8 @@
         The agent then lets the runner's lease lapse first, so that the end does not count.
         """
         name = TaskName.parse(event.task)
-        final_attempt = known.attempts.get((name.step, name.index), event.attempt)
-        if event.detail == RunEnd.DONE.value and final_attempt > event.attempt:
+        counted_attempt = known.counted_attempt(name.step, name.index)
+        if event.detail == RunEnd.DONE.value and counted_attempt > event.attempt:
             message = EndsStored(place.runner_id, (), (event.end_number,))
             self._links.send(place.agent, message)
         else:
@@ -241,9 +249,9 @@
 
 
 def _restarts(job: Job) -> tuple[Restart, ...]:
-    first_attempt = (job.epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+    first = first_attempt(job.epoch)
     return tuple(
         Restart(task.name.step, task.name.index, task.attempt)
         for task in job.tasks
-        if task.attempt != first_attempt
+        if task.attempt != first
     )
