Join the successors of an owner that has lost its entry lease

Cause: a claim reaches the agents of the claimer only. An agent joined further entries only while its owner's stream was down, but an owner that the store rejects lives. So the claimer placed anew what agents without a stream to it had done. Agents now learn that a lease is gone, by the table of addresses (its row goes with the lease) or from an entry (LeasesEnded), as the store may reject an agent as well. An agent that holds runs or ends of the owner's durable jobs joins the owner's successors, the two entries that may claim these jobs; after 1.5 s without a claim, all entries. Entries other than the successors claim what is left after 2 s. An end that is held belongs to the claimer from its claim on.

A removal of a lease that fails does not hide other owners that have ended any more.

--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -17,7 +17,12 @@
 from gapdrum.core.records import EntryAddress, address_row, load_record
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.core.runner_ledger import UNKNOWN_OWNER, HeldOwner
-from gapdrum.core.subsets import ENTRIES_PER_AGENT, Candidate, choose_entries
+from gapdrum.core.subsets import (
+    ENTRIES_PER_AGENT,
+    Candidate,
+    choose_entries,
+    choose_successors,
+)
 from gapdrum.entry.links import AgentLinks
 from gapdrum.event_log import EventLog
 from gapdrum.streams import open_stream
@@ -25,6 +30,7 @@
 
 HOST = "127.0.0.1"
 ADJUST_INTERVAL_MS = 50
+HELD_OWNER = "edge-0/life"
 
 
 # Which entries are chosen.
@@ -297,6 +303,72 @@
     run(context, arrange_until(context, lambda: len(joined(context)) == len(context.entries)))
 
 
+@when("it holds work of a {kind} job of an entry, whose lease {ends}")
+def holds_of_ended_lease(context, kind, ends):
+    context.held = {HeldOwner(HELD_OWNER, kind == "durable")}
+    run(context, end_lease(context, ends))
+
+
+async def end_lease(context, ends):
+    links, port = context.links, context.entries["edge-0"].port
+    context.with_lease = set(context.entries) - {"edge-0"}
+    if ends == "is removed from the table":
+        links.unregister_entry("edge-0")
+    elif ends == "is replaced in the table":
+        context.with_lease.add("edge-0")
+        links.register_entry("edge-0", EntryAddress("next-life", "zone", HOST, port))
+    else:
+        links.record_ended_lease(HELD_OWNER, "edge-1")
+
+
+@then("it soon serves the entries that may take its jobs over, and at most {most:d} entries")
+def serves_successors(context, most):
+    successors = choose_successors(HELD_OWNER, context.with_lease)
+    run(context, arrange_until(context, lambda: successors <= joined(context), 1.0))
+    assert len(joined(context)) <= most, joined(context)
+
+
+@when("it still holds that work after {time_ms:d} ms")
+def still_holds(context, time_ms):
+    run(context, arrange_for(context, time_ms))
+    # Its own row, which may have been removed above, is there again.
+    address = EntryAddress("next-life", "zone", HOST, context.entries["edge-0"].port)
+    run(context, call(context.links.register_entry, "edge-0", address))
+
+
+async def arrange_for(context, time_ms):
+    for _ in range(time_ms // 50):
+        context.links.update_links()
+        await asyncio.sleep(0.05)
+
+
+async def call(function, *arguments):
+    return function(*arguments)
+
+
+@then("it serves at most {most:d} entries")
+def serves_at_most(context, most):
+    assert len(joined(context)) <= most, joined(context)
+
+
+@then("each owner has {count:d} successors, and each entry succeeds at most {most:d} owners")
+def successors_even(context, count, most):
+    names = set(context.entry_zones)
+    chosen = {name: choose_successors(f"{name}/life", names - {name}) for name in names}
+    assert {len(one) for one in chosen.values()} == {count}
+    succeeded = Counter(entry for one in chosen.values() for entry in one)
+    assert max(succeeded.values()) <= most, succeeded
+
+
+@then("a lost entry changes only the successors of the owners that it succeeds")
+def successors_stable(context):
+    names = set(context.entry_zones)
+    for name in names - {"edge-3"}:
+        before = choose_successors(f"{name}/life", names - {name})
+        after = choose_successors(f"{name}/life", names - {name, "edge-3"})
+        assert len(after - before) == ("edge-3" in before), (name, before, after)
+
+
 @when("it holds nothing any more for a while")
 def holds_nothing(context):
     context.held = set()
--- a/features/subsets.feature
+++ b/features/subsets.feature
@@ -50,6 +50,34 @@
     Then it serves 4 entries
     And the entries that it left have dropped its runners at once
 
+  # Guards against an end that only the former owner hears of: it may be cut off from the store only, so
+  # its streams stay open while another entry takes its jobs over and does their tasks again.
+  Scenario Outline: an agent that holds work of a stored job serves the successors of an owner without a lease
+    Given an agent and 24 entries
+    When it holds work of a durable job of an entry, whose lease <ends>
+    Then it soon serves the entries that may take its jobs over, and at most 7 entries
+    When it still holds that work after 2000 ms
+    Then it serves 24 entries
+    When it holds nothing any more for a while
+    Then it serves 4 entries
+
+    Examples:
+      | ends                             |
+      | is removed from the table        |
+      | is replaced in the table         |
+      | has ended as another entry tells |
+
+  Scenario: an agent that holds work of a waiting caller's job joins no further entries for its owner's lease
+    Given an agent and 24 entries
+    When it holds work of a waiting job of an entry, whose lease has ended as another entry tells
+    And it still holds that work after 2000 ms
+    Then it serves at most 5 entries
+
+  Scenario: the jobs of an owner without a lease are taken over by two entries, the same ones everywhere
+    Given 35 entries and 160 agents in 5 zones
+    Then each owner has 2 successors, and each entry succeeds at most 8 owners
+    And a lost entry changes only the successors of the owners that it succeeds
+
   Scenario: an order that crosses the agent's leaving message is not started
     Given an agent and 7 entries
     When it holds work of an unknown owner
--- a/src/gapdrum/agent/entry_links.py
+++ b/src/gapdrum/agent/entry_links.py
@@ -1,15 +1,15 @@
 """The agent's streams to the entries that it serves."""
 
 import asyncio
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from functools import partial
 
 from gapdrum.background import Background
 from gapdrum.core import orders
-from gapdrum.core.records import EntryAddress, entry_of_owner
+from gapdrum.core.records import EntryAddress, entry_of_owner, owner_name
 from gapdrum.core.runner_ledger import UNKNOWN_OWNER, HeldOwner
-from gapdrum.core.subsets import Candidate, choose_entries
+from gapdrum.core.subsets import SUCCESSION_MS, Candidate, choose_entries, choose_successors
 from gapdrum.event_log import EventLog
 from gapdrum.exceptions import FrameError, StreamClosedError
 from gapdrum.streams import Stream, open_stream
@@ -35,6 +35,10 @@
 # A link that is not needed any more is closed after this time, so that short faults of other
 # entries do not open and close links.
 UNNEEDED_KEPT_MS = 4_000
+# Owners without a lease are remembered until their jobs have long been taken over.
+MAX_ENDED_LEASES = 1_000
+# Work that no successor has claimed after this time may be claimed by any entry soon.
+UNCLAIMED_MS = SUCCESSION_MS - 500
 # How long an agent that leaves reads and drops messages that the entry may have sent before.
 LEAVE_DELAY_MS = 500
 
@@ -79,7 +83,9 @@
     """Keeps a stream to each entry that this agent should serve.
 
     The agent always serves an entry of which it holds runs or ends. While it holds some of an
-    unreachable owner, it serves all entries, as any of them may take the jobs over.
+    unreachable owner, it serves all entries, as any of them may take the jobs over. While it holds
+    some of an owner without an entry lease, it serves the successors, and all entries only if these
+    do not claim the jobs in time.
     """
 
     def __init__(
@@ -96,6 +102,7 @@
         self._background = Background(log)
         self._links: dict[str, EntryLink] = {}
         self._listed: dict[str, EntryAddress] = {}
+        self._ended_leases: OrderedDict[str, int] = OrderedDict()  # when known, by owner
         self._last_heartbeat_ms = 0
         self.drained_zones: Callable[[], frozenset[str]] = frozenset
         self.held_owners: Callable[[], Iterable[HeldOwner]] = tuple
@@ -138,6 +145,8 @@
         self._rename_seed(entry, address)
         known = self._listed.get(entry)
         self._listed[entry] = address
+        if known is not None and known.incarnation != address.incarnation:
+            self._record_row_gone(entry, known)
         link = self._links.get(entry)
         if link is not None and not _same_address(link.address, address):
             self._forget(link)
@@ -154,11 +163,26 @@
 
     def unregister_entry(self, entry: str) -> None:
         """Drop an entry whose row is gone; it may have ended, or only lost access to the store."""
-        self._listed.pop(entry, None)
+        known = self._listed.pop(entry, None)
+        if known is not None:
+            self._record_row_gone(entry, known)
         link = self._links.get(entry)
         if link is not None:
             link.listed = False
 
+    def _record_row_gone(self, entry: str, address: EntryAddress) -> None:
+        """Record the end of a lease: the row of the address is removed or replaced with it."""
+        self.record_ended_lease(owner_name(entry, address.incarnation), source="table")
+
+    def record_ended_lease(self, owner: str, source: str) -> None:
+        """Record that an owner holds no entry lease any more, though it may be connected."""
+        if owner in self._ended_leases:
+            return
+        self._ended_leases[owner] = self._timers.now_ms()
+        if len(self._ended_leases) > MAX_ENDED_LEASES:
+            self._ended_leases.popitem(last=False)
+        self._log.write("owner_lease_ended", owner=owner, source=source)
+
     def join_seeds(self, seeds: Iterable[EntryAddress]) -> None:
         """Connect to the entries that the settings name, unless links exist."""
         if not self._links:
@@ -186,7 +210,7 @@
         """Connect to the entries that should be served, and leave the others after a delay."""
         now_ms = self._timers.now_ms()
         held = tuple(self.held_owners())
-        needed = {entry_of_owner(one.owner) for one in held}
+        needed = {entry_of_owner(one.owner) for one in held} | self._list_successors(held)
         candidates = [self._candidate(name, needed, now_ms) for name in self._listed]
         chosen = choose_entries(self._agent, candidates, self._has_lost_owner(held, now_ms))
         for entry in chosen:
@@ -211,6 +235,18 @@
             is_drained=address.zone in drained and self._zone not in drained,
         )
 
+    def _list_successors(self, held: Iterable[HeldOwner]) -> set[str]:
+        """Return the entries that may take over jobs of which runs or ends are held."""
+        owners = {one.owner for one in held if one.durable and one.owner in self._ended_leases}
+        if not owners:
+            return set()
+        with_lease = [
+            entry
+            for entry, address in self._listed.items()
+            if owner_name(entry, address.incarnation) not in self._ended_leases
+        ]
+        return {entry for owner in owners for entry in choose_successors(owner, with_lease)}
+
     def _has_lost_owner(self, held: Iterable[HeldOwner], now_ms: int) -> bool:
         """Return whether runs or ends are held that any entry may have to take over."""
         return any(self._may_change_owner(one, now_ms) for one in held)
@@ -218,7 +254,12 @@
     def _may_change_owner(self, held: HeldOwner, now_ms: int) -> bool:
         if held.owner == UNKNOWN_OWNER:
             return True
-        return held.durable and self._is_lost(held.owner, now_ms)
+        if not held.durable:
+            return False
+        ended_ms = self._ended_leases.get(held.owner)
+        if ended_ms is not None:
+            return now_ms - ended_ms > UNCLAIMED_MS
+        return self._is_lost(held.owner, now_ms)
 
     def _is_lost(self, owner: str, now_ms: int) -> bool:
         """Return whether an owner has probably died: it has been disconnected for too long.
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -125,6 +125,11 @@
         if controller is not None:
             controller.ledger.mark_acknowledgeable(message.numbers, message.superseded)
 
+    def _apply_ended_leases(self, link: EntryLink, message: orders.LeasesEnded) -> None:
+        for owner in message.owners:
+            self._links.record_ended_lease(owner, source=link.entry)
+        self._links.update_links()
+
     def _apply_claims(self, link: EntryLink, message: orders.JobsClaimed) -> None:
         """Refuse lower epochs of the jobs from now on, and send the entry the jobs' runs here."""
         for row in message.jobs:
@@ -137,6 +142,7 @@
         for controller in self._controllers.values():
             self._notify_former_owners(controller, epochs, link.owner)
             if controller.ledger.polled:
+                controller.ledger.assign_ends(names, link.owner)
                 held = controller.ledger.held_runs(names)
                 link.send(orders.Holdings(controller.runner_id, tuple(names), held))
 
@@ -234,6 +240,7 @@
         orders.StartOrder: _apply_order,
         orders.StopOrder: _apply_stop,
         orders.EndsStored: _apply_stored_ends,
+        orders.LeasesEnded: _apply_ended_leases,
         orders.JobsClaimed: _apply_claims,
         orders.AdoptRuns: _apply_adoption,
     }
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -415,6 +415,18 @@
     jobs: tuple[JobEpoch, ...] = rows_field(JobEpoch, MAX_ROWS)
 
 
+@message(59)
+@attrs.frozen
+class LeasesEnded:
+    """From an entry to its agents: these owners hold no entry lease any more.
+
+    Any entry may take their durable jobs over, also while an owner's process is still connected: it
+    may be cut off from the store only.
+    """
+
+    owners: tuple[str, ...] = attrs.field(converter=tuple)
+
+
 @message(48)
 @attrs.frozen
 class JobCancelled:
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -486,6 +486,12 @@
                 owners.add(HeldOwner(end.owner, end.durable))
         return frozenset(owners)
 
+    def assign_ends(self, job_ids: frozenset[str], owner: str) -> None:
+        """Record that an entry has claimed jobs, and so waits for the ends of their runs."""
+        for end in self.ends.values():
+            if end.durable and end.key.task.job_id in job_ids:
+                end.owner = owner
+
     def event_for_adopter(self, key: RunKey, submission: int) -> orders.RunEvent | None:
         """Return the event for a run's claimant if the run ended before it could be adopted."""
         if key in self.runs:
--- a/src/gapdrum/core/subsets.py
+++ b/src/gapdrum/core/subsets.py
@@ -1,4 +1,7 @@
-"""Which entries an agent keeps a stream to: a bounded subset that is stable while they live."""
+"""Which entries an agent keeps a stream to: a bounded subset that is stable while they live.
+
+Also which entries take over the jobs of another one, as its agents keep streams to these as well.
+"""
 
 import functools
 import hashlib
@@ -16,6 +19,12 @@
 # zones an entry in a drained one loses the agents of its zone, 11 of the 23 that serve it, and gets
 # as many back; otherwise its callers are served worse than others.
 EXTRA_DRAINED_ENTRIES = 1
+# How many entries may take over the jobs of an owner at once; the second one is for the case that
+# the first one fails at the same time. Agents that hold work of the owner join only these.
+SUCCESSORS = 2
+# Other entries take over what is left after this time, and agents that still hold work of the owner
+# join all entries a little earlier.
+SUCCESSION_MS = 2_000
 PERMILLE = 1_000
 HASH_BYTES = 8
 
@@ -62,6 +71,15 @@
     return frozenset(chosen.union(drained[:EXTRA_DRAINED_ENTRIES]))
 
 
+def choose_successors(owner: str, entries: Iterable[str]) -> frozenset[str]:
+    """Return which of the entries with a lease take over the durable jobs of an owner without one.
+
+    Entries and agents know the same entries, by their rows in the store, and choose the same ones.
+    """
+    ranked = sorted(entries, key=lambda entry: _rank(owner, entry))
+    return frozenset(ranked[:SUCCESSORS])
+
+
 def _by_preference(ranked: list[Candidate]) -> Iterator[Candidate]:
     """Yield entries of the agent's zone and others in turn, so a cut-off zone serves itself."""
     near = [one for one in ranked if one.is_near]
@@ -75,7 +93,7 @@
 
 
 @functools.lru_cache(maxsize=4_096)
-def _rank(agent: str, entry: str) -> int:
+def _rank(chooser: str, entry: str) -> int:
     """Return a number that is evenly distributed over all pairs and equal in every process."""
-    digest = hashlib.blake2b(f"{agent}\n{entry}".encode(), digest_size=HASH_BYTES).digest()
+    digest = hashlib.blake2b(f"{chooser}\n{entry}".encode(), digest_size=HASH_BYTES).digest()
     return int.from_bytes(digest, "big")
--- a/src/gapdrum/entry/lease.py
+++ b/src/gapdrum/entry/lease.py
@@ -17,6 +17,7 @@
     QueueDepth,
     address_row,
     dump_record,
+    entry_of_owner,
     lease_row,
     load_record,
     owner_name,
@@ -53,8 +54,8 @@
 class Lease:
     """Renews the lease of this entry and observes those of its peers.
 
-    ``on_lease_lost`` is called when a peer has ended the lease, and ``on_orphaned_jobs`` when an
-    incarnation of a peer has ended, so that its jobs have no owner.
+    ``on_lease_lost`` is called when a peer has ended the lease, and ``on_orphaned_jobs`` when
+    incarnations of peers have ended, with their owner names: their jobs have no owner.
     """
 
     def __init__(
@@ -70,7 +71,7 @@
         self.count_waiting: Callable[[], dict[str, int]] = dict
         self.view_agents: Callable[[], VisibleCapacity] = lambda: VisibleCapacity(0, 0)
         self.on_lease_lost: Callable[[], None] = lambda: None
-        self.on_orphaned_jobs: Callable[[], None] = lambda: None
+        self.on_orphaned_jobs: Callable[[tuple[str, ...]], None] = lambda _owners: None
         self._address = address
         self._store = store
         self._timers = timers
@@ -185,29 +186,35 @@
         rows = await self._store.read_all(LEASE_TABLE, UNPARTITIONED)
         now_ms = self._timers.now_ms()
         seen = {row.at.key: row for row in rows}
-        ended = [name for name in self.others if name not in seen]
-        for name in ended:
+        before = self._peer_owners()
+        for name in [name for name in self.others if name not in seen]:
             del self.others[name]
         for name, row in seen.items():
-            if name != self.instance and self._record_lease(name, row, now_ms):
-                ended.append(name)
-        for name in [name for name in self.others if self._has_expired(name, now_ms)]:
-            if await self._end_lease(name):
-                ended.append(name)
+            if name != self.instance:
+                self._record_lease(name, row, now_ms)
+        try:
+            for name in [name for name in self.others if self._has_expired(name, now_ms)]:
+                await self._end_lease(name)
+        finally:
+            self._report_ended(before)
+        return self._peer_owners() | {self.owner}
+
+    def _report_ended(self, before: frozenset[str]) -> None:
+        """Report the owners that have lost their lease since ``before`` was read."""
+        ended = sorted(before - self._peer_owners())
         if ended:
-            self._log.write("owners_gone", entries=ended)
-            self.on_orphaned_jobs()
-        return self._owners()
+            self._log.write("owners_gone", entries=[entry_of_owner(owner) for owner in ended])
+            self.on_orphaned_jobs(tuple(ended))
 
-    def _owners(self) -> frozenset[str]:
-        owners = {owner_name(name, seen.lease.incarnation) for name, seen in self.others.items()}
-        return frozenset(owners | {self.owner})
+    def _peer_owners(self) -> frozenset[str]:
+        return frozenset(
+            owner_name(name, seen.lease.incarnation) for name, seen in self.others.items()
+        )
 
-    def _record_lease(self, name: str, row: Row, now_ms: int) -> bool:
-        """Record a peer's lease; return whether its former incarnation has ended."""
+    def _record_lease(self, name: str, row: Row, now_ms: int) -> None:
         before = self.others.get(name)
         if before is not None and before.version == row.version:
-            return False
+            return
         try:
             lease = load_record(row.value, EntryLease)
         except RecordError as error:
@@ -217,7 +224,6 @@
                 before.lease if before is not None else EntryLease(UNREADABLE_INCARNATION, 0, ())
             )
         self.others[name] = ObservedLease(lease, row.version, now_ms)
-        return before is not None and before.lease.incarnation != lease.incarnation
 
     def _log_unreadable(self, row: Row, error: RecordError) -> None:
         self._log.write(
@@ -228,8 +234,8 @@
         unchanged_ms = now_ms - self.others[name].unchanged_since_ms
         return unchanged_ms > LEASE_MS + EXPIRY_MARGIN_MS
 
-    async def _end_lease(self, name: str) -> bool:
-        """Remove an expired lease, unless it has been renewed; return whether it was removed."""
+    async def _end_lease(self, name: str) -> None:
+        """Remove an expired lease, unless it has been renewed."""
         seen = self.others[name]
         transaction = Transaction(
             expectations=(Expectation(lease_row(name), seen.version),),
@@ -237,10 +243,9 @@
         )
         result = await self._store.transact(transaction)
         if isinstance(result, Conflict):
-            return False
+            return
         del self.others[name]
         self._log.write("lease_ended", entry=name, version=seen.version)
-        return True
 
     def _restart_expiry(self) -> None:
         """Restart the time of all peers' leases, which can't be renewed during a store outage."""
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -171,7 +171,7 @@
         self.zones.on_change = self._apply_zone_drains
         self.lease.count_waiting = self.dispatch.count_waiting
         self.lease.view_agents = self._visible_capacity
-        self.lease.on_orphaned_jobs = self.takeover.request_scan
+        self.lease.on_orphaned_jobs = self._handle_ended_leases
         self.lease.on_lease_lost = self._drop_durable_jobs
         self.links.dispatch = self.dispatch
         self.links.receipts = ReceiptSender(self.dispatch.fleet, self.links.send, self.timers)
@@ -248,6 +248,14 @@
         self.links.broadcast(self.zones.drains_message())
         self.schedule_placement()
 
+    def _handle_ended_leases(self, owners: tuple[str, ...]) -> None:
+        """Search for the jobs of owners without a lease, and notify the agents that may hold runs.
+
+        An agent is told though it follows the table of addresses, as the store may turn it away.
+        """
+        self.links.broadcast(orders.LeasesEnded(owners))
+        self.takeover.request_scan()
+
     def _drop_durable_jobs(self) -> None:
         """Drop all durable jobs: a peer has ended the lease and takes them over."""
         for job in list(self.dispatch.jobs.values()):
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -14,10 +14,12 @@
     JobProgress,
     OpenJob,
     dump_record,
+    entry_of_owner,
     load_record,
 )
 from gapdrum.core.rows import Conflict, Expectation, Put, Row, Transaction
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
+from gapdrum.core.subsets import SUCCESSION_MS, choose_successors
 from gapdrum.entry.acceptance import Acceptor, build_queue_job
 from gapdrum.entry.configuration_watch import ConfigurationWatch
 from gapdrum.entry.group_commit import GroupCommitWriter
@@ -36,7 +38,11 @@
 
 
 class Takeover:
-    """Finds open jobs whose owner holds no lease, and claims them under the next epoch."""
+    """Finds open jobs whose owner holds no lease, and claims them under the next epoch.
+
+    The successors of the owner claim them at once, and other entries what is left a while later:
+    the agents that hold runs of the jobs have to join each claimer.
+    """
 
     def __init__(
         self,
@@ -63,6 +69,7 @@
         self._log = log
         self._scan_requested = True
         self._scanned_ms = 0
+        self._orphaned_ms: dict[str, int] = {}  # when jobs of an owner without a lease were found
 
     def request_scan(self) -> None:
         """Request a scan, as an owner's lease has ended."""
@@ -71,7 +78,8 @@
     async def scan_if_due(self) -> None:
         """Scan if that was requested, or ``SCAN_INTERVAL_MS`` have passed."""
         now_ms = self._timers.now_ms()
-        due = self._scan_requested or now_ms - self._scanned_ms > SCAN_INTERVAL_MS
+        interval_ms = SUCCESSION_MS if self._orphaned_ms else SCAN_INTERVAL_MS
+        due = self._scan_requested or now_ms - self._scanned_ms > interval_ms
         if not due or not self._lease.valid or not self._configuration.known:
             return
         self._scan_requested = False
@@ -84,26 +92,42 @@
 
     async def _scan(self) -> None:
         """Read the open jobs before the leases, as an entry writes its lease before any job."""
-        rows: dict[str, list[Row]] = {}
+        rows: dict[str, list[tuple[Row, str | None]]] = {}
         for part in random.sample(JOB_PARTS, len(JOB_PARTS)):
-            rows[part] = await self._store.read_all(OPEN_TABLE, part)
+            found = await self._store.read_all(OPEN_TABLE, part)
+            rows[part] = [(row, self._owner_of(row)) for row in found]
         owners = await self._lease.poll()
+        self._record_orphans({owner for part in rows.values() for _, owner in part}, owners)
         for part, found in rows.items():
-            orphans = [row for row in found if self._is_orphan(row, owners)]
-            for start in range(0, len(orphans), CLAIM_BATCH):
-                await self._claim(part, orphans[start : start + CLAIM_BATCH])
+            claimable = [row for row, owner in found if self._may_claim(row, owner, owners)]
+            for start in range(0, len(claimable), CLAIM_BATCH):
+                await self._claim(part, claimable[start : start + CLAIM_BATCH])
+
+    def _record_orphans(self, found: set[str | None], owners: frozenset[str]) -> None:
+        """Record since when jobs are known of each owner without a lease."""
+        now_ms = self._timers.now_ms()
+        self._orphaned_ms = {
+            owner: self._orphaned_ms.get(owner, now_ms) for owner in found - owners - {None}
+        }
 
-    def _is_orphan(self, row: Row, owners: frozenset[str]) -> bool:
+    def _owner_of(self, row: Row) -> str | None:
+        """Return a job's owner, None if its row can't be read."""
         try:
-            owner = load_record(row.value, OpenJob).owner
+            return load_record(row.value, OpenJob).owner
         except RecordError as error:
             # No entry can run the job; requests that need the row are answered with this error.
             self._log_unreadable(row, error)
-            return False
+            return None
+
+    def _may_claim(self, row: Row, owner: str | None, owners: frozenset[str]) -> bool:
         if owner == self._lease.owner:
             # The answer to a claim may have been lost: this entry owns the row, but has no job.
             return not self._is_known(row.at.key)
-        return owner not in owners
+        if owner not in self._orphaned_ms:
+            return False
+        waited_ms = self._timers.now_ms() - self._orphaned_ms[owner]
+        successors = choose_successors(owner, map(entry_of_owner, owners))
+        return self._lease.instance in successors or waited_ms >= SUCCESSION_MS
 
     def _is_known(self, job_id: str) -> bool:
         return (
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -126,6 +126,13 @@
 _add("entry_feed_lost", "The feed of the entries' addresses is interrupted.", "code", "reason")
 _add("entry_found", "The store lists an entry.", "entry", "host")
 _add("entry_joined", "The stream to an entry is open.", "entry", "owner")
+_add(
+    "owner_lease_ended",
+    "An owner holds no entry lease any more, by the table of addresses or by an entry. While the "
+    "agent holds runs or ends of its durable jobs, it serves the entries that take these over.",
+    "owner",
+    "source",
+)
 _add("entry_lost", "The stream to an entry has closed.", "entry", "code")
 _add(
     "reach_changed",
--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, silences, cuts in one direction or resets its connections."""
+"""A loopback proxy that delays, silences, cuts in one direction, resets or rejects connections."""
 
 import asyncio
 import socket
@@ -10,14 +10,18 @@
 HOLD_POLL_S = 0.02
 PASS, DELAY, SILENT, ONE_WAY = "pass", "delay", "silent", "one_way"
 MODES = (DELAY, SILENT, ONE_WAY)
+# Each call is rejected: answered with an HTTP status, or its connection is reset.
+UNAVAILABLE, TOO_MANY, RESET = "503", "429", "reset"
+REJECTIONS = (UNAVAILABLE, TOO_MANY, RESET)
 
 
 class Proxy:
     """Forwards connections to one port; ``mode`` may change at any time.
 
     ``delay`` holds each chunk for ``delay_s``, ``silent`` holds all data, and ``one_way`` holds
-    the data from the target. Held data is forwarded when the mode ends. With a ``parity`` the mode
-    applies to every second connection, so that a process loses only some of its connections.
+    the data from the target. Held data is forwarded when the mode ends. The rejections answer each
+    HTTP call themselves, and nothing of it is forwarded. With a ``parity`` the mode applies to
+    every second connection, so that a process loses only some of its connections.
     """
 
     def __init__(self, port: int, target_port: int) -> None:
@@ -75,8 +79,8 @@
         self._writers |= {writer, target[1]}
         number = self._accepted
         self._accepted += 1
-        to_target = self._forward(reader, target[1], number, from_target=False)
-        from_target = self._forward(target[0], writer, number, from_target=True)
+        to_target = self._forward(reader, target[1], number, source=writer)
+        from_target = self._forward(target[0], writer, number)
         try:
             await asyncio.gather(to_target, from_target)
         except asyncio.CancelledError:
@@ -91,17 +95,32 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         number: int,
-        from_target: bool,
+        source: asyncio.StreamWriter | None = None,
     ) -> None:
+        """Forward one direction; ``source`` answers the caller, None for data from the target."""
+        held_modes = (SILENT, ONE_WAY) if source is None else (SILENT,)
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 if self._mode_of(number) == DELAY:
                     await asyncio.sleep(self.delay_s)
-                while self._mode_of(number) in ((SILENT, ONE_WAY) if from_target else (SILENT,)):
+                while self._mode_of(number) in held_modes:
                     await asyncio.sleep(HOLD_POLL_S)
+                if source is not None and self._mode_of(number) in REJECTIONS:
+                    _reject(chunk, source, self._mode_of(number))
+                    continue
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
             writer.transport.abort()  # passes the reset on to the other side
+            if source is not None:
+                source.transport.abort()
         finally:
             writer.close()
+
+
+def _reject(chunk: bytes, writer: asyncio.StreamWriter, mode: str) -> None:
+    """Reject the HTTP call that begins with a chunk; later chunks of its body are ignored."""
+    if mode == RESET:
+        raise OSError("reset")
+    if chunk.startswith((b"GET ", b"POST ")):
+        writer.write(f"HTTP/1.1 {mode} Rejected\r\nContent-Length: 0\r\n\r\n".encode())
