Stop cancelled jobs whichever way an entry learns of it

With more entries than an agent serves it happened without any failure.

Cause: what follows a cancellation was done only by the entry that got the store's answer to its write, so nobody was notified if that was lost. The canceller's agents took its message for a claim and told the owner that its job is lost, so the owner forgot the job and stopped none of its runs; the message of the canceller itself came later and found no job. An owner whose write conflicts forgot the job as well, and one that writes nothing never learned of it. The end of a job has one function for all ways of learning of it now (EndedJobs.apply). Agents stop the runs of cancelled jobs themselves and pass the cancellation on to the owner (JobsCancelled), an owner that finds its row changed reads why, and it reads the rows of its jobs again after 1.5 s. The canceller looks up what became of a write whose answer was lost.

It works as any reader of the ended row, a conflict or a message leads to the same steps, which may be repeated, and as the owner's own check needs nobody else.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -30,3 +30,73 @@
     Given an entry that has taken over a job whose task may be at work
     When it is sent the end "done" of attempt 1
     Then the job is stored as "succeeded"
+
+  # Guards against a cancelled job that works on: what follows a cancellation was done only by the entry
+  # that got the store's answer to its write.
+  Scenario Outline: the owner and the agents are notified of a cancellation, whoever learns of it
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When another entry cancels it<how>
+    Then that entry has notified its agents and the owner, once
+
+    Examples:
+      | how                                                           |
+      | , and is answered                                             |
+      | , and the answer is lost                                      |
+      | , and the answer is lost, so that the caller repeats the call |
+
+  Scenario Outline: an entry that reads of a cancellation notifies the owner and the agents
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When another entry cancels it, and the answer is lost
+    And a third entry <learns>
+    Then that entry has notified its agents and the owner, once
+
+    Examples:
+      | learns                          |
+      | cancels the job as well         |
+      | shows the job's state           |
+      | is sent the end of a run of it  |
+
+  # Guards against an owner that forgets a cancelled job and lets its runs go on, when it finds its row
+  # changed or is told by an agent, and against one that nobody tells.
+  Scenario Outline: the owner of a job that was cancelled elsewhere stops its runs
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When another entry cancels it, and is answered
+    And the owner learns of it by <way>
+    Then it has ordered the run to stop, and has dropped the job
+    When its run is reported as held after that
+    Then it has ordered the run to stop, and has dropped the job
+
+    Examples:
+      | way                       |
+      | a message                 |
+      | its own check             |
+      | a conflict of its own end |
+
+  Scenario: an owner whose write of progress conflicts learns that its job was cancelled
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When another entry cancels it, and is answered
+    And the owner learns of it by a conflict of its progress
+    Then it has dropped the job
+
+  Scenario: an owner confirms that a job is its own, and not before some time has passed
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When the owner checks its job after 500 ms
+    Then it has read 0 rows, and the job goes on
+    When the owner checks its job after 1500 ms
+    Then it has read 1 rows, and the job goes on
+    When the owner checks its job after 500 ms
+    Then it has read 0 rows, and the job goes on
+
+  Scenario: an owner whose job was claimed leaves its runs to the new owner
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When another entry claims the job
+    And the owner learns of it by its own check
+    Then it has dropped the job, and has stopped no run
+
+  # Guards against agents that tell an owner only that its job is lost, whereupon it stops no run.
+  Scenario: an agent stops the runs of a cancelled job and passes the cancellation on to the owner
+    Given an agent that runs a task of a stored job
+    When another entry tells it that the job was cancelled
+    Then it stops the run, and has notified the owner before
+    When the owner orders another run of the job
+    Then it starts nothing, and notifies the owner of the cancellation
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -1,16 +1,20 @@
 """Steps on what entries do once they know that a job has ended, on a fake store."""
 
 import asyncio
+from types import SimpleNamespace
+from unittest.mock import patch
 
+import resubmission_steps as base
 from behave import given, then, when
 from core_model import ManualTimers
 from platform_core_steps import JOB, TASK, Effects, FakeStore, new_log
 
+from gapdrum.agent.entry_links import EntryLink
 from gapdrum.background import Background
 from gapdrum.core import orders
 from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import Place, TaskPhase, build_job
-from gapdrum.core.models import Resources, RunEnd, Step
+from gapdrum.core.models import JobState, Resources, RunEnd, Step
 from gapdrum.core.records import (
     EndedJob,
     JobProgress,
@@ -22,8 +26,13 @@
     step_row,
 )
 from gapdrum.core.rows import Put, Transaction
+from gapdrum.entry import job_ends
+from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
-from gapdrum.entry.job_ends import JobEndRecorder
+from gapdrum.entry.job_api import JobApi
+from gapdrum.entry.job_ends import PROGRESS_DELAY_MS, JobEndRecorder
+from gapdrum.entry.ownership import CONFIRM_AFTER_MS, OwnershipChecker
+from gapdrum.exceptions import StoreError, StoreOutcomeUnknownError
 
 PLACE = Place("side-1", "i-1")
 FORMER, OWNER = "edge-1/life", "edge-2/life"
@@ -59,6 +68,7 @@
     """The effects of an entry's decisions: ends of jobs are stored, unowned ends looked up."""
 
     recorder: JobEndRecorder
+    ended_jobs: EndedJobs
 
     def send(self, agent, message):
         return self.links.send(agent, message)
@@ -67,16 +77,16 @@
         self.recorder.store_end(job)
 
     def on_unowned_end(self, place, event):
-        self.recorder.resolve_unowned_end(place, event)
+        self.ended_jobs.resolve_unowned_end(place, event)
 
     def has_ended(self, job_id):
-        return self.recorder.known_state(job_id) is not None
+        return self.ended_jobs.known_state(job_id) is not None
 
 
 class StoredJobsEntry:
     """The parts of an entry that store and read the rows of jobs."""
 
-    def __init__(self, store):
+    def __init__(self, store, instance="edge-2"):
         timers = ManualTimers()
         log = new_log(timers)
         effects = EntryEffects()
@@ -84,9 +94,17 @@
         effects.links = self.links
         self.dispatch = build_dispatch("plaine-nord", effects, lambda: True, 0)
         writer = GroupCommitWriter(store, Background(log))
+        self.ended_jobs = effects.ended_jobs = EndedJobs(
+            instance, store, self.dispatch, self.links, self.peers, log
+        )
+        self.ownership = OwnershipChecker(store, self.dispatch, self.ended_jobs, timers, log)
         self.recorder = effects.recorder = JobEndRecorder(
-            store, writer, self.dispatch, self.links, self.peers, timers, log
+            writer, self.dispatch, self.ended_jobs, self.ownership, timers, log
         )
+        self.api = JobApi(
+            None, self.dispatch, None, None, SimpleNamespace(has_ended=lambda _job: False),
+            self.recorder, self.ended_jobs, store, SimpleNamespace(valid=True), log,
+        )  # fmt: skip
         greeting = orders.AgentGreeting(PLACE.agent, "life-1", "plaine-nord", 1)
         self.view = self.dispatch.fleet.agent_joined(greeting, 1_000)
 
@@ -210,3 +228,171 @@
     row = context.store.row(ended_row(JOB))
     assert row.value is not None, context.store.rows
     assert load_record(row.value, EndedJob).state == state, row
+
+
+# Jobs that are cancelled at another entry than their owner.
+
+
+@given("an entry that owns a job of 2 tasks, one of them at work")
+def owns_job(context):
+    context.store = FakeStore()
+    context.owner = context.entry = entry = StoredJobsEntry(context.store, "edge-1")
+    job = own_job(context, FORMER, 1, tasks=2)
+    task = job.tasks[0]
+    task.attempt, task.phase = 1, TaskPhase.RUNNING
+    task.assign_place(PLACE)
+    run(context, call(entry.dispatch.add_job, job, 1_000))
+
+
+def cancel_at(context, entry):
+    """Cancel the job at an entry; return whether that is acknowledged."""
+
+    async def cancel():
+        try:
+            return (await entry.api._cancel(JOB)).status == 200
+        except StoreError:
+            return False
+
+    return run(context, cancel())
+
+
+@when("another entry cancels it{more}")
+def another_cancels(context, more):
+    context.other = StoredJobsEntry(context.store, "edge-3")
+    answer_is_lost = "is lost" in more
+    if answer_is_lost:
+        context.store.failures = [StoreOutcomeUnknownError("lost")]
+    lookups = 0 if "repeats" in more else 1
+    with patch.object(job_ends, "CANCELLATION_LOOKUPS", lookups):
+        assert cancel_at(context, context.other) != answer_is_lost
+        if "repeats" in more:
+            assert cancel_at(context, context.other)
+
+
+@when("a third entry {learns}")
+def third_learns(context, learns):
+    context.other = other = StoredJobsEntry(context.store, "edge-4")
+    if "cancels" in learns:
+        assert cancel_at(context, other)
+    elif "shows" in learns:
+        assert run(context, other.api._find_state(JOB)) is JobState.CANCELLED
+    else:
+        run(context, call(other.report, end_of("done", 1)))
+
+
+@then("that entry has notified its agents and the owner, once")
+def notified(context):
+    row = orders.JobEpoch(JOB, 2)
+    assert context.other.links.broadcasts == [orders.JobsCancelled((row,))]
+    assert context.other.peers.told == [(FORMER, JOB, 2)], context.other.peers.told
+
+
+@when("the owner learns of it by {way}")
+def owner_learns(context, way):
+    owner = context.owner
+    if way == "a message":
+        run(context, call(owner.ended_jobs.apply_cancellation, orders.JobCancelled(JOB, 2)))
+    elif way == "its own check":
+        owner.timers.time_ms += CONFIRM_AFTER_MS
+        run(context, owner.ownership.check_due())
+    elif way == "a conflict of its progress":
+        run(context, call(owner.report, end_of("failed", 1)))
+        owner.links.sent.clear()
+        owner.timers.time_ms += PROGRESS_DELAY_MS
+        run(context, owner.recorder.store_progress())
+    else:
+        cancel_at(context, owner)
+
+
+@then("it has ordered the run to stop, and has dropped the job")
+def stopped(context):
+    stop = orders.StopOrder(PLACE.runner_id, (orders.NamedRun(TASK.text, 1),))
+    assert (PLACE.agent, stop) in context.owner.links.sent, context.owner.links.sent
+    assert_dropped(context)
+
+
+@then("it has dropped the job")
+def assert_dropped(context):
+    assert JOB not in context.owner.dispatch.jobs
+    assert context.owner.ended_jobs.known_state(JOB) is JobState.CANCELLED
+
+
+@when("its run is reported as held after that")
+def reported_held(context):
+    context.owner.links.sent.clear()
+    row = orders.HeldRun(TASK.text, 1, 1, orders.HELD_RUNNING)
+    holdings = orders.Holdings(PLACE.runner_id, (), (row,))
+    run(context, call(context.owner.dispatch.apply_holdings, context.owner.view, holdings, 2_000))
+
+
+@when("the owner checks its job after {time_ms:d} ms")
+def owner_checks(context, time_ms):
+    context.owner.timers.time_ms += time_ms
+    context.reads = context.store.reads
+    run(context, context.owner.ownership.check_due())
+    context.reads = context.store.reads - context.reads
+
+
+@then("it has read {count:d} rows, and the job goes on")
+def has_read(context, count):
+    assert context.reads == count, context.reads
+    assert JOB in context.owner.dispatch.jobs
+
+
+@when("another entry claims the job")
+def another_claims(context):
+    put = Put(open_row(JOB), dump_record(open_record(OWNER, 2, 2)))
+    context.store.apply(Transaction(puts=(put,)))
+
+
+@then("it has dropped the job, and has stopped no run")
+def dropped_unstopped(context):
+    assert JOB not in context.owner.dispatch.jobs
+    assert not context.owner.links.sent, context.owner.links.sent
+
+
+# An agent that is told of a cancellation.
+
+
+@given("an agent that runs a task of a stored job")
+def agent_runs(context):
+    base.new_agent(context)
+    base.join(context)
+    base.step(context)
+    base.step(context)
+    order_run(context)
+    assert len(context.controller.ledger.runs) == 1
+    context.link.stream.sent.clear()
+
+
+def order_run(context, attempt=1):
+    row = orders.OrderedRun(0, 0, attempt, 500, 10, 0, 100)
+    now_ms = context.timers.now_ms()
+    order = orders.StartOrder("i-1", JOB, 1, "{}", now_ms, True, (row,))
+    context.agent.orders.take(context.link, order)
+
+
+@when("another entry tells it that the job was cancelled")
+def tells_agent(context):
+    context.other_link = EntryLink("edge-2", base.ADDRESS)
+    message = orders.JobsCancelled((orders.JobEpoch(JOB, 2),))
+    context.agent.orders.take(context.other_link, message)
+
+
+@then("it stops the run, and has notified the owner before")
+def agent_stops(context):
+    assert context.stops, context.controller.ledger.runs
+    assert context.link.stream.sent == [orders.JobCancelled(JOB, 2)], context.link.stream.sent
+
+
+@when("the owner orders another run of the job")
+def orders_another(context):
+    context.link.stream.sent.clear()
+    order_run(context, attempt=2)
+
+
+@then("it starts nothing, and notifies the owner of the cancellation")
+def starts_nothing(context):
+    assert len(context.controller.ledger.runs) == 1
+    first = context.link.stream.sent[0]
+    assert first == orders.JobCancelled(JOB, 2), context.link.stream.sent
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -1039,6 +1039,7 @@
         self.failures = []
         self.away = False
         self.up = True
+        self.reads = 0
 
     async def transact(self, transaction):
         await asyncio.sleep(0)
@@ -1069,6 +1070,7 @@
         return self.rows.get(at) or Row(at, None, ABSENT)
 
     async def read_row(self, at):
+        self.reads += 1
         if self.away:
             raise StoreRejectedError("away")
         return self.rows.get(at)
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -107,8 +107,8 @@
     admission = SimpleNamespace(is_unschedulable=lambda *_: False, check_overload=lambda *_: None)
     context.front = JobApi(
         context.configuration, context.dispatch, acceptor, admission, context.callers,
-        SimpleNamespace(known_state=lambda _job: None), SimpleNamespace(up=True), context.lease,
-        context.log,
+        None, SimpleNamespace(known_state=lambda _job: None), SimpleNamespace(up=True),
+        context.lease, context.log,
     )  # fmt: skip
 
 
--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -145,7 +145,7 @@
     )
     context.front = JobApi(
         SimpleNamespace(current=SimpleNamespace(version=1)), dispatch, None, admission,
-        context.callers, SimpleNamespace(known_state=lambda _job: None),
+        context.callers, None, SimpleNamespace(known_state=lambda _job: None),
         SimpleNamespace(up=True), lease, SimpleNamespace(write=lambda *_a, **_k: None),
     )  # fmt: skip
     if state == "leaving":
--- a/src/gapdrum/agent/entry_orders.py
+++ b/src/gapdrum/agent/entry_orders.py
@@ -43,6 +43,7 @@
         self.shares = shares or RoomShares()
         self.zones = ZoneWatch(log)
         self._epochs: OrderedDict[str, int] = OrderedDict()
+        self._cancelled: OrderedDict[str, int] = OrderedDict()  # the epochs of cancelled jobs
 
     def take(self, link: EntryLink, message: object) -> None:
         """Handle one message of an entry."""
@@ -81,6 +82,8 @@
         self._notifier.outcomes.forget_ordered(link.owner, order)
         controller = self._controllers.get(order.runner_id)
         if self._epochs.get(order.job_id, 0) > order.epoch:
+            if order.job_id in self._cancelled:
+                link.send(orders.JobCancelled(order.job_id, self._cancelled[order.job_id]))
             refused = self._refuse_all(order, orders.JOB_SUPERSEDED)
         elif controller is None:
             refused = self._refuse_all(order, orders.RUNNER_GONE)
@@ -132,11 +135,7 @@
 
     def _apply_claims(self, link: EntryLink, message: orders.JobsClaimed) -> None:
         """Refuse lower epochs of the jobs from now on, and send the entry the jobs' runs here."""
-        for row in message.jobs:
-            if row.epoch > self._epochs.get(row.job_id, 0):
-                self._epochs[row.job_id] = row.epoch
-        while len(self._epochs) > MAX_REMEMBERED_EPOCHS:
-            self._epochs.popitem(last=False)
+        self._record_epochs(message.jobs)
         names = frozenset(row.job_id for row in message.jobs)
         epochs = {row.job_id: row.epoch for row in message.jobs}
         for controller in self._controllers.values():
@@ -146,6 +145,37 @@
                 held = controller.ledger.held_runs(names)
                 link.send(orders.Holdings(controller.runner_id, tuple(names), held))
 
+    def _record_epochs(self, jobs: tuple[orders.JobEpoch, ...]) -> None:
+        for row in jobs:
+            if row.epoch > self._epochs.get(row.job_id, 0):
+                self._epochs[row.job_id] = row.epoch
+        while len(self._epochs) > MAX_REMEMBERED_EPOCHS:
+            self._epochs.popitem(last=False)
+
+    def _apply_cancellations(self, _link: EntryLink, message: orders.JobsCancelled) -> None:
+        """Stop the runs of cancelled jobs, start none, and notify the owners of the runs.
+
+        An owner is notified before it learns that its runs have ended, or it would start them
+        again at another runner.
+        """
+        self._record_epochs(message.jobs)
+        epochs = {row.job_id: row.epoch for row in message.jobs}
+        self._cancelled.update(epochs)
+        while len(self._cancelled) > MAX_REMEMBERED_EPOCHS:
+            self._cancelled.popitem(last=False)
+        for controller in self._controllers.values():
+            runs = [
+                run
+                for run in controller.ledger.runs.values()
+                if run.durable and run.epoch < epochs.get(run.key.task.job_id, 0)
+            ]
+            for owner, job_id in {(run.owner, run.key.task.job_id) for run in runs}:
+                former = self._links.of_owner(owner)
+                if former is not None:
+                    former.send(orders.JobCancelled(job_id, epochs[job_id]))
+            for run in runs:
+                controller.starts.stop(run.key)
+
     def _notify_former_owners(
         self, controller: RunnerController, epochs: dict[str, int], owner: str
     ) -> None:
@@ -242,5 +272,6 @@
         orders.EndsStored: _apply_stored_ends,
         orders.LeasesEnded: _apply_ended_leases,
         orders.JobsClaimed: _apply_claims,
+        orders.JobsCancelled: _apply_cancellations,
         orders.AdoptRuns: _apply_adoption,
     }
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -130,9 +130,10 @@
 
     ``chain_ms`` is the stated work of its longest chain of steps: the sum of their estimates. A
     ``durable`` job has a row in the store, at ``version``, and another entry takes it over if this
-    one is lost. The caller of a non-durable job waits for its end and may submit it again: each
-    time gets its own ``submission``. ``begun`` is set once a run may have started, and ``ending``
-    is the final state from when it is known until it is stored and the job is dropped.
+    one is lost; ``confirmed_ms`` is when the row was last known to name this owner. The caller of a
+    non-durable job waits for its end and may submit it again: each time gets its own
+    ``submission``. ``begun`` is set once a run may have started, and ``ending`` is the final state
+    from when it is known until it is stored and the job is dropped.
     """
 
     job_id: str
@@ -163,6 +164,7 @@
     )
     unstored_ends: list[StoredEnd] = attrs.Factory(list)
     requeue_unknown_at_ms: int = 0  # when tasks that are still UNKNOWN are requeued, 0 if none is
+    confirmed_ms: int = 0
     caller_deadline_ms: int | None = None  # when its last caller stops waiting, if known
 
     @property
@@ -343,6 +345,7 @@
         tasks=tasks,
         by_name={task.name: task for task in tasks},
         least_cpu_milli=min(step.resources.cpu_milli for step in steps),
+        confirmed_ms=now_ms,
     )
 
 
--- a/src/gapdrum/core/orders.py
+++ b/src/gapdrum/core/orders.py
@@ -427,12 +427,24 @@
     owners: tuple[str, ...] = attrs.field(converter=tuple)
 
 
+@message(66)
+@attrs.frozen
+class JobsCancelled:
+    """From an entry to its agents: these jobs were cancelled in the store, under these epochs.
+
+    The agent stops their runs, starts none, and passes the cancellation on to the runs' owners.
+    """
+
+    jobs: tuple[JobEpoch, ...] = rows_field(JobEpoch, MAX_ROWS)
+
+
 @message(48)
 @attrs.frozen
 class JobCancelled:
-    """From one entry to another: the receiver's job was cancelled, under a higher epoch.
+    """To a job's owner: the job was cancelled at another entry, under a higher epoch.
 
-    It is the only message on its stream, which the receiver ends after reading it.
+    From an entry it is the only message on its stream, which the owner ends after reading it.
+    Agents send it on the owner's stream to them.
     """
 
     job_id: str = text_field()
--- /dev/null
+++ b/src/gapdrum/entry/ended_jobs.py
@@ -0,0 +1,158 @@
+"""The jobs that this entry knows to have ended, and what follows for their runs and ends."""
+
+from collections import OrderedDict
+
+import attrs
+
+from gapdrum.background import Background
+from gapdrum.core.dispatch import Dispatch
+from gapdrum.core.jobs import Job, Place
+from gapdrum.core.models import JobState, RunEnd, TaskName
+from gapdrum.core.orders import EndsStored, JobCancelled, JobEpoch, JobsCancelled, RunEvent
+from gapdrum.core.records import (
+    EndedJob,
+    ended_row,
+    entry_of_owner,
+    first_attempt,
+    load_record,
+    open_row,
+)
+from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.peer_notifier import PeerNotifier
+from gapdrum.entry.store_access import StoreAccess
+from gapdrum.event_log import EventLog
+from gapdrum.exceptions import StoreError
+
+MAX_REMEMBERED_ENDS = 20_000  # 2 minutes at 150 jobs a second
+MAX_UNOWNED_LOOKUPS = 16  # at a time; further ends are looked up later
+
+
+@attrs.frozen
+class KnownEnd:
+    """An ended job, and the attempts that count for the tasks among its restarts."""
+
+    record: EndedJob
+    attempts: dict[tuple[int, int], int]
+
+    def counted_attempt(self, step: int, index: int) -> int:
+        """Return the attempt that counts for a task, 0 if any may count."""
+        epoch = self.record.counted_epoch
+        return self.attempts.get((step, index), first_attempt(epoch) if epoch else 0)
+
+
+class EndedJobs:
+    """Remembers ended jobs, stops what is left of them, and acknowledges the ends of their runs.
+
+    An entry learns that a job has ended in several ways: by the answer to its own write, by a
+    read, by a conflict or by a message. Each leads to ``apply``, as an answer may get lost.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        store: StoreAccess,
+        dispatch: Dispatch,
+        links: AgentLinks,
+        peers: PeerNotifier,
+        log: EventLog,
+    ) -> None:
+        self._instance = instance
+        self._store = store
+        self._dispatch = dispatch
+        self._links = links
+        self._peers = peers
+        self._log = log
+        self._known: OrderedDict[str, KnownEnd] = OrderedDict()
+        self._background = Background(log)
+        self._lookups: set[str] = set()
+
+    def known_state(self, job_id: str) -> JobState | None:
+        """Return the final state of a job that this entry knows to have ended."""
+        known = self._known.get(job_id)
+        return known.record.job_state if known is not None else None
+
+    def remember(self, job_id: str, record: EndedJob) -> None:
+        """Keep the record of an ended job in memory; the oldest ones are dropped."""
+        attempts = {(row.step, row.index): row.attempt for row in record.restarts}
+        self._known[job_id] = KnownEnd(record, attempts)
+        while len(self._known) > MAX_REMEMBERED_ENDS:
+            self._known.popitem(last=False)
+
+    def apply(self, job_id: str, record: EndedJob) -> None:
+        """Apply a job's stored end; repeating it does no harm.
+
+        If this entry runs the job, it stops the runs. If the job was cancelled by another entry
+        than its owner, the first call notifies the owner and the agents, as any of them may not
+        have been notified before.
+        """
+        is_new = job_id not in self._known
+        self.remember(job_id, record)
+        job = self._dispatch.jobs.get(job_id)
+        # The owner that has stored the record itself completes the job with the answer.
+        if job is not None and (record.owner, record.epoch) != (job.owner, job.epoch):
+            self._drop_job(job)
+        if is_new and record.job_state is JobState.CANCELLED and not record.counted_epoch:
+            self._links.broadcast(JobsCancelled((JobEpoch(job_id, record.epoch),)))
+            if entry_of_owner(record.owner) != self._instance:
+                self._peers.notify_cancelled(record.owner, job_id, record.epoch)
+
+    def apply_cancellation(self, cancelled: JobCancelled) -> None:
+        """Apply the message of a peer or an agent that a job was cancelled in the store."""
+        if cancelled.job_id not in self._known:
+            state = JobState.CANCELLED.value
+            self.remember(cancelled.job_id, EndedJob("", state, "", cancelled.epoch, ()))
+        self._dispatch.cancel_job(cancelled)
+
+    def _drop_job(self, job: Job) -> None:
+        if job.durable:
+            self._dispatch.stop_runs(job)
+            self._dispatch.drop_job(job.job_id, "ended_elsewhere")
+
+    # Ends of runs whose job is not open here: peers own it, or it has ended.
+
+    def resolve_unowned_end(self, place: Place, event: RunEvent) -> None:
+        """Acknowledge a run's end if its job has ended; read the job's rows if that is unknown."""
+        job_id = TaskName.parse(event.task).job_id
+        known = self._known.get(job_id)
+        if known is not None:
+            self._acknowledge_end(place, event, known)
+        elif job_id not in self._lookups and len(self._lookups) < MAX_UNOWNED_LOOKUPS:
+            self._lookups.add(job_id)
+            self._background.spawn(self._resolve_in_store(place, event, job_id))
+
+    async def _resolve_in_store(self, place: Place, event: RunEvent, job_id: str) -> None:
+        try:
+            # The open row is read first: a job moves to the ended table, never back.
+            opened = await self._store.read_row(open_row(job_id))
+            ended = await self.read(job_id)
+        except StoreError as error:
+            self._log.write("lookup_failed", request=job_id, code=error.code)
+            return
+        finally:
+            self._lookups.discard(job_id)
+        if ended is not None:
+            self._acknowledge_end(place, event, self._known[job_id])
+        elif opened is None:
+            self._dispatch.acknowledge_ends(place, (event.end_number,))
+
+    async def read(self, job_id: str) -> EndedJob | None:
+        """Read and apply the record of an ended job, None if there is none; raises StoreError."""
+        row = await self._store.read_row(ended_row(job_id))
+        if row is None:
+            return None
+        record = load_record(row.value, EndedJob)
+        self.apply(job_id, record)
+        return record
+
+    def _acknowledge_end(self, place: Place, event: RunEvent, known: KnownEnd) -> None:
+        """Acknowledge a run's end; a success whose task was run again, only as superseded.
+
+        The agent then lets the runner's lease lapse first, so that the end does not count.
+        """
+        name = TaskName.parse(event.task)
+        counted_attempt = known.counted_attempt(name.step, name.index)
+        if event.detail == RunEnd.DONE.value and counted_attempt > event.attempt:
+            message = EndsStored(place.runner_id, (), (event.end_number,))
+            self._links.send(place.agent, message)
+        else:
+            self._dispatch.acknowledge_ends(place, (event.end_number,))
--- a/src/gapdrum/entry/job_api.py
+++ b/src/gapdrum/entry/job_api.py
@@ -9,10 +9,11 @@
 from gapdrum.core.jobs import Job, longest_chain_ms
 from gapdrum.core.models import JobState
 from gapdrum.core.planned_shutdown import PlannedShutdown
-from gapdrum.core.records import EndedJob, ended_row, load_record, open_row
+from gapdrum.core.records import open_row
 from gapdrum.entry.acceptance import Acceptance, Acceptor
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.job_ends import JobEndRecorder
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.refusal_counts import RefusalCounts
@@ -53,6 +54,7 @@
         admission: Admission,
         callers: WaitingCallers,
         job_ends: JobEndRecorder,
+        ended_jobs: EndedJobs,
         store: StoreAccess,
         lease: Lease,
         log: EventLog,
@@ -63,6 +65,7 @@
         self._admission = admission
         self._callers = callers
         self._job_ends = job_ends
+        self._ended_jobs = ended_jobs
         self._store = store
         self._lease = lease
         self._log = log
@@ -144,7 +147,7 @@
             configuration=self._configuration.current.version,
         )
         job = decode_job(request.body)
-        known = job_id in self._dispatch.jobs or self._job_ends.known_state(job_id) is not None
+        known = job_id in self._dispatch.jobs or self._ended_jobs.known_state(job_id) is not None
         if known and not job.answered_at_end:
             self._log.write("job_known", request=job_id, queue=queue.name, store_ms=0)
             return json_response(200, {})
@@ -233,7 +236,7 @@
     # Queries.
 
     async def _show(self, job_id: str) -> HttpResponse:
-        state = self._job_ends.known_state(job_id)
+        state = self._ended_jobs.known_state(job_id)
         if state is None:
             state = await self._find_state(job_id)
         if state is None:
@@ -248,12 +251,8 @@
         opened = await self._store.read_row(open_row(job_id))
         if opened is not None:
             return JobState.RUNNING
-        ended = await self._store.read_row(ended_row(job_id))
-        if ended is None:
-            return None
-        record = load_record(ended.value, EndedJob)
-        self._job_ends.remember(job_id, record)
-        return record.job_state
+        record = await self._ended_jobs.read(job_id)
+        return None if record is None else record.job_state
 
     # Cancellation.
 
@@ -276,7 +275,7 @@
         raise StoreError("the cancellation could not be settled")
 
     def _has_ended(self, job_id: str) -> bool:
-        return self._job_ends.known_state(job_id) is not None or self._callers.has_ended(job_id)
+        return self._ended_jobs.known_state(job_id) is not None or self._callers.has_ended(job_id)
 
     async def _end_cancelled(self, job: Job) -> None:
         if job.durable:
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -1,15 +1,11 @@
 """Stores the final state of jobs, and the progress of long jobs."""
 
 import asyncio
-from collections import OrderedDict
-
-import attrs
 
 from gapdrum.background import Background
 from gapdrum.core.dispatch import Dispatch
-from gapdrum.core.jobs import Job, Place
-from gapdrum.core.models import JobState, RunEnd, TaskName
-from gapdrum.core.orders import EndsStored, JobEpoch, JobsClaimed, RunEvent
+from gapdrum.core.jobs import Job
+from gapdrum.core.models import JobState
 from gapdrum.core.records import (
     EndedJob,
     OpenJob,
@@ -23,12 +19,11 @@
     progress_row,
 )
 from gapdrum.core.rows import ABSENT, Committed, Conflict, Expectation, Put, Row, Transaction
+from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
-from gapdrum.entry.links import AgentLinks
-from gapdrum.entry.peer_notifier import PeerNotifier
-from gapdrum.entry.store_access import StoreAccess
+from gapdrum.entry.ownership import OwnershipChecker
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError
+from gapdrum.exceptions import StoreError, StoreOutcomeUnknownError
 from gapdrum.timers import MS_PER_S, Timers
 
 RETRY_INTERVAL_MS = 200
@@ -37,58 +32,29 @@
 # that are unstored for ``PROGRESS_DELAY_MS`` are stored as progress; a job that ends sooner stores
 # them with its final state.
 PROGRESS_DELAY_MS = 1_200
-MAX_REMEMBERED_ENDS = 20_000  # 2 minutes at 150 jobs a second
-MAX_UNOWNED_LOOKUPS = 16  # at a time; further ends are looked up later
-
-
-@attrs.frozen
-class KnownEnd:
-    """An ended job, and the attempts that count for the tasks among its restarts."""
-
-    record: EndedJob
-    attempts: dict[tuple[int, int], int]
-
-    def counted_attempt(self, step: int, index: int) -> int:
-        """Return the attempt that counts for a task, 0 if any may count."""
-        epoch = self.record.counted_epoch
-        return self.attempts.get((step, index), first_attempt(epoch) if epoch else 0)
+# For so long an entry looks for the outcome of a cancellation whose answer was lost.
+CANCELLATION_LOOKUPS = 25
 
 
 class JobEndRecorder:
-    """Moves ended jobs to the ended table, and acknowledges the ends of their runs to agents."""
+    """Moves ended jobs to the ended table, and stores the progress of open ones."""
 
     def __init__(
         self,
-        store: StoreAccess,
         writer: GroupCommitWriter,
         dispatch: Dispatch,
-        links: AgentLinks,
-        peers: PeerNotifier,
+        ended_jobs: EndedJobs,
+        ownership: OwnershipChecker,
         timers: Timers,
         log: EventLog,
     ) -> None:
-        self._store = store
         self._writer = writer
-        self._peers = peers
         self._dispatch = dispatch
-        self._links = links
+        self._ended_jobs = ended_jobs
+        self._ownership = ownership
         self._timers = timers
         self._log = log
-        self._known: OrderedDict[str, KnownEnd] = OrderedDict()
         self._background = Background(log)
-        self._lookups: set[str] = set()
-
-    def known_state(self, job_id: str) -> JobState | None:
-        """Return the final state of a job that this entry knows to have ended."""
-        known = self._known.get(job_id)
-        return known.record.job_state if known is not None else None
-
-    def remember(self, job_id: str, record: EndedJob) -> None:
-        """Keep the record of an ended job in memory; the oldest ones are dropped."""
-        attempts = {(row.step, row.index): row.attempt for row in record.restarts}
-        self._known[job_id] = KnownEnd(record, attempts)
-        while len(self._known) > MAX_REMEMBERED_ENDS:
-            self._known.popitem(last=False)
 
     # Jobs that this entry owns.
 
@@ -101,9 +67,9 @@
         record = EndedJob(
             job.queue, job.ending.value, job.owner, job.epoch, _restarts(job), job.epoch
         )
-        transaction = _ending(job.job_id, job.version, record, job.has_progress_row)
         began_ms = self._timers.now_ms()
         while self._dispatch.jobs.get(job.job_id) is job:
+            transaction = _ending(job.job_id, job.version, record, job.has_progress_row)
             try:
                 result = await self._writer.write(job_part(job.job_id), transaction)
             except StoreError as error:
@@ -113,8 +79,7 @@
             if isinstance(result, Committed) or _is_own_write(result, record):
                 self._complete_job(job, record, began_ms)
                 return True
-            self._dispatch.drop_job(job.job_id, "row_changed_by_another")
-            return False
+            await self._ownership.settle(job)
         return False
 
     def _complete_job(self, job: Job, record: EndedJob, began_ms: int) -> None:
@@ -128,7 +93,7 @@
             total_ms=now_ms - job.accepted_ms,
             objective_ms=job.objective_ms,
         )
-        self.remember(job.job_id, record)
+        self._ended_jobs.remember(job.job_id, record)
         self._dispatch.acknowledge_stored_ends(job, list(job.unstored_ends))
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job.job_id, "ended")
@@ -162,71 +127,43 @@
             return
         if isinstance(result, Conflict):
             if job.ending is None:
-                self._dispatch.drop_job(job.job_id, "row_changed_by_another")
+                await self._ownership.settle(job)
             return
         self._log.write("progress_stored", request=job.job_id, ends=len(ends))
         self._dispatch.acknowledge_stored_ends(job, ends)
 
-    # Jobs that are not open at this entry: peers own them, or they have ended.
+    # Jobs that peers own.
 
     async def cancel_unowned(self, job_id: str, row: Row) -> bool:
         """Cancel an open job that a peer owns, in the store; raises StoreError.
 
-        Returns False if the row has changed meanwhile and must be read again.
+        Returns False if the row has changed meanwhile and must be read again. If the answer is
+        lost, the outcome is looked up later, as runs must be stopped also if the caller does not
+        repeat its call.
         """
         found = load_record(row.value, OpenJob)
         record = EndedJob(found.queue, JobState.CANCELLED.value, found.owner, found.epoch + 1, ())
         transaction = _ending(job_id, row.version, record, True)
-        result = await self._writer.write(job_part(job_id), transaction)
+        try:
+            result = await self._writer.write(job_part(job_id), transaction)
+        except StoreOutcomeUnknownError:
+            self._background.spawn(self._look_up_cancellation(job_id))
+            raise
         if isinstance(result, Conflict) and not _is_own_write(result, record):
             return False
         self._log.write("job_cancelled", request=job_id, owner=found.owner, epoch=record.epoch)
-        self.remember(job_id, record)
-        # Agents refuse lower epochs of the job from now on, and tell the
-        # owner of runs that they hold of it that it is lost.
-        self._links.broadcast(JobsClaimed((JobEpoch(job_id, record.epoch),)))
-        self._peers.notify_cancelled(found.owner, job_id, record.epoch)
+        self._ended_jobs.apply(job_id, record)
         return True
 
-    def resolve_unowned_end(self, place: Place, event: RunEvent) -> None:
-        """Acknowledge a run's end if its job has ended; read the job's rows if that is unknown."""
-        job_id = TaskName.parse(event.task).job_id
-        known = self._known.get(job_id)
-        if known is not None:
-            self._acknowledge_end(place, event, known)
-        elif job_id not in self._lookups and len(self._lookups) < MAX_UNOWNED_LOOKUPS:
-            self._lookups.add(job_id)
-            self._background.spawn(self._resolve_in_store(place, event, job_id))
-
-    async def _resolve_in_store(self, place: Place, event: RunEvent, job_id: str) -> None:
-        try:
-            # The open row is read first: a job moves to the ended table, never back.
-            opened = await self._store.read_row(open_row(job_id))
-            ended = await self._store.read_row(ended_row(job_id))
-            if ended is not None:
-                self.remember(job_id, load_record(ended.value, EndedJob))
-        except StoreError as error:
-            self._log.write("lookup_failed", request=job_id, code=error.code)
-            return
-        finally:
-            self._lookups.discard(job_id)
-        if ended is not None:
-            self._acknowledge_end(place, event, self._known[job_id])
-        elif opened is None:
-            self._dispatch.acknowledge_ends(place, (event.end_number,))
-
-    def _acknowledge_end(self, place: Place, event: RunEvent, known: KnownEnd) -> None:
-        """Acknowledge a run's end; a success whose task was run again, only as superseded.
-
-        The agent then lets the runner's lease lapse first, so that the end does not count.
-        """
-        name = TaskName.parse(event.task)
-        counted_attempt = known.counted_attempt(name.step, name.index)
-        if event.detail == RunEnd.DONE.value and counted_attempt > event.attempt:
-            message = EndsStored(place.runner_id, (), (event.end_number,))
-            self._links.send(place.agent, message)
-        else:
-            self._dispatch.acknowledge_ends(place, (event.end_number,))
+    async def _look_up_cancellation(self, job_id: str) -> None:
+        """Read whether a job has ended until it has; a cancellation may take effect late."""
+        for _ in range(CANCELLATION_LOOKUPS):
+            try:
+                if await self._ended_jobs.read(job_id) is not None:
+                    return
+            except StoreError as error:
+                self._log.write("lookup_failed", request=job_id, code=error.code)
+            await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
 
 
 def _ending(job_id: str, version: int, record: EndedJob, has_progress: bool) -> Transaction:
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -36,6 +36,7 @@
         self.zones = ZoneWatch(log)
         self.follows_table: Callable[[], bool] = lambda: False
         self.configuration_value: Callable[[], bytes | None] = lambda: None
+        self.on_cancelled: Callable[[orders.JobCancelled], None] = self._cancel_job
 
     @property
     def connected(self) -> int:
@@ -79,7 +80,7 @@
         messages = aiter(stream)
         greeting = await anext(messages, None)
         if isinstance(greeting, orders.JobCancelled):
-            self.dispatch.cancel_job(greeting)
+            self.on_cancelled(greeting)
             return
         if isinstance(greeting, orders.ConfigurationAsked):
             self._send_configuration(stream)
@@ -142,6 +143,8 @@
             dispatch.apply_holdings(view, message, now_ms)
         elif isinstance(message, orders.JobLost):
             dispatch.drop_claimed_job(message)
+        elif isinstance(message, orders.JobCancelled):
+            self.on_cancelled(message)
         elif isinstance(message, orders.ZoneDrainsTold):
             self.zones.apply_from_peer(message, source=view.agent)
         elif isinstance(message, orders.AgentLeaving):
@@ -150,6 +153,9 @@
         else:
             raise FrameError(f"unexpected message {type(message).__name__}")
 
+    def _cancel_job(self, cancelled: orders.JobCancelled) -> None:
+        self.dispatch.cancel_job(cancelled)
+
     def close_silent_streams(self) -> None:
         """Close streams on which no AgentBeat came for ``STREAM_TIMEOUT_MS``."""
         limit_ms = self._timers.now_ms() - STREAM_TIMEOUT_MS
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -18,11 +18,14 @@
 from gapdrum.entry.acceptance import Acceptor
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
 from gapdrum.entry.job_api import JobApi
 from gapdrum.entry.job_ends import PROGRESS_INTERVAL_MS, JobEndRecorder
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.ownership import CHECK_INTERVAL_MS as OWNERSHIP_INTERVAL_MS
+from gapdrum.entry.ownership import OwnershipChecker
 from gapdrum.entry.peer_configuration import FETCH_INTERVAL_MS, PeerConfigurationFetcher
 from gapdrum.entry.peer_notifier import PeerNotifier
 from gapdrum.entry.queue_demand import QUEUE_DEMAND_INTERVAL_MS, QueueDemandPublisher
@@ -97,8 +100,12 @@
         )
         self.queue_demand = QueueDemandPublisher(self.links, self.dispatch.placer, timers)
         peers = PeerNotifier(self.store, self.background, log, self.sent, self.received)
+        self.ended_jobs = EndedJobs(
+            boot.instance, self.store, self.dispatch, self.links, peers, log
+        )
+        self.ownership = OwnershipChecker(self.store, self.dispatch, self.ended_jobs, timers, log)
         self.job_ends = JobEndRecorder(
-            self.store, self.writer, self.dispatch, self.links, peers, timers, log
+            self.writer, self.dispatch, self.ended_jobs, self.ownership, timers, log
         )
         self.reach = Reach()
         self.acceptor = Acceptor(
@@ -123,7 +130,7 @@
             self.dispatch,
             self.links,
             self.acceptor,
-            self.job_ends,
+            self.ended_jobs,
             self.configuration,
             self.timers,
             self.log,
@@ -137,6 +144,7 @@
             Admission(self.dispatch.placer, self.timers, self.lease.peer_views),
             self.callers,
             self.job_ends,
+            self.ended_jobs,
             self.store,
             self.lease,
             self.log,
@@ -178,6 +186,7 @@
         self.links.owner = lambda: self.lease.owner
         self.links.former_owners = lambda: tuple(self.lease.former_owners)
         self.links.holds_lease = lambda: self.lease.valid
+        self.links.on_cancelled = self.ended_jobs.apply_cancellation
         self.links.pending_claims = self.takeover.pending_claims
         self.links.zones = self.zones
         self.links.follows_table = lambda: self.operators.is_current
@@ -201,11 +210,11 @@
 
     def on_unowned_end(self, place: Place, event: orders.RunEvent) -> None:
         """Handle the end of a run whose job is not open at this entry."""
-        self.job_ends.resolve_unowned_end(place, event)
+        self.ended_jobs.resolve_unowned_end(place, event)
 
     def has_ended(self, job_id: str) -> bool:
         """Return whether a job is known to have ended."""
-        return self.job_ends.known_state(job_id) is not None
+        return self.ended_jobs.known_state(job_id) is not None
 
     def schedule_placement(self) -> None:
         """Schedule one placement of waiting tasks, after the event loop's present callbacks."""
@@ -229,6 +238,11 @@
     # Events.
 
     def _add_accepted_job(self, job: Job) -> None:
+        if self.has_ended(job.job_id):  # cancelled elsewhere before its insertion was answered
+            self.log.write(
+                "job_dropped", request=job.job_id, epoch=job.epoch, reason="ended_elsewhere"
+            )
+            return
         self.dispatch.add_job(job, self.timers.now_ms())
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -333,6 +347,7 @@
         self.timers.subscribe(REACH_INTERVAL_MS, self._adjust_reach)
         self.timers.subscribe(QUEUE_DEMAND_INTERVAL_MS, self.queue_demand.publish)
         self.timers.subscribe(TAKEOVER_INTERVAL_MS, self.takeover.scan_if_due)
+        self.timers.subscribe(OWNERSHIP_INTERVAL_MS, self.ownership.check_due)
         self.timers.subscribe(PROGRESS_INTERVAL_MS, self.job_ends.store_progress)
         self.log.write("started", role="entry", zone=boot.zone, life=self.lease.incarnation)
         await stopping.wait()
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -22,8 +22,8 @@
 from gapdrum.core.subsets import SUCCESSION_MS, choose_successors
 from gapdrum.entry.acceptance import Acceptor, build_queue_job
 from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
-from gapdrum.entry.job_ends import JobEndRecorder
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.links import AgentLinks
 from gapdrum.entry.store_access import StoreAccess
@@ -52,7 +52,7 @@
         dispatch: Dispatch,
         links: AgentLinks,
         acceptor: Acceptor,
-        job_ends: JobEndRecorder,
+        ended_jobs: EndedJobs,
         configuration: ConfigurationWatch,
         timers: Timers,
         log: EventLog,
@@ -63,7 +63,7 @@
         self._dispatch = dispatch
         self._links = links
         self._acceptor = acceptor
-        self._job_ends = job_ends
+        self._ended_jobs = ended_jobs
         self._configuration = configuration
         self._timers = timers
         self._log = log
@@ -133,7 +133,7 @@
         return (
             job_id in self._dispatch.jobs
             or self._acceptor.is_insert_pending(job_id)
-            or self._job_ends.known_state(job_id) is not None
+            or self._ended_jobs.known_state(job_id) is not None
         )
 
     async def _claim(self, part: str, rows: list[Row]) -> None:
@@ -162,6 +162,8 @@
     def _add_claimed_job(
         self, job_id: str, record: OpenJob, version: int, progress: Row | None
     ) -> None:
+        if self._ended_jobs.known_state(job_id) is not None:
+            return  # cancelled elsewhere since the claim
         now_ms = self._timers.now_ms()
         queue = self._configuration.current.queue_named(record.queue)
         job = build_queue_job(job_id, record, version, queue, now_ms)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -240,7 +240,7 @@
 _add("end_unsettled", "It is unknown whether the store holds the job's end.", "request", "code")
 _add("progress_stored", "Ends of tasks of a long job are stored.", "request", "ends")
 _add("progress_unsettled", "Ends of tasks of a long job could not be stored.", "request", "code")
-_add("lookup_failed", "The state of another owner's job could not be read.", "request", "code")
+_add("lookup_failed", "The rows of a job could not be read.", "request", "code")
 
 # Tasks.
 _add(
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -11,6 +11,9 @@
 
 ENDS = ("done", "failed", "stopped", "lapsed")
 NS_PER_MS = 1_000_000
+# The platform requires a cancelled job to start nothing after 4 s (its ``cancel_ms``) and to have
+# stopped 50 ms later (``stop_ms``), and allows processes 4 s (``contact_ms``) after a fault.
+CANCEL_MS, STOP_MS, CONTACT_MS = 4_000, 50, 4_000
 
 
 @attrs.define
@@ -117,6 +120,25 @@
     ]
 
 
+def find_uncancelled(
+    histories: list[list[dict]],
+    cancelled_ns: dict[str, int],
+    killed_ns: dict[int, int],
+    limit_ms: int = CANCEL_MS + STOP_MS + CONTACT_MS,
+) -> list[str]:
+    """Return the runs of cancelled jobs that were active ``limit_ms`` after the acknowledgement.
+
+    ``cancelled_ns`` has the time of the acknowledgement of each cancelled job.
+    """
+    return [
+        f"cancelled: {run.task} {run.describe()}, acknowledged "
+        f"{(run.ended_ns - cancelled_ns[_job_id(run.task)]) / NS_PER_MS:.0f} ms before its end"
+        for history in histories
+        for run in list_runs(history, killed_ns)
+        if run.ended_ns > cancelled_ns.get(_job_id(run.task), math.inf) + limit_ms * NS_PER_MS
+    ]
+
+
 def find_earlier_ends(entry_lines: list[dict], histories: list[list[dict]]) -> list[str]:
     """Return the ends that an entry counted for a submission that began after them.
 
