Keep a late write of progress from replacing a newer one

Cause: a write of a job's progress had a condition on the open row only, whose version does not change while the owner stays. A write that the store executed late, after the owner had given it up, replaced a newer one whose ends had been acknowledged. It has a condition on the progress row's version as well now. On a conflict there the owner takes the new version, which only an earlier write of its own can have made, and writes again.

It works as of two writes with the same condition only one takes effect, and the owner acknowledges ends only of a write that was answered.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -100,3 +100,13 @@
     Then it stops the run, and has notified the owner before
     When the owner orders another run of the job
     Then it starts nothing, and notifies the owner of the cancellation
+
+  # Guards against tasks that are done again after a takeover: a write of progress that took effect late
+  # replaced a newer one, whose ends had been acknowledged.
+  Scenario: a write of progress that takes effect late does not replace a newer one
+    Given an entry that owns a job of 3 tasks, one of them at work
+    When the first task ends, and the store executes the write of that late
+    And the second task ends, and the store answers
+    And the store executes the first write
+    Then the progress in the store has 2 tasks that are done
+    And the agent may acknowledge both ends
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -23,6 +23,7 @@
     ended_row,
     load_record,
     open_row,
+    progress_row,
     step_row,
 )
 from gapdrum.core.rows import Put, Transaction
@@ -233,11 +234,11 @@
 # Jobs that are cancelled at another entry than their owner.
 
 
-@given("an entry that owns a job of 2 tasks, one of them at work")
-def owns_job(context):
+@given("an entry that owns a job of {tasks:d} tasks, one of them at work")
+def owns_job(context, tasks):
     context.store = FakeStore()
     context.owner = context.entry = entry = StoredJobsEntry(context.store, "edge-1")
-    job = own_job(context, FORMER, 1, tasks=2)
+    job = own_job(context, FORMER, 1, tasks)
     task = job.tasks[0]
     task.attempt, task.phase = 1, TaskPhase.RUNNING
     task.assign_place(PLACE)
@@ -396,3 +397,58 @@
     assert len(context.controller.ledger.runs) == 1
     first = context.link.stream.sent[0]
     assert first == orders.JobCancelled(JOB, 2), context.link.stream.sent
+
+
+# Writes that take effect late.
+
+
+def end_task(context, index):
+    """Let a task of the job end as done, and its end be stored as progress."""
+    owner = context.owner
+    task = context.job.tasks[index]
+    task.attempt, task.phase = 1, TaskPhase.RUNNING
+    task.assign_place(PLACE)
+    number = index + 1
+    event = orders.RunEvent(task.name.text, 1, 1, orders.ENDED, "done", end_number=number)
+    run(context, call(owner.report, event))
+    owner.timers.time_ms += PROGRESS_DELAY_MS
+    run(context, owner.recorder.store_progress())
+
+
+@when("the first task ends, and the store executes the write of that late")
+def first_ends(context):
+    store = context.store
+
+    async def execute_late(transaction):
+        context.late = transaction
+        raise StoreOutcomeUnknownError("lost")
+
+    with patch.object(store, "transact", execute_late):
+        end_task(context, 0)
+
+
+@when("the second task ends, and the store answers")
+def second_ends(context):
+    end_task(context, 1)
+
+
+@when("the store executes the first write")
+def execute_first(context):
+    context.store.apply(context.late)
+
+
+@then("the progress in the store has {count:d} tasks that are done")
+def progress_done(context, count):
+    record = load_record(context.store.row(progress_row(JOB)).value, JobProgress)
+    assert sum(row.done for row in record.tasks) == count, record
+
+
+@then("the agent may acknowledge both ends")
+def both_acknowledged(context):
+    numbers = {
+        number
+        for _, message in context.owner.links.sent
+        if isinstance(message, orders.EndsStored)
+        for number in message.numbers
+    }
+    assert numbers == {1, 2}, context.owner.links.sent
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -13,6 +13,7 @@
     first_attempt,
     task_name,
 )
+from gapdrum.core.rows import ABSENT
 
 # A job that ends after this many times its objective has no value to its caller.
 LATE_FACTOR = 3
@@ -159,6 +160,7 @@
     begun: bool = False
     ending: JobState | None = None
     has_progress_row: bool = False
+    progress_version: int = ABSENT  # of the row with its progress
     unstored_progress_since_ms: int = (
         0  # since when there is progress that is not stored, 0 if none is
     )
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -112,8 +112,13 @@
     async def _store_job_progress(self, job: Job) -> None:
         job.unstored_progress_since_ms = 0
         ends = list(job.unstored_ends)
+        # The condition on the progress row keeps a write that takes effect late from replacing a
+        # newer one, whose ends have been acknowledged.
         transaction = Transaction(
-            expectations=(Expectation(open_row(job.job_id), job.version),),
+            expectations=(
+                Expectation(open_row(job.job_id), job.version),
+                Expectation(progress_row(job.job_id), job.progress_version),
+            ),
             puts=(Put(progress_row(job.job_id), dump_record(job.progress())),),
         )
         job.has_progress_row = True
@@ -126,12 +131,21 @@
             )
             return
         if isinstance(result, Conflict):
-            if job.ending is None:
-                await self._ownership.settle(job)
+            await self._resolve_progress_conflict(job, result)
             return
+        job.progress_version = result.version
         self._log.write("progress_stored", request=job.job_id, ends=len(ends))
         self._dispatch.acknowledge_stored_ends(job, ends)
 
+    async def _resolve_progress_conflict(self, job: Job, conflict: Conflict) -> None:
+        """Write again over an earlier write of this owner, or find out who has changed the job."""
+        versions = {row.at: row.version for row in conflict.rows if row.value is not None}
+        if versions.get(open_row(job.job_id)) == job.version:
+            job.progress_version = versions.get(progress_row(job.job_id), ABSENT)
+            job.unstored_progress_since_ms = self._timers.now_ms() - PROGRESS_DELAY_MS
+        elif job.ending is None:
+            await self._ownership.settle(job)
+
     # Jobs that peers own.
 
     async def cancel_unowned(self, job_id: str, row: Row) -> bool:
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -172,6 +172,7 @@
             task.phase = TaskPhase.UNKNOWN
         if progress is not None:
             job.has_progress_row = True
+            job.progress_version = progress.version
             try:
                 job.restore(load_record(progress.value, JobProgress))
             except RecordError as error:
