Store that an attempt is abandoned before its task starts again

Cause: a new owner does not know how often a task was started, and took the first end that it heard of for one of the last attempt. An owner that gives up a run which may have ended now stores that attempt as abandoned in the job's progress before it starts the task again; so does a new owner that was told nothing of a task in time. Ends of abandoned attempts are superseded for a new owner.

Evidence: four scenarios of ended_jobs.feature failed before ("StartOrder(... attempt=2 ...)" at once; the end of attempt 1 counted). Two scenarios of platform_core.feature ordered the next attempt at once; their step now asserts that nothing is ordered until the attempts are stored, and then that it is, so they check more than before.

It works as an attempt that is not stored as abandoned is the last one that was started, or a later one was started only after an end that can't count.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -110,3 +110,33 @@
     And the store executes the first write
     Then the progress in the store has 2 tasks that are done
     And the agent may acknowledge both ends
+
+  # Guards against work that is done twice after a takeover: a task's first run ended unseen at an agent
+  # that was cut off, the owner started it again elsewhere, and the next owner heard of the first end.
+  Scenario: a task that may have been done at a lost agent is started again once that attempt is stored
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    Then attempt 2 of the task is not ordered
+    When the entry stores the progress of the job
+    Then attempt 2 of the task is ordered
+
+  Scenario Outline: a new owner counts no attempt that the former one had abandoned
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And another entry takes the job over and is sent the end "done" of attempt <attempt>
+    Then the agent learns that the end <told>
+
+    Examples:
+      | attempt | told              |
+      | 1       | was superseded    |
+      | 2       | is not needed yet |
+
+  Scenario: a new owner that was told nothing of a task abandons the attempts of former owners
+    Given an entry that has taken over a job whose task may be at work
+    When nobody has told of the task in time, and an agent has room
+    Then attempt 1001 of the task is not ordered
+    When the entry stores the progress of the job
+    Then attempt 1001 of the task is ordered
+    When another entry takes the job over and is sent the end "done" of attempt 1
+    Then the agent learns that the end was superseded
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -15,6 +15,7 @@
 from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import Place, TaskPhase, build_job
 from gapdrum.core.models import JobState, Resources, RunEnd, Step
+from gapdrum.core.placer import TRY_INTERVAL_MS
 from gapdrum.core.records import (
     EndedJob,
     JobProgress,
@@ -27,6 +28,7 @@
     step_row,
 )
 from gapdrum.core.rows import Put, Transaction
+from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.entry import job_ends
 from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
@@ -452,3 +454,97 @@
         for number in message.numbers
     }
     assert numbers == {1, 2}, context.owner.links.sent
+
+
+# Attempts that were abandoned.
+
+
+@when("its agent is lost, and another one has room")
+def agent_lost(context):
+    entry = context.entry
+    report_runner(entry, entry.view, "i-1")
+    runner = entry.dispatch.fleet.runners[PLACE]
+    runner.out.add(context.job.tasks[0])
+    entry.timers.time_ms += SILENCE_LIMIT_MS + 1
+    run(context, call(entry.dispatch.expire_silent, entry.timers.now_ms()))
+    add_room(context)
+
+
+def add_room(context):
+    entry = context.entry
+    greeting = orders.AgentGreeting("side-2", "life-1", "plaine-nord", 1)
+    view = entry.dispatch.fleet.agent_joined(greeting, entry.timers.now_ms())
+    report_runner(entry, view, "i-2")
+    place(context)
+
+
+def report_runner(entry, view, runner_id):
+    now_ms = entry.timers.now_ms()
+    view.heard_ms = now_ms
+    report = orders.RunnerReport(runner_id, "inspect-desk", orders.READY, (), 4_000, 4_000, 0)
+    entry.dispatch.apply_report(view, report, now_ms)
+    entry.dispatch.apply_room(view, orders.RoomReport(runner_id, 4_000, 4_000, 0, 0, 0))
+    entry.dispatch.fleet.runners[Place(view.agent, runner_id)].synced = True
+
+
+def place(context):
+    entry = context.entry
+    entry.timers.time_ms += TRY_INTERVAL_MS
+    run(context, call(entry.dispatch.placer.place_waiting, entry.timers.now_ms()))
+
+
+@when("nobody has told of the task in time, and an agent has room")
+def nobody_told(context):
+    entry = context.entry
+    context.owner = entry
+    now_ms = context.job.requeue_unknown_at_ms
+    entry.timers.time_ms = now_ms
+    run(context, call(entry.dispatch.requeue_unknown_tasks, now_ms))
+    add_room(context)
+
+
+def list_ordered(context):
+    """Return the attempts of the first task that were ordered."""
+    return [
+        row.attempt
+        for _, message in context.entry.links.sent
+        if isinstance(message, orders.StartOrder)
+        for row in message.runs
+        if row.index == 0
+    ]
+
+
+@then("attempt {attempt:d} of the task is not ordered")
+def not_ordered(context, attempt):
+    assert attempt not in list_ordered(context), context.entry.links.sent
+
+
+@when("the entry stores the progress of the job")
+def stores_progress(context):
+    run(context, context.entry.recorder.store_progress())
+    place(context)
+
+
+@then("attempt {attempt:d} of the task is ordered")
+def is_ordered(context, attempt):
+    assert list_ordered(context) == [attempt], context.entry.links.sent
+
+
+@when('another entry takes the job over and is sent the end "{detail}" of attempt {attempt:d}')
+def next_owner_sent_end(context, detail, attempt):
+    tasks = len(context.job.tasks)
+    stored = load_record(context.store.row(progress_row(JOB)).value, JobProgress)
+    context.entry = entry = StoredJobsEntry(context.store, "edge-3")
+    job = own_job(context, "edge-3/life", 3, tasks)
+    job.requeue_unknown_at_ms = 99_000
+    for task in job.tasks:
+        task.phase = TaskPhase.UNKNOWN
+    job.restore(stored)
+    run(context, call(entry.dispatch.add_job, job, 1_000))
+    run(context, call(entry.report, end_of(detail, attempt)))
+
+
+@then("the agent learns that the end is not needed yet")
+def not_needed_yet(context):
+    assert not context.entry.links.sent, context.entry.links.sent
+    assert context.job.tasks[0].phase is TaskPhase.DONE
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -402,6 +402,11 @@
     context.view.heard_ms = context.now_ms
     context.dispatch.requeue_unknown_tasks(context.now_ms)
     context.dispatch.placer.place_waiting(context.now_ms)
+    # The earlier attempts have to be stored as abandoned first.
+    assert not list_orders(context), list_orders(context)
+    context.dispatch.confirm_abandoned(context.job, context.job.tasks)
+    context.now_ms += TRY_INTERVAL_MS
+    context.dispatch.placer.place_waiting(context.now_ms)
 
 
 @when("the agent is silent until just before the limit")
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -11,6 +11,7 @@
 from gapdrum.core.jobs import Job, Place, StoredEnd, Task, TaskPhase
 from gapdrum.core.models import RunEnd, RunKey, TaskName
 from gapdrum.core.placer import Placer
+from gapdrum.core.records import first_attempt
 from gapdrum.core.runner_views import AgentView
 from gapdrum.core.task_durations import PERMILLE, TaskDurations
 
@@ -99,6 +100,10 @@
         """Requeue the tasks of runners that were silent until no run can be left there."""
         for lost in self.fleet.expire_silent(now_ms):
             self._release_lost(lost, now_ms)
+            for task in lost.tasks:
+                job = self.jobs.get(task.name.job_id)
+                if job is not None and task.phase is TaskPhase.WAITING:
+                    self._abandon(job, task, task.attempt)
 
     def agent_departed(self, view: AgentView, now_ms: int) -> None:
         """Remove an agent that has left for other entries, and requeue the tasks placed there.
@@ -121,6 +126,21 @@
             if job is not None:
                 self._check_outcome(job)
 
+    @staticmethod
+    def _abandon(job: Job, task: Task, attempt: int) -> None:
+        """Give up attempts of which an end may still come, before the task is started again."""
+        if job.durable:
+            task.abandon(attempt)
+            job.progress_is_urgent = True
+
+    def confirm_abandoned(self, job: Job, tasks: list[Task]) -> None:
+        """Start tasks again whose abandoned attempts are stored now."""
+        for task in tasks:
+            task.abandoned_is_stored = True
+        if tasks and job.has_waiting_tasks:
+            self.placer.enqueue(job)
+            self.effects.schedule_placement()
+
     def _release_unconfirmed(self, task: Task, reason: str, now_ms: int, why: str = "") -> None:
         """Requeue a task whose run can no longer be at work; its end is unknown.
 
@@ -255,7 +275,7 @@
         )
         if task.phase is TaskPhase.UNKNOWN:
             task.attempt = max(task.attempt, event.attempt)
-        if event.attempt != task.attempt and end is RunEnd.DONE:
+        if end is RunEnd.DONE and _is_superseded(task, event.attempt):
             # An earlier attempt has done the work. A durable job's task is done only by its last
             # attempt, so this end must not count; a non-durable task is done, and its newer run
             # is stopped.
@@ -422,7 +442,7 @@
     @staticmethod
     def _is_expected(task: Task, place: Place, row: orders.HeldRun) -> bool:
         if task.phase is TaskPhase.UNKNOWN:
-            return row.attempt >= task.attempt
+            return row.attempt >= task.attempt and row.attempt > task.abandoned_attempt
         if task.phase not in (TaskPhase.ORDERED, TaskPhase.RUNNING):
             return False
         same_runner = task.place.runner_id == place.runner_id
@@ -457,6 +477,7 @@
             for task in job.tasks:
                 if task.phase is TaskPhase.UNKNOWN:
                     job.release(task)
+                    self._abandon(job, task, max(task.attempt, first_attempt(job.epoch) - 1))
             self.placer.enqueue(job)
 
     def _check_outcome(self, job: Job) -> None:
@@ -469,6 +490,12 @@
             self.effects.job_ended(job)
 
 
+def _is_superseded(task: Task, attempt: int) -> bool:
+    """Return whether a later attempt than this one was started, or may have been."""
+    is_abandoned = task.phase is TaskPhase.UNKNOWN and attempt <= task.abandoned_attempt
+    return is_abandoned or attempt != task.attempt
+
+
 def _why_not_held(agent_incarnation: str, task: Task) -> str:
     """Return why an agent does not hold a task's run and has reported no outcome of it."""
     if task.reported_by != agent_incarnation:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -76,6 +76,9 @@
     an attempt failed, straggled or was rejected; ``moves`` counts the moves for straggling.
     ``crashes`` counts the runners that crashed while they held an attempt, ``crashes_alone`` those
     at which it ran alone, as ``exclusive_attempts`` do; ``crashed_ms`` is when the last one did.
+    ``abandoned_attempt`` is the last attempt that was given up although it may have done the task,
+    at an agent that can't be reached. A durable task is not started again before that is stored:
+    the next owner may hear of the end of this attempt, and nothing of the later one.
     """
 
     name: TaskName
@@ -96,6 +99,8 @@
     crashes_alone: int = 0
     exclusive_attempts: set[int] = attrs.Factory(set)
     crashed_ms: int = 0
+    abandoned_attempt: int = 0
+    abandoned_is_stored: bool = True
 
     @property
     def is_given_up(self) -> bool:
@@ -114,6 +119,11 @@
         self.crashes_alone += attempt in self.exclusive_attempts
         self.crashed_ms = now_ms
 
+    def abandon(self, attempt: int) -> None:
+        """Give up all attempts up to this one, which is to be stored before the next one starts."""
+        self.abandoned_attempt = attempt
+        self.abandoned_is_stored = False
+
     @property
     def run(self) -> RunKey:
         """Return the key of the last attempt's run."""
@@ -164,6 +174,7 @@
     unstored_progress_since_ms: int = (
         0  # since when there is progress that is not stored, 0 if none is
     )
+    progress_is_urgent: bool = False  # a task waits for it to be stored
     unstored_ends: list[StoredEnd] = attrs.Factory(list)
     requeue_unknown_at_ms: int = 0  # when tasks that are still UNKNOWN are requeued, 0 if none is
     confirmed_ms: int = 0
@@ -231,7 +242,9 @@
         return [
             task
             for task in self.tasks
-            if task.phase is TaskPhase.WAITING and not open_steps.intersection(task.step.after)
+            if task.phase is TaskPhase.WAITING
+            and task.abandoned_is_stored
+            and not open_steps.intersection(task.step.after)
         ]
 
     def next_attempt(self, task: Task) -> int:
@@ -288,10 +301,13 @@
                     sorted(task.failed_attempts),
                     task.crashes,
                     task.crashes_alone,
-                    task.attempt if task.phase is TaskPhase.DONE else 0,
+                    task.attempt if task.phase is TaskPhase.DONE else task.abandoned_attempt,
                 )
                 for task in self.tasks
-                if task.phase is TaskPhase.DONE or task.failed_attempts or task.crashes
+                if task.phase is TaskPhase.DONE
+                or task.failed_attempts
+                or task.crashes
+                or task.abandoned_attempt
             )
         )
 
@@ -305,6 +321,8 @@
             if row.done:
                 task.phase = TaskPhase.DONE
                 task.attempt = row.attempt
+            else:
+                task.abandoned_attempt = row.attempt
 
 
 def build_job(
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -128,7 +128,9 @@
 class TaskProgress:
     """Whether a task of an open job is done, its failed attempts, and the crashes under it.
 
-    Nothing of it is undone. ``attempt`` is the one that has done the task, 0 if that is not known.
+    Nothing of it is undone. ``attempt`` is the one that has done the task or, of a task that is not
+    done, the last one that was abandoned: no end of it or of an earlier one counts. It is 0 if
+    there is none.
     ``crashes`` counts the runners that crashed while they held the task, ``crashes_alone`` those
     that held nothing else.
     """
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -105,13 +105,15 @@
             if (
                 job.durable
                 and job.ending is None
-                and 0 < job.unstored_progress_since_ms <= limit_ms
+                and (job.progress_is_urgent or 0 < job.unstored_progress_since_ms <= limit_ms)
             ):
                 self._background.spawn(self._store_job_progress(job))
 
     async def _store_job_progress(self, job: Job) -> None:
         job.unstored_progress_since_ms = 0
+        job.progress_is_urgent = False
         ends = list(job.unstored_ends)
+        abandoned = [task for task in job.tasks if not task.abandoned_is_stored]
         # The condition on the progress row keeps a write that takes effect late from replacing a
         # newer one, whose ends have been acknowledged.
         transaction = Transaction(
@@ -136,6 +138,7 @@
         job.progress_version = result.version
         self._log.write("progress_stored", request=job.job_id, ends=len(ends))
         self._dispatch.acknowledge_stored_ends(job, ends)
+        self._dispatch.confirm_abandoned(job, abandoned)
 
     async def _resolve_progress_conflict(self, job: Job, conflict: Conflict) -> None:
         """Write again over an earlier write of this owner, or find out who has changed the job."""
