Count the waiting jobs of a former owner until they are claimed

Cause: entries add up the numbers in the leases of others, and the lease of a new incarnation replaces that of the former one, whose jobs are still to be claimed. The numbers of an owner whose lease has ended count for 3 s more: a search and a claim, the claimer's next renewal and the next read of the leases take less. A job may be counted twice meanwhile, which is the lesser error: it would be missing otherwise.

A second scenario shows that owners which have ended are reported though another lease can't be ended.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -333,6 +333,23 @@
     Then the first entry has ended its lease
     And the second entry learns at its next renewal that it lost its lease
 
+  # Guards against a count of 0 while the jobs of a restarted entry are still to be claimed.
+  Scenario: the jobs that waited at an entry are counted until others may have claimed them
+    Given two entries with leases in a fake store
+    And 10 jobs wait at the second entry
+    Then the first entry counts 10 jobs that wait at others
+    When the second entry is restarted
+    Then the first entry counts 10 jobs that wait at others
+    When 3000 ms have passed at the first entry
+    Then the first entry counts 0 jobs that wait at others
+
+  # Guards against owners whose jobs nobody searches for, as another lease could not be ended.
+  Scenario: an owner that has ended is reported though the end of another one's lease fails
+    Given two entries with leases in a fake store
+    And a third entry that renews nothing for 5000 ms
+    When the second entry leaves, and the store rejects the end of the third one's lease
+    Then the first entry has reported that the second one has ended
+
   Scenario: an outage of the store ends no lease
     Given two entries with leases in a fake store
     When the store is away for 20000 ms
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from pathlib import Path
+from unittest.mock import patch
 
 from behave import given, then, when
 from core_model import ManualTimers
@@ -1207,6 +1208,53 @@
     pass_time(context, time_ms)
 
 
+@given("{count:d} jobs wait at the second entry")
+def jobs_wait(context, count):
+    context.second.count_waiting = lambda: {"flags": count}
+    asyncio.run(context.second.keep())
+
+
+@then("the first entry counts {count:d} jobs that wait at others")
+def counts_at_others(context, count):
+    asyncio.run(context.first.keep())
+    assert context.first.waiting_at_peers("flags") == count
+
+
+@when("the second entry is restarted")
+def second_restarted(context):
+    context.second = new_lease(context.store, context.timers, "entry-2")
+    asyncio.run(context.second.keep())
+
+
+@when("{time_ms:d} ms have passed at the first entry")
+def passed_at_first(context, time_ms):
+    for _ in range(time_ms // 1_000):
+        pass_time(context, 1_000)
+        asyncio.run(context.second.keep())
+
+
+@given("a third entry that renews nothing for {time_ms:d} ms")
+def third_silent(context, time_ms):
+    context.third = new_lease(context.store, context.timers, "entry-3")
+    asyncio.run(context.third.keep())
+    context.ended = []
+    context.first.on_orphaned_jobs = context.ended.extend
+    asyncio.run(context.first.keep())
+    context.timers.time_ms += time_ms
+
+
+@when("the second entry leaves, and the store rejects the end of the third one's lease")
+def second_leaves(context):
+    asyncio.run(context.second.leave())
+    with patch.object(context.first, "_end_lease", side_effect=StoreRejectedError("busy")):
+        asyncio.run(context.first.keep())
+
+
+@then("the first entry has reported that the second one has ended")
+def second_reported(context):
+    assert context.ended == [context.second_owner], context.ended
+
+
 @when("the store is away for {time_ms:d} ms")
 def store_away(context, time_ms):
     context.store.away = True
--- a/src/gapdrum/entry/lease.py
+++ b/src/gapdrum/entry/lease.py
@@ -36,6 +36,9 @@
 LEASE_MS = 4_000
 # Peers add this to the duration, as their clocks and timers differ.
 EXPIRY_MARGIN_MS = 600
+# After a peer's lease its waiting jobs are still counted for so long: the time to find and claim
+# them, and until the claimer's next renewal is read.
+FORMER_DEPTHS_MS = 3_000
 # Former owner names sent to agents. An incarnation's runs end about a second after its entry lease.
 MAX_FORMER_OWNERS = 4
 # Replaces the incarnation of a lease that can't be read; no job has such an owner.
@@ -76,6 +79,8 @@
         self._store = store
         self._timers = timers
         self._log = log
+        # Until when the waiting jobs of former owners are counted, and how many there were.
+        self._former_depths: dict[str, tuple[int, tuple[QueueDepth, ...]]] = {}
         self._version = ABSENT
         self._renewals = 0
         self._valid_until_ms = 0
@@ -186,7 +191,7 @@
         rows = await self._store.read_all(LEASE_TABLE, UNPARTITIONED)
         now_ms = self._timers.now_ms()
         seen = {row.at.key: row for row in rows}
-        before = self._peer_owners()
+        before = self._peer_leases()
         for name in [name for name in self.others if name not in seen]:
             del self.others[name]
         for name, row in seen.items():
@@ -197,19 +202,23 @@
                 await self._end_lease(name)
         finally:
             self._report_ended(before)
-        return self._peer_owners() | {self.owner}
+        return frozenset(self._peer_leases()) | {self.owner}
 
-    def _report_ended(self, before: frozenset[str]) -> None:
+    def _report_ended(self, before: dict[str, EntryLease]) -> None:
         """Report the owners that have lost their lease since ``before`` was read."""
-        ended = sorted(before - self._peer_owners())
+        ended = sorted(before.keys() - self._peer_leases().keys())
+        until_ms = self._timers.now_ms() + FORMER_DEPTHS_MS
+        self._former_depths |= {owner: (until_ms, before[owner].depths) for owner in ended}
         if ended:
             self._log.write("owners_gone", entries=[entry_of_owner(owner) for owner in ended])
             self.on_orphaned_jobs(tuple(ended))
 
-    def _peer_owners(self) -> frozenset[str]:
-        return frozenset(
-            owner_name(name, seen.lease.incarnation) for name, seen in self.others.items()
-        )
+    def _peer_leases(self) -> dict[str, EntryLease]:
+        """Return the peers' leases by owner."""
+        return {
+            owner_name(name, seen.lease.incarnation): seen.lease
+            for name, seen in self.others.items()
+        }
 
     def _record_lease(self, name: str, row: Row, now_ms: int) -> None:
         before = self.others.get(name)
@@ -272,11 +281,20 @@
         return [VisibleCapacity(lease.agents, lease.free_permille) for lease in leases]
 
     def waiting_at_peers(self, queue: str) -> int:
-        """Return how many jobs of a queue wait at the peers, by their leases."""
+        """Return how many jobs of a queue wait at the peers, by their leases.
+
+        The jobs of a peer whose lease has just ended still wait until others have claimed them.
+        """
+        now_ms = self._timers.now_ms()
+        self._former_depths = {
+            owner: one for owner, one in self._former_depths.items() if now_ms < one[0]
+        }
+        leases = [seen.lease.depths for seen in self.others.values()]
+        former = [depths for _, depths in self._former_depths.values()]
         return sum(
             depth.waiting
-            for seen in self.others.values()
-            for depth in seen.lease.depths
+            for depths in (*leases, *former)
+            for depth in depths
             if depth.queue == queue
         )
 
