Compress large records, so that the largest jobs fit into rows

Cause: the row of its progress exceeded the store's limit of 65,536 bytes with over 7,000 tasks done. The write failed for good, and the ends of the tasks were never acknowledged. Records of 16 KB and more are compressed now; smaller ones and those that are stored already are read as before, as no record begins with zlib's first byte.

The scenario of ended_jobs.feature failed before with 65,536 exceeded.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -140,3 +140,8 @@
     Then attempt 1001 of the task is ordered
     When another entry takes the job over and is sent the end "done" of attempt 1
     Then the agent learns that the end was superseded
+
+  # Guards against a job that never ends, as its progress or its end exceeds the size of a row.
+  Scenario: what is stored of a job with the most tasks fits into a row of the store
+    Given a job of 10000 tasks, each of them done as its 3rd attempt after a failure
+    Then its progress and its end take at most 65536 bytes each, and are read as they were written
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -548,3 +548,30 @@
 def not_needed_yet(context):
     assert not context.entry.links.sent, context.entry.links.sent
     assert context.job.tasks[0].phase is TaskPhase.DONE
+
+
+# The size of rows.
+
+
+@given("a job of {tasks:d} tasks, each of them done as its 3rd attempt after a failure")
+def large_job(context, tasks):
+    context.store = FakeStore()
+    job = own_job(context, OWNER, 2, tasks)
+    for task in job.tasks:
+        task.attempt, task.phase, task.failed_attempts = (
+            1_003,
+            TaskPhase.DONE,
+            {1_001 + task.name.index % 2},
+        )
+
+
+@then(
+    "its progress and its end take at most {limit:d} bytes each, and are read as they were written"
+)
+def fits(context, limit):
+    job = context.job
+    ended = EndedJob("flags", "succeeded", OWNER, 2, job_ends._restarts(job), 2)
+    for record in (job.progress(), ended):
+        value = dump_record(record)
+        assert len(value) <= limit, len(value)
+        assert load_record(value, type(record)) == record
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -5,12 +5,13 @@
 its part, which spreads writes and lets jobs of one part share a transaction.
 """
 
+import zlib
 from typing import TypeVar
 
 import attrs
 from attrs import validators
 
-from gapdrum.codec import Decoder, encode, message
+from gapdrum.codec import MAX_FRAME_BYTES, Decoder, encode, message
 from gapdrum.core.models import JobState, Resources, Step, TaskName
 from gapdrum.core.rows import RowKey
 from gapdrum.exceptions import FrameError, RecordError
@@ -34,6 +35,9 @@
 # Attempt numbers of an epoch are above those of all earlier epochs: a new owner, which does not
 # know how often a task was started, never reuses a number.
 ATTEMPTS_PER_EPOCH = 1_000
+# Smaller records are stored as they are.
+COMPRESSED_BYTES = 16_384
+ZLIB_FIRST_BYTE = b"\x78"
 _COUNTS = validators.deep_iterable(validators.instance_of(int))
 
 
@@ -219,8 +223,12 @@
 
 
 def dump_record(record: object) -> bytes:
-    """Encode a record as the value of a row."""
-    return encode(record)
+    """Encode a record as the value of a row; a large one is compressed.
+
+    The progress of a job with ``MAX_TASKS`` tasks does not fit into a row otherwise.
+    """
+    value = encode(record)
+    return value if len(value) < COMPRESSED_BYTES else zlib.compress(value)
 
 
 def load_record(value: bytes, kind: type[T]) -> T:
@@ -229,14 +237,21 @@
     Raises RecordError if the value is malformed or of another kind, as another writer's may be.
     """
     try:
-        record = next(Decoder().feed(value), None)
-    except FrameError as error:
-        raise RecordError(error.message) from error
+        record = next(Decoder().feed(_decompress(value)), None)
+    except (FrameError, zlib.error) as error:
+        raise RecordError(str(error)) from error
     if not isinstance(record, kind):
         raise RecordError(f"expected {kind.__name__}, found {type(record).__name__}")
     return record
 
 
+def _decompress(value: bytes) -> bytes:
+    """Return the encoded record in a row's value; no record begins with zlib's first byte."""
+    if not value.startswith(ZLIB_FIRST_BYTE):
+        return value
+    return zlib.decompressobj().decompress(value, MAX_FRAME_BYTES)
+
+
 def owner_name(instance: str, incarnation: str) -> str:
     """Return the owner's name in a job's row, for one incarnation of the entry ``instance``."""
     return f"{instance}/{incarnation}"
