Let the soak reject processes from the store and cancel jobs

The soak started two entries, and an agent serves up to four, so no fault of a subset could show; it cancelled no job, and the store failed for all or cut one entry off silently. The store rejects a share of the entries, with agents too, by 503, 429, a reset or nothing, after they have accepted a burst of durable jobs, and loses single answers (`--only rejections`).

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -24,3 +24,10 @@
   Scenario: the promises hold while streams fail in series, and runners, agents or leases with them
     When the soak runs seed 7002 for 14 s with outages only
     Then no promise is violated
+
+  # Guards against entries and agents that do not hear of each other's jobs: more entries than an agent
+  # serves, and a store that rejects some of them or loses single answers.
+  Scenario: the promises hold while the store rejects some processes, and callers cancel jobs
+    When the soak runs seed 8001 for 24 s with rejections only, 8 entries, 8 agents and 16 callers
+    Then no promise is violated
+    And callers have cancelled jobs
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -31,10 +31,26 @@
 
 @when("the soak runs seed {seed:d} for {seconds:d} s with outages only")
 def run_outages_only(context, seed, seconds):
-    context.soak = Soak(seed, seconds, only_outages=True)
+    context.soak = Soak(seed, seconds, only="outages")
     context.violations = context.soak.run()
 
 
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} s with rejections only, {entries:d} entries, "
+    "{agents:d} agents and {callers:d} callers"
+)
+def run_rejections_only(context, seed, seconds, entries, agents, callers):
+    context.soak = Soak(
+        seed, seconds, entries=entries, agents=agents, callers=callers, only="rejections"
+    )
+    context.violations = context.soak.run()
+
+
+@then("callers have cancelled jobs")
+def cancelled(context):
+    assert any(job.cancelled_ns for job in context.soak.jobs)
+
+
 @then("no promise is violated")
 def no_violations(context):
     assert not context.violations, (
--- a/tools/planted.py
+++ b/tools/planted.py
@@ -20,6 +20,8 @@
 from gapdrum.core.runner_ledger import RunnerLedger
 from gapdrum.core.zone_drains import ZoneDrains
 from gapdrum.entry.acceptance import Acceptance, Acceptor
+from gapdrum.entry.ended_jobs import EndedJobs, KnownEnd
+from gapdrum.entry.ownership import OwnershipChecker
 from gapdrum.entry.waiting_callers import WaitingCallers
 
 MECHANISMS: dict[str, Callable[[], None]] = {}
@@ -161,6 +163,24 @@
     WaitingCallers._left_s = lambda _self, _caller: None
 
 
+@mechanism
+def succession() -> None:
+    """Let agents ignore that an owner has lost its lease, and count any end of an ended job."""
+    EntryLinks.record_ended_lease = lambda *_arguments, **_source: None
+    KnownEnd.counted_attempt = lambda *_arguments: 0
+
+
+@mechanism
+def cancellation() -> None:
+    """Notify nobody of a cancellation whose answer was lost, and let owners check nothing."""
+    EndedJobs.apply = EndedJobs.remember
+    OwnershipChecker.check_due = no_check
+
+
+async def no_check(_self) -> None:
+    """Check nothing."""
+
+
 def main() -> None:
     """Disable the named mechanism and run the named program."""
     MECHANISMS[sys.argv[1]]()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,15 +4,16 @@
 
 Faults come singly, in series and at several processes at once, and overlap: processes are killed,
 paused, terminated and restarted; the links to the store, and those of agents to each entry, are
-delayed, silenced, cut in one direction or reset; the store is unavailable, loses answers or
-executes calls late; runners leave calls unanswered or execute them late. Callers disconnect, reach
-their deadline, and resubmit as soon as they may.
+delayed, silenced, cut in one direction or reset; the store is unavailable, rejects some processes,
+loses answers or executes calls late; runners leave calls unanswered or execute them late. Callers
+disconnect, reach their deadline, resubmit as soon as they may, and cancel durable jobs.
 
 The checks use what callers and runners observed: no task runs at two runners at once, however
 briefly; no runner's capacity is exceeded; a durable task is not started again after a "done" end
 that counts (the runner was told to forget it, and its lease did not lapse before that); no end
-counts for a submission that began after it; a refused job never runs; an accepted durable job ends
-in the same state at all entries; an agent that has not restarted loses no outcome, and stops no run
+counts for a submission that began after it; a refused job never runs; nothing of a cancelled job
+runs some time after that was acknowledged; an accepted durable job ends in the same state at all
+entries; an agent that has not restarted loses no outcome, and stops no run
 of an entry that goes on under another name.
 
 ``--planted`` disables a mechanism, to check that the soak detects it: see ``planted.py``.
@@ -35,6 +36,7 @@
     find_earlier_ends,
     find_lost_outcomes,
     find_stopped_runs,
+    find_uncancelled,
 )
 from soak_faults import CALM_S, Faults, Proxies
 
@@ -59,12 +61,12 @@
         entries: int = ENTRIES,
         agents: int = AGENTS,
         callers: int = CALLERS,
-        only_outages: bool = False,
+        only: str = "",
     ) -> None:
         rng = random.Random(seed)
         proxies = Proxies()
         self.seconds = seconds
-        self._only_outages = only_outages
+        self._only = only
         self.system = PlatformSystem(
             entries,
             agents,
@@ -92,7 +94,7 @@
         with self.system:
             try:
                 self._callers.start()
-                self._faults.inject(self.seconds, self._callers, self._only_outages)
+                self._faults.inject(self.seconds, self._callers, self._only)
                 self._faults.recover()
                 violations = self._check_drain()
             finally:
@@ -103,6 +105,8 @@
             histories = self.system.histories()
         for entry in self.system.entries:
             violations += self._check_logs(_read_lines(entry), histories)
+        cancelled_ns = {job.job_id: job.cancelled_ns for job in self.jobs if job.cancelled_ns}
+        violations += find_uncancelled(histories, cancelled_ns, self._faults.killed_ns)
         return violations + check_runs(histories, self.jobs, self._faults.killed_ns)
 
     def _check_logs(self, lines: list[dict], histories: list[list[dict]]) -> list[str]:
@@ -137,7 +141,8 @@
             states = set()
             for entry in range(len(self.system.entries)):
                 states.add(self._final_state(job.job_id, entry))
-            if len(states) != 1 or not states <= {"succeeded", "failed"}:
+            allowed = {"succeeded", "failed"} | ({"cancelled"} if job.cancelling else set())
+            if len(states) != 1 or not states <= allowed:
                 violations.append(f"{job.job_id} is {states}")
         return violations
 
@@ -179,7 +184,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--planted", default="", help="a mechanism of planted.py to disable")
-    parser.add_argument("--only-outages", action="store_true", help="see soak_outages.py")
+    parser.add_argument("--only", default="", choices=("", "outages", "rejections"))
     parser.add_argument("--entries", type=int, default=ENTRIES)
     parser.add_argument("--agents", type=int, default=AGENTS)
     parser.add_argument("--callers", type=int, default=CALLERS)
@@ -198,7 +203,7 @@
             options.entries,
             options.agents,
             options.callers,
-            options.only_outages,
+            options.only,
         )
         violations = soak.run()
         failed += bool(violations)
@@ -208,6 +213,7 @@
             "answered": sum(200 in job.statuses for job in soak.jobs),
             "refused": sum(job.refused for job in soak.jobs),
             "again": sum(len(job.submissions) > 1 for job in soak.jobs),
+            "cancelled": sum(job.cancelled_ns > 0 for job in soak.jobs),
             "faults": len(soak.faults),
             "overlaps": sum(text.startswith("overlap") for text in violations),
             "broken": violations[:5],
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -26,6 +26,15 @@
 QUICK_PAUSE_S = (0.2, 1.2)  # before the next job of a caller that got its answer at once
 HOT_RACK = "r1"
 HOT_RACK_SHARE = 0.4  # of the jobs: their data is on that rack
+SECOND_STEP_SHARE = 0.3  # of the durable jobs
+CANCEL_SHARE = 0.25  # of the durable jobs: they are cancelled, and again until that is acknowledged
+CANCEL_S = (0.1, 4.0)  # after the job was accepted
+CANCEL_PAUSE_S = 0.3
+CANCEL_RUN_MS = 15_000  # of a task of such a job: work that goes on is noticed
+BURST_JOBS = 12
+BURST_RUN_MS = (100, 300, 1_000, 2_500)
+CANCEL_TRIES = 40
+CANCELLED = (200, 410)
 LONG_TASK_SHARE = 0.03  # of the short jobs: they run longer than their estimate
 LONG_TASK_FACTOR = 7
 ESTIMATE_SPREAD = 0.4  # standard deviation of log(estimate / real duration)
@@ -55,6 +64,8 @@
     state: str = ""
     submissions: list[Submission] = attrs.Factory(list)
     queue: str = "flags"
+    cancelling: bool = False  # set once a cancellation was sent
+    cancelled_ns: int = 0  # when it was acknowledged, on the monotonic clock
 
     @property
     def refused(self) -> bool:
@@ -123,6 +134,20 @@
                 continue  # the caller was answered or closed the connection meanwhile
         return len(leaving)
 
+    def submit_burst(self, entries: list[int], rng: random.Random) -> int:
+        """Submit durable jobs of two steps at these entries at once; return how many."""
+        for number in range(BURST_JOBS):
+            job = SubmittedJob(f"{rng.getrandbits(64):016x}", durable=True)
+            step = {"count": rng.randint(1, 4), "cpu": TASK_CPU_MILLI}
+            spec = json.dumps({"run_ms": rng.choice(BURST_RUN_MS)})
+            document = {"spec": spec, "steps": [step, {**step, "after": [0]}]}
+            port = self._system.entries[entries[number % len(entries)]].port
+            connection = http.client.HTTPConnection(HOST, port, timeout=CONNECT_TIMEOUT_S)
+            body = json.dumps(document).encode()
+            self.jobs.append(job)
+            job.statuses.append(self._request(connection, "POST", job, body))
+        return BURST_JOBS
+
     def _call(self, seed: float) -> None:
         rng = random.Random(seed)
         # A generator of its own, so that a seed submits the same jobs whatever callers do.
@@ -131,6 +156,8 @@
             job = SubmittedJob(f"{rng.getrandbits(64):016x}", rng.random() < 0.5)
             self.jobs.append(job)
             self._submit(job, rng, wait_rng)
+            if 200 in job.statuses and _is_cancelled(job):
+                self._cancel(job, random.Random(f"cancel {job.job_id}"))
             time.sleep(rng.uniform(0.0, 0.3))
             if job.durable or job.refused:
                 # Without a pause such callers would submit so much that other jobs find no room.
@@ -141,10 +168,15 @@
         step = {"count": rng.randint(1, 6), "cpu": TASK_CPU_MILLI}
         # The longest exceed the silence after which an entry assumes that a run has ended.
         run_ms = rng.choice((30, 150, 400, 1_500, 4_000))
+        if _is_cancelled(job):
+            run_ms = CANCEL_RUN_MS
         job.queue = next(name for max_ms, name in QUEUES_BY_RUN_MS if run_ms <= max_ms)
-        document = _describe(step, run_ms, random.Random(f"shape {job.job_id}"))
+        shape = random.Random(f"shape {job.job_id}")
+        document = _describe(step, run_ms, shape)
         if not job.durable:
             document["best_effort"] = True
+        elif shape.random() < SECOND_STEP_SHARE:
+            document["steps"].append({**step, "after": [0]})
         body = json.dumps(document).encode()
         unsettled = refused = 0
         while unsettled < TRIES and refused < REFUSED_TRIES:
@@ -165,6 +197,39 @@
             else:
                 return
 
+    def _cancel(self, job: SubmittedJob, rng: random.Random) -> None:
+        """Cancel a job at one entry, and again at others until that is acknowledged.
+
+        Jobs are also cancelled after ``stop``: their tasks take longer than the soak waits.
+        """
+        self._stop.wait(rng.uniform(*CANCEL_S))
+        for _ in range(CANCEL_TRIES):
+            reached = self._connect(rng.randrange(len(self._system.entries)))
+            if reached is None:
+                return
+            job.cancelling = True
+            if self._request(reached[0], "DELETE", job) in CANCELLED:
+                job.cancelled_ns = time.monotonic_ns()
+                return
+            time.sleep(CANCEL_PAUSE_S)
+
+    @staticmethod
+    def _request(
+        connection: http.client.HTTPConnection,
+        method: str,
+        job: SubmittedJob,
+        body: bytes | None = None,
+    ) -> int:
+        """Call an entry once; return the status, 0 without an answer."""
+        try:
+            headers = {"Host": CALLER_HOST}
+            connection.request(method, f"/{job.queue}/{job.job_id}", body, headers)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
     def _connect(self, entry: int) -> tuple[http.client.HTTPConnection, int] | None:
         """Connect to an entry, or to the next one that accepts; None if no entry does in time."""
         entries = self._system.entries
@@ -241,6 +306,11 @@
     return {"spec": json.dumps(spec), "steps": [step]}
 
 
+def _is_cancelled(job: SubmittedJob) -> bool:
+    """Return whether the caller of a job will cancel it."""
+    return job.durable and random.Random(f"cancelled {job.job_id}").random() < CANCEL_SHARE
+
+
 def _draw_wait_limits(rng: random.Random) -> WaitLimits:
     now_s = time.monotonic()
     deadline_ms = rng.randint(*DEADLINE_MS)
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -9,13 +9,18 @@
 import urllib3
 from local_system import Process, find_port
 from platform_system import ZONES, PlatformSystem
-from proxy import MODES, ONE_WAY, PASS, SILENT, Proxy
+from proxy import MODES, ONE_WAY, PASS, REJECTIONS, SILENT, Proxy
 from soak_callers import Callers
 from soak_outages import Outages, run_outages
 
 DRAIN_SHARE = 0.25  # of the single faults: followed by a change of the drained zones
 CALM_S = 3.0
 STOP_FAULT_MODES = ("unanswered", "late")
+# The store rejects a share of the processes, mostly for longer than an entry lease lasts.
+REJECTED_SHARE = 0.33
+REJECTED_S = (4.0, 10.0)
+# Writes whose single answers the store loses, by their table.
+LOST_TABLES = ("open", "progress", "ended", "leases")
 
 
 class Proxies:
@@ -48,8 +53,8 @@
 class Faults:
     """Injects random faults and undoes each after a while.
 
-    Single faults, drains, combined faults, resets and outages have a generator each, so that a seed
-    injects the same faults of one kind whatever happens to the others.
+    Single faults, drains, combined faults, resets, outages and rejections have a generator each, so
+    that a seed injects the same faults of one kind whatever happens to the others.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         self.random = rng
         self._combined_random = random.Random(f"herds {seed}")
         self._reset_random = random.Random(f"resets {seed}")
+        self._rejection_random = random.Random(f"rejections {seed}")
         self._outages = Outages(
             seed, proxies.streams, proxies.stores, lambda one: self._kill_all([one]), self._start
         )
@@ -74,14 +80,16 @@
     def _processes(self) -> list[Process]:
         return [*self._system.entries, *self._system.agents]
 
-    def inject(self, seconds: float, callers: Callers, only_outages: bool = False) -> None:
+    def inject(self, seconds: float, callers: Callers, only: str = "") -> None:
         """Inject faults for some time: single ones, and all others in parallel.
 
-        The other faults hide most of what outages alone bring about, as they make tasks start
-        again themselves.
+        ``only`` names one kind of fault to inject alone, as the others hide most of what it brings
+        about: they make tasks start again themselves.
         """
-        if only_outages:
-            self._inject_outages(seconds, callers)
+        if only:
+            {"outages": self._inject_outages, "rejections": self._inject_rejections}[only](
+                seconds, callers
+            )
             return
         threads = [
             threading.Thread(target=inject, args=(seconds, callers))
@@ -352,6 +360,36 @@
             lambda: (system.runners, system.agents),
         )
 
+    # A store that rejects some processes, or loses single answers
+
+    def _inject_rejections(self, seconds: float, callers: Callers) -> None:
+        """Let the store reject a share of the entries, and agents too, again and again.
+
+        Each time the entries have just accepted jobs, which end meanwhile.
+        """
+        rng = self._rejection_random
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s and not self._ended.is_set():
+            entries = len(self._system.entries)
+            count = max(1, round(entries * rng.uniform(0.0, REJECTED_SHARE)))
+            rejected = rng.sample(range(entries), count)
+            victims = [self._proxies.stores[number] for number in rejected]
+            if rng.random() < 0.5:
+                agents = self._proxies.stores[entries:]
+                victims += rng.sample(agents, round(len(agents) * REJECTED_SHARE))
+            mode = rng.choice((*REJECTIONS, SILENT))
+            callers.submit_burst(rejected, rng)
+            for proxy in victims:
+                proxy.mode = mode
+            table = rng.choice(LOST_TABLES)
+            self._system.set_store_fault(mode="lost", count=rng.randint(1, 3), table=table)
+            self._record(f"store rejects {len(victims)} by {mode}, loses answers of {table}")
+            time.sleep(rng.uniform(*REJECTED_S))
+            for proxy in victims:
+                proxy.mode = PASS
+            time.sleep(rng.uniform(0.2, 3.0))
+        self._system.set_store_fault()
+
     # Recovery
 
     def _schedule(self, delay_s: float, work: Callable[[], object]) -> None:
