--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -181,6 +181,15 @@
     When a job of 1 tasks is added behind them
     Then 1 tasks are ordered
 
+  # Guards against a few large jobs without room that keep all later, smaller ones from room that is free.
+  Scenario: jobs that find no room do not hold up smaller ones
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And the runner has room for 1000 thousandths of a core
+    And 10 jobs of one task of 3000
+    When a job of 1 tasks is added behind them
+    Then 1 tasks are ordered
+
   Scenario: jobs that wait for a full upstream do not hold up those of another
     Given an owner that sees one runner
     And the agent tells that it holds nothing
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -360,6 +360,18 @@
         add_job(context, 1, job_id=f"{number:016x}", step=step)
 
 
+@given("the runner has room for {cpu:d} thousandths of a core")
+def has_room(context, cpu):
+    context.dispatch.apply_room(context.view, orders.RoomReport("i-1", cpu, 4_000, 0, 0, 0))
+
+
+@given("{count:d} jobs of one task of {cpu:d}")
+def new_large_jobs(context, count, cpu):
+    for number in range(count):
+        step = Step(1, Resources(cpu, 10, 0), 100)
+        add_job(context, 1, job_id=f"{number:016x}", step=step)
+
+
 @when("a job of {tasks:d} tasks is added behind them")
 def job_behind(context, tasks):
     context.now_ms += 1
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -376,6 +376,13 @@
     wait_for(lambda: context.system.state(job, entry) == state, f"{job} {state} at {entry}")
 
 
+@then('the job "{job}" becomes "{state}" at entry {entry:d} within {seconds:d} s')
+def job_becomes_within(context, job, state, entry, seconds):
+    wait_for(
+        lambda: context.system.state(job, entry) == state, f"{job} {state} at {entry}", seconds
+    )
+
+
 @then('the job "{job}" is not reported with another end at entry {entry:d}')
 def job_told_same(context, job, entry):
     context.frozen[1].join()
