Forget the counts of former owners though nobody asks for them

Cause: the numbers of waiting jobs of owners without a lease were dropped only where a caller asked for the number of a queue's waiting jobs, so they piled up at an entry that is never asked. Found by reading; nobody has seen its effect. They are dropped with each owner that has ended as well.

Evidence: the scenario failed before with 20 former owners kept for 1.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -352,6 +352,12 @@
     When 3000 ms have passed at the first entry
     Then the first entry counts 0 jobs that wait at others
 
+  # Guards against counts that pile up while nobody asks for them.
+  Scenario: counts of former owners are forgotten though nobody asks for them
+    Given two entries with leases in a fake store
+    When the second entry is restarted 20 times, once in 4000 ms
+    Then the first entry keeps the counts of 1 former owner
+
   # Guards against owners whose jobs nobody searches for, as another lease could not be ended.
   Scenario: an owner that has ended is reported though the end of another one's lease fails
     Given two entries with leases in a fake store
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -1238,6 +1238,19 @@
     asyncio.run(context.second.keep())
 
 
+@when("the second entry is restarted {times:d} times, once in {time_ms:d} ms")
+def restarted_often(context, times, time_ms):
+    for _ in range(times):
+        passed_at_first(context, time_ms)
+        second_restarted(context)
+        asyncio.run(context.first.keep())
+
+
+@then("the first entry keeps the counts of {count:d} former owner")
+def keeps_counts(context, count):
+    assert len(context.first._former_depths) == count, context.first._former_depths
+
+
 @when("{time_ms:d} ms have passed at the first entry")
 def passed_at_first(context, time_ms):
     for _ in range(time_ms // 1_000):
--- a/src/gapdrum/entry/lease.py
+++ b/src/gapdrum/entry/lease.py
@@ -207,6 +207,7 @@
     def _report_ended(self, before: dict[str, EntryLease]) -> None:
         """Report the owners that have lost their lease since ``before`` was read."""
         ended = sorted(before.keys() - self._peer_leases().keys())
+        self._forget_claimed_depths()
         until_ms = self._timers.now_ms() + FORMER_DEPTHS_MS
         self._former_depths |= {owner: (until_ms, before[owner].depths) for owner in ended}
         if ended:
@@ -285,10 +286,7 @@
 
         The jobs of a peer whose lease has just ended still wait until others have claimed them.
         """
-        now_ms = self._timers.now_ms()
-        self._former_depths = {
-            owner: one for owner, one in self._former_depths.items() if now_ms < one[0]
-        }
+        self._forget_claimed_depths()
         leases = [seen.lease.depths for seen in self.others.values()]
         former = [depths for _, depths in self._former_depths.values()]
         return sum(
@@ -298,6 +296,12 @@
             if depth.queue == queue
         )
 
+    def _forget_claimed_depths(self) -> None:
+        now_ms = self._timers.now_ms()
+        self._former_depths = {
+            owner: one for owner, one in self._former_depths.items() if now_ms < one[0]
+        }
+
 
 def _new_incarnation() -> str:
     return uuid.uuid4().hex[:12]
