Stop the runs of a job whose rows are missing or unreadable

Cause, related to the cancelled jobs that worked on: an owner that found both rows of its job missing forgot the job and stopped none of its runs; if it was about to store the job's end, it wrote and read without a pause for ever, and an unreadable row ended that work with an error. An owner whose progress conflicted with another version of its own row never stored it again, so ends stayed unacknowledged and tasks with an abandoned attempt waited for ever. A job that was cancelled between its claim and the claim's progress was passed over without a line. All found by reading the change; no caller has seen them.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -93,6 +93,26 @@
     And the owner learns of it by its own check
     Then it has dropped the job, and has stopped no run
 
+  # Guards against runs that nobody stops, and against an owner that writes the end of such a job for ever.
+  Scenario Outline: an owner whose job's rows are lost stops its runs and drops it
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When the job's row <is lost>
+    And the owner <learns>
+    Then it has ordered the run to stop, and has forgotten the job as "<reason>"
+
+    Examples:
+      | is lost         | learns                   | reason         |
+      | is removed      | checks its rows          | row_missing    |
+      | is removed      | is asked to cancel it    | row_missing    |
+      | is overwritten  | checks its rows          | row_unreadable |
+      | is overwritten  | is asked to cancel it    | row_unreadable |
+
+  Scenario: an owner whose row has another version, but its own name, stores progress again
+    Given an entry that owns a job of 3 tasks, one of them at work
+    When the job's row is written again as it was
+    And the first task ends, and its progress is stored within 2 tries
+    Then the progress in the store has 1 tasks that are done
+
   # Guards against agents that tell an owner only that its job is lost, whereupon it stops no run.
   Scenario: an agent stops the runs of a cancelled job and passes the cancellation on to the owner
     Given an agent that runs a task of a stored job
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -29,7 +29,7 @@
 )
 from gapdrum.core.rows import Put, Transaction
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
-from gapdrum.entry import job_ends
+from gapdrum.entry import job_ends, ownership
 from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
 from gapdrum.entry.job_api import JobApi
@@ -354,6 +354,47 @@
     assert not context.owner.links.sent, context.owner.links.sent
 
 
+@when("the job's row {is_lost}")
+def row_lost(context, is_lost):
+    store, at = context.store, open_row(JOB)
+    if is_lost == "is removed":
+        store.apply(Transaction(removals=(at,)))
+    elif is_lost == "is overwritten":
+        store.apply(Transaction(puts=(Put(at, b"other"),)))
+    else:
+        store.apply(Transaction(puts=(Put(at, store.row(at).value),)))
+
+
+@when("the owner checks its rows")
+def checks_rows(context):
+    owner_learns(context, "its own check")
+
+
+@when("the owner is asked to cancel it")
+def asked_to_cancel(context):
+    owner = context.owner
+    context.job.ending = JobState.CANCELLED
+    run(context, asyncio.wait_for(owner.recorder.finish(context.job), 5))
+
+
+@then('it has ordered the run to stop, and has forgotten the job as "{reason}"')
+def stopped_for(context, reason):
+    stop = orders.StopOrder(PLACE.runner_id, (orders.NamedRun(TASK.text, 1),))
+    assert (PLACE.agent, stop) in context.owner.links.sent, context.owner.links.sent
+    assert JOB not in context.owner.dispatch.jobs
+    notes = context.owner.dispatch.effects.noted("job_dropped")
+    assert [fields["reason"] for fields in notes] == [reason], notes
+
+
+@when("the first task ends, and its progress is stored within {tries:d} tries")
+def progress_stored_within(context, tries):
+    with patch.object(ownership, "RETRY_INTERVAL_MS", 0):
+        end_task(context, 0)
+        for _ in range(tries - 1):
+            context.owner.timers.time_ms += PROGRESS_DELAY_MS
+            run(context, context.owner.recorder.store_progress())
+
+
 # An agent that is told of a cancellation.
 
 
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -145,9 +145,10 @@
         versions = {row.at: row.version for row in conflict.rows if row.value is not None}
         if versions.get(open_row(job.job_id)) == job.version:
             job.progress_version = versions.get(progress_row(job.job_id), ABSENT)
-            job.unstored_progress_since_ms = self._timers.now_ms() - PROGRESS_DELAY_MS
         elif job.ending is None:
             await self._ownership.settle(job)
+        # If the job is still this entry's, its ends and abandoned attempts are still to be stored.
+        job.unstored_progress_since_ms = self._timers.now_ms() - PROGRESS_DELAY_MS
 
     # Jobs that peers own.
 
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -162,8 +162,11 @@
     def _add_claimed_job(
         self, job_id: str, record: OpenJob, version: int, progress: Row | None
     ) -> None:
-        if self._ended_jobs.known_state(job_id) is not None:
-            return  # cancelled elsewhere since the claim
+        if self._ended_jobs.known_state(job_id) is not None:  # cancelled elsewhere since the claim
+            self._log.write(
+                "job_dropped", request=job_id, epoch=record.epoch, reason="ended_elsewhere"
+            )
+            return
         now_ms = self._timers.now_ms()
         queue = self._configuration.current.queue_named(record.queue)
         job = build_queue_job(job_id, record, version, queue, now_ms)
