Bound the lookups of cancellations without an answer

Cause: each cancellation whose answer was lost started 25 reads of its own, also while earlier ones for the same job went on, so callers that repeat a DELETE while the store loses answers multiplied its reads. Found by reading; nobody has seen its effect. A job is looked up once at a time, 64 jobs at most, and not at all once it is known to have ended. Jobs beyond that are left to their owners' own checks.

Evidence: the scenario failed before, as nothing recorded which jobs are looked up.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -113,6 +113,12 @@
     And the first task ends, and its progress is stored within 2 tries
     Then the progress in the store has 1 tasks that are done
 
+  # Guards against reads of the store that grow with the calls of callers.
+  Scenario: callers that repeat a cancellation whose answer is lost cause one lookup
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When another entry is asked 3 times to cancel it while the store loses all answers and executes nothing
+    Then it looks up one job
+
   # Guards against agents that tell an owner only that its job is lost, whereupon it stops no run.
   Scenario: an agent stops the runs of a cancelled job and passes the cancellation on to the owner
     Given an agent that runs a task of a stored job
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -395,6 +395,26 @@
             run(context, context.owner.recorder.store_progress())
 
 
+@when(
+    "another entry is asked {times:d} times to cancel it while the store loses all answers and "
+    "executes nothing"
+)
+def cancel_in_vain(context, times):
+    context.other = StoredJobsEntry(context.store, "edge-3")
+
+    async def lose(_transaction):
+        raise StoreOutcomeUnknownError("lost")
+
+    with patch.object(context.store, "transact", lose):
+        for _ in range(times):
+            assert not cancel_at(context, context.other)
+
+
+@then("it looks up one job")
+def looks_up_one(context):
+    assert context.other.recorder._looked_up == {JOB}, context.other.recorder._looked_up
+
+
 # An agent that is told of a cancellation.
 
 
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -32,8 +32,10 @@
 # that are unstored for ``PROGRESS_DELAY_MS`` are stored as progress; a job that ends sooner stores
 # them with its final state.
 PROGRESS_DELAY_MS = 1_200
-# For so long an entry looks for the outcome of a cancellation whose answer was lost.
+# How often an entry looks for the outcome of a cancellation whose answer was lost, and of how many
+# jobs at a time. Owners find out by themselves, only later.
 CANCELLATION_LOOKUPS = 25
+MAX_CANCELLATION_LOOKUPS = 64
 
 
 class JobEndRecorder:
@@ -55,6 +57,7 @@
         self._timers = timers
         self._log = log
         self._background = Background(log)
+        self._looked_up: set[str] = set()  # jobs whose cancellation was not answered
 
     # Jobs that this entry owns.
 
@@ -165,7 +168,9 @@
         try:
             result = await self._writer.write(job_part(job_id), transaction)
         except StoreOutcomeUnknownError:
-            self._background.spawn(self._look_up_cancellation(job_id))
+            if job_id not in self._looked_up and len(self._looked_up) < MAX_CANCELLATION_LOOKUPS:
+                self._looked_up.add(job_id)
+                self._background.spawn(self._look_up_cancellation(job_id))
             raise
         if isinstance(result, Conflict) and not _is_own_write(result, record):
             return False
@@ -175,13 +180,22 @@
 
     async def _look_up_cancellation(self, job_id: str) -> None:
         """Read whether a job has ended until it has; a cancellation may take effect late."""
-        for _ in range(CANCELLATION_LOOKUPS):
-            try:
-                if await self._ended_jobs.read(job_id) is not None:
+        try:
+            for _ in range(CANCELLATION_LOOKUPS):
+                if await self._has_ended(job_id):
                     return
-            except StoreError as error:
-                self._log.write("lookup_failed", request=job_id, code=error.code)
-            await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+                await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+        finally:
+            self._looked_up.discard(job_id)
+
+    async def _has_ended(self, job_id: str) -> bool:
+        if self._ended_jobs.known_state(job_id) is not None:
+            return True
+        try:
+            return await self._ended_jobs.read(job_id) is not None
+        except StoreError as error:
+            self._log.write("lookup_failed", request=job_id, code=error.code)
+            return False
 
 
 def _ending(job_id: str, version: int, record: EndedJob, has_progress: bool) -> Transaction:
