--- a/review/standins_2/runner.py
+++ b/review/standins_2/runner.py
@@ -32,6 +32,7 @@
         self.port = port
         self.cpu = cpu
         self.draining = False
+        self.labels = ["a", "r1"]  # its kind and its rack
         self._control_port = control_port
         self._record = record
         self._server: WebServer | None = None
@@ -216,7 +217,7 @@
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65_536, "gpu": 0},
-            "labels": ["a", "r1"],
+            "labels": self.labels,
             "clock_ms": self.clock_ms,
             "sequence": self._sequence,
         }
