End the stand-ins of the review also during a cut

Cause: a forwarder waited for the end of a cut after the case had been stopped. Change: the cut ends with the case. Result: stopped half-way, a script ends with all of its programs.

--- a/review/standins_2/runner.py
+++ b/review/standins_2/runner.py
@@ -125,9 +125,7 @@
 
     # Calls.
 
-    async def _handle(
-        self, _method: str, path: str, headers: dict[str, str], body: bytes
-    ) -> Reply:
+    async def _handle(self, _method: str, path: str, headers: dict[str, str], body: bytes) -> Reply:
         if path == "/healthz":
             return 200, {}, {"X-Instance-Id": self.id}
         if headers.get("x-target-instance", self.id) != self.id:
--- a/review/standins_2/system.py
+++ b/review/standins_2/system.py
@@ -194,6 +194,7 @@
         """Kill all processes, and close all stand-ins."""
         for program in [*self.entries, *self.agents]:
             program.kill()
+        self.cut_off.clear()
         for runner in self.runners:
             runner.crash()
         for cut in self.cuts:
@@ -304,7 +305,9 @@
     ``play`` returns what it saw of broken rules; its second argument tells whether the disruption
     takes place.
     """
-    sys.exit(asyncio.run(_run(play, system)))
+    result = asyncio.run(_run(play, system))
+    sys.stdout.flush()
+    sys.exit(result)
 
 
 async def _run(play: Callable[[System, bool], Awaitable[list[str]]], system: System) -> int:
