Give each run of a review case its own block of ports

Cause: one of ten runs side by side ended with 2, probably at a port of another. Change: the block follows from the process id.

--- a/review/standins_2/web.py
+++ b/review/standins_2/web.py
@@ -2,34 +2,34 @@
 
 import asyncio
 import json
-import random
+import os
 import socket
 from collections.abc import Awaitable, Callable
 
 HOST = "127.0.0.1"
-FIRST_PORT = 13_000
-LAST_PORT = 31_000
+FIRST_PORT = 13_000  # below the ephemeral range
+PORT_BLOCKS = 180
+BLOCK_PORTS = 100
 
 # A handler gets method, path, headers and body, and returns status, document and headers. A status
 # of 0 leaves the call without an answer.
 Reply = tuple[int, object, dict[str, str]]
 Handler = Callable[[str, str, dict[str, str], bytes], Awaitable[Reply]]
 
-_given: set[int] = set()
+# Cases that run at the same time take different blocks.
+_ports = iter(range(FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS, 32_768))
 
 
 def free_port() -> int:
-    """Return a free port below the ephemeral range, each only once."""
+    """Return a free port, each only once."""
     while True:
-        port = random.randint(FIRST_PORT, LAST_PORT)
+        port = next(_ports)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        if port not in _given:
-            _given.add(port)
-            return port
+        return port
 
 
 class WebServer:
