--- a/review/5/case.py
+++ b/review/5/case.py
@@ -68,4 +68,4 @@
 
 
 if __name__ == "__main__":
-    run_case(play, System(entries=3, services=[SERVICE] * 6))
+    run_case(play, entries=3, services=[SERVICE] * 6)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -52,4 +52,4 @@
 
 
 if __name__ == "__main__":
-    run_case(play, System(entries=3, services=[SERVICE] * 6))
+    run_case(play, entries=3, services=[SERVICE] * 6)
--- a/review/standins_2/cut.py
+++ b/review/standins_2/cut.py
@@ -30,7 +30,8 @@
 
     def close(self) -> None:
         """End."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for name in list(self._open):
             self.drop(name)
 
