Count no abandoned attempt of a job that is cancelled elsewhere

Its first run ended at a machine that was cut off, the owner gave the attempt up and started the task again, and the job was cancelled at another entry. The success of the first run was then acknowledged without a lapse of the runner's lease.

Cause: the canceller removed the progress row, which names abandoned attempts, and stored a record in which any attempt counts. Entries that learned of it by a message, the former owner too, assumed the same. A new owner that cancelled a job left abandoned attempts of tasks out that it had not heard of yet.

Change: the progress row outlives the cancellation, so it can't be missed and needs no condition: the owner can't write it once the open row is gone. Its attempts are moved to the record afterwards. Entries that know no attempts read both rows before they acknowledge a success or a failure. `unowned_end_settled` tells the decision and its input.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -167,6 +167,79 @@
     When another entry takes the job over and is sent the end "done" of attempt 1
     Then the agent learns that the end was superseded
 
+  # Guards against a task that counts as done twice: an entry that cancels another one's job knows none of
+  # its attempts, and took the end of any of them for one that counts.
+  Scenario Outline: an abandoned attempt does not count once its job was cancelled at another entry
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And the job is cancelled at another entry<how>
+    And <entry> then is sent the end "done" of attempt <attempt>
+    Then the agent learns that the end <told>
+
+    Examples:
+      | how                | entry                  | attempt | told           |
+      | , which goes on    | it                     | 1       | was superseded |
+      | , which goes on    | it                     | 2       | is stored      |
+      | , which goes on    | another entry          | 1       | was superseded |
+      | , which goes on    | another entry          | 2       | is stored      |
+      | , which goes on    | the owner              | 1       | was superseded |
+      | , which goes on    | the owner              | 2       | is stored      |
+      | , which goes on    | an entry that was told | 1       | was superseded |
+      | , which goes on    | an entry that was told | 2       | is stored      |
+      | , which ends       | another entry          | 1       | was superseded |
+      | , which ends       | the owner              | 1       | was superseded |
+      | , which ends       | an entry that was told | 2       | is stored      |
+
+  Scenario Outline: an attempt is abandoned between a canceller's read of the job and its write
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the job is cancelled at another entry, whose owner stores that between
+    And <entry> then is sent the end "done" of attempt 1
+    Then the agent learns that the end was superseded
+
+    Examples:
+      | entry         |
+      | it            |
+      | another entry |
+      | the owner     |
+
+  Scenario Outline: the progress row of a cancelled job stays until its attempts are in the job's record
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And the job is cancelled at another entry<how>
+    Then the progress row is <kept>
+
+    Examples:
+      | how                | kept    |
+      | , which goes on    | removed |
+      | , which ends       | kept    |
+
+  Scenario Outline: an attempt that a former owner abandoned does not count if the new one cancels the job
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And the new owner cancels it before it was told of the task
+    And <entry> then is sent the end "done" of attempt <attempt>
+    Then the agent learns that the end <told>
+
+    Examples:
+      | entry         | attempt | told           |
+      | it            | 1       | was superseded |
+      | another entry | 1       | was superseded |
+      | another entry | 2       | is stored      |
+
+  # Guards against a runner whose ends all wait for one that nobody can judge.
+  Scenario: an end whose counted attempts can't be read does not count
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And the job is cancelled at another entry, which ends
+    And the job's progress row is overwritten
+    And another entry then is sent the end "done" of attempt 2
+    Then the agent learns that the end was superseded
+
   # Guards against a job that never ends, as its progress or its end exceeds the size of a row.
   Scenario: what is stored of a job with the most tasks fits into a row of the store
     Given a job of 10000 tasks, each of them done as its 3rd attempt after a failure
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -102,7 +102,7 @@
         )
         self.ownership = OwnershipChecker(store, self.dispatch, self.ended_jobs, timers, log)
         self.recorder = effects.recorder = JobEndRecorder(
-            writer, self.dispatch, self.ended_jobs, self.ownership, timers, log
+            store, writer, self.dispatch, self.ended_jobs, self.ownership, timers, log
         )
         self.api = JobApi(
             None, self.dispatch, None, None, SimpleNamespace(has_ended=lambda _job: False),
@@ -611,6 +611,66 @@
     assert context.job.tasks[0].phase is TaskPhase.DONE
 
 
+# Jobs that are cancelled elsewhere after an attempt was abandoned.
+
+
+@when("the job is cancelled at another entry{more}")
+def cancels_after_that(context, more):
+    """Cancel the job while its progress is stored, or end before the attempts are moved."""
+    context.other = other = StoredJobsEntry(context.store, "edge-3")
+    moves = 0 if "which ends" in more else 1
+    read_row = context.store.read_row
+
+    async def read_and_store(at):
+        row = await read_row(at)
+        context.store.read_row = read_row
+        await context.owner.recorder.store_progress()
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        return row
+
+    if "stores that between" in more:
+        context.store.read_row = read_and_store
+    with patch.object(job_ends, "CANCELLATION_LOOKUPS", moves):
+        assert cancel_at(context, other)
+
+
+@when('{entry} then is sent the end "{detail}" of attempt {attempt:d}')
+def then_sent_end(context, entry, detail, attempt):
+    entries = {"it": context.other, "the owner": context.owner}
+    receiver = entries.get(entry) or StoredJobsEntry(context.store, "edge-4")
+    if entry == "an entry that was told":
+        run(context, call(receiver.ended_jobs.apply_cancellation, orders.JobCancelled(JOB, 2)))
+    elif entry == "the owner":
+        owner_learns(context, "a message")
+    receiver.links.sent.clear()
+    context.entry = receiver
+    sent_end(context, detail, attempt)
+
+
+@when("the new owner cancels it before it was told of the task")
+def new_owner_cancels(context):
+    stored = load_record(context.store.row(progress_row(JOB)).value, JobProgress)
+    context.other = entry = StoredJobsEntry(context.store, "edge-3")
+    job = own_job(context, "edge-3/life", 2, 2)
+    job.has_progress_row = True
+    for task in job.tasks:
+        task.phase = TaskPhase.UNKNOWN
+    job.restore(stored)
+    run(context, call(entry.dispatch.add_job, job, 1_000))
+    assert cancel_at(context, entry)
+
+
+@when("the job's progress row is overwritten")
+def progress_overwritten(context):
+    context.store.apply(Transaction(puts=(Put(progress_row(JOB), b"other"),)))
+
+
+@then("the progress row is {kept}")
+def progress_kept(context, kept):
+    assert (context.store.row(progress_row(JOB)).value is None) == (kept == "removed")
+
+
 # The size of rows.
 
 
--- a/src/gapdrum/agent/outcome_reporter.py
+++ b/src/gapdrum/agent/outcome_reporter.py
@@ -4,9 +4,9 @@
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.core import orders
-from gapdrum.core.models import RunKey, TaskName
+from gapdrum.core.models import COUNTED_ENDS, RunKey, TaskName
 from gapdrum.core.outbox import OUTCOMES, Outbox, Outcome
-from gapdrum.core.runner_ledger import COUNTED_ENDS, UNKNOWN_OWNER, Run
+from gapdrum.core.runner_ledger import UNKNOWN_OWNER, Run
 from gapdrum.event_log import EventLog
 from gapdrum.timers import Timers
 
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -124,6 +124,15 @@
         self.abandoned_attempt = attempt
         self.abandoned_is_stored = False
 
+    @property
+    def lowest_counted_attempt(self) -> int:
+        """Return the lowest attempt whose end counts, 0 if that of any may count.
+
+        No attempt may be known after a takeover but that earlier ones were abandoned.
+        """
+        is_last = self.attempt >= self.abandoned_attempt
+        return self.attempt if is_last else self.abandoned_attempt + 1
+
     @property
     def run(self) -> RunKey:
         """Return the key of the last attempt's run."""
--- a/src/gapdrum/core/models.py
+++ b/src/gapdrum/core/models.py
@@ -30,6 +30,10 @@
     GANG_INCOMPLETE = "alone"
 
 
+# The ends that count for a task; it is started anew after any other.
+COUNTED_ENDS = (RunEnd.DONE, RunEnd.FAILED)
+
+
 @attrs.frozen
 class Resources:
     """Processor in thousandths of a core, memory in MB, accelerators."""
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -158,7 +158,7 @@
 
 @attrs.frozen
 class Restart:
-    """A task and the attempt that counts, 0 if any may count."""
+    """A task and its lowest attempt whose end counts, 0 if that of any may count."""
 
     step: int = count_field()
     index: int = count_field()
@@ -170,8 +170,10 @@
 class EndedJob:
     """An ended job; its owner and epoch tell a repeated write from another entry's.
 
-    The first attempt of ``counted_epoch`` counts for each task that is not among the restarts; 0
-    stands for any attempt, as an entry that cancels another one's job knows none of them.
+    For a task that is not among the restarts, ends count from the first attempt of
+    ``counted_epoch`` on. An entry that cancels another one's job knows no attempts, so
+    ``counted_epoch`` is 0 and the job's progress row stays until the restarts have been read from
+    it. Without that row, the ends of all attempts count that are not among the restarts.
     """
 
     queue: str = text_field()
@@ -186,6 +188,11 @@
         """Return the final state."""
         return JobState(self.state)
 
+    @property
+    def names_attempts(self) -> bool:
+        """Tell whether the record names the attempts that count; else the progress row may."""
+        return bool(self.counted_epoch or self.restarts)
+
 
 @attrs.frozen
 class QueueDepth:
@@ -252,6 +259,15 @@
     return zlib.decompressobj().decompress(value, MAX_FRAME_BYTES)
 
 
+def restarts_in(progress: JobProgress) -> tuple[Restart, ...]:
+    """Return the tasks that may have been started again, as the progress of their job tells."""
+    return tuple(
+        Restart(row.step, row.index, row.attempt if row.done else row.attempt + 1)
+        for row in progress.tasks
+        if row.attempt
+    )
+
+
 def owner_name(instance: str, incarnation: str) -> str:
     """Return the owner's name in a job's row, for one incarnation of the entry ``instance``."""
     return f"{instance}/{incarnation}"
--- a/src/gapdrum/core/runner_ledger.py
+++ b/src/gapdrum/core/runner_ledger.py
@@ -11,7 +11,7 @@
 import attrs
 
 from gapdrum.core import orders
-from gapdrum.core.models import ZERO_RESOURCES, Resources, RunEnd, RunKey
+from gapdrum.core.models import COUNTED_ENDS, ZERO_RESOURCES, Resources, RunEnd, RunKey
 from gapdrum.core.run_pace import MIN_AGE_MS, RECENT_MS, RECENT_RUNS, Pace, usual_permille
 from gapdrum.core.runner_health import RunnerHealth
 from gapdrum.core.runner_models import EndedRun, RunnerSnapshot
@@ -34,8 +34,6 @@
 STRAGGLER_REPEAT_MS = 300
 # Older ends without a known owner are sent to all entries, as any of them may own the job.
 OWNERLESS_END_MS = 3_000
-# The ends that count for a task; it is started anew after any other.
-COUNTED_ENDS = (RunEnd.DONE, RunEnd.FAILED)
 # The least rate of a runner's steady clock against the agent's.
 CLOCK_RATE_FLOOR = 0.98
 # A poll lists 500 ends at most, the oldest first, so later ones would be hidden behind more.
--- a/src/gapdrum/entry/ended_jobs.py
+++ b/src/gapdrum/entry/ended_jobs.py
@@ -7,21 +7,24 @@
 from gapdrum.background import Background
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import Job, Place
-from gapdrum.core.models import JobState, RunEnd, TaskName
+from gapdrum.core.models import COUNTED_ENDS, JobState, RunEnd, TaskName
 from gapdrum.core.orders import EndsStored, JobCancelled, JobEpoch, JobsCancelled, RunEvent
 from gapdrum.core.records import (
     EndedJob,
+    JobProgress,
     ended_row,
     entry_of_owner,
     first_attempt,
     load_record,
     open_row,
+    progress_row,
+    restarts_in,
 )
 from gapdrum.entry.links import AgentLinks
 from gapdrum.entry.peer_notifier import PeerNotifier
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError
+from gapdrum.exceptions import RecordError, StoreError
 
 MAX_REMEMBERED_ENDS = 20_000  # 2 minutes at 150 jobs a second
 MAX_UNOWNED_LOOKUPS = 16  # at a time; further ends are looked up later
@@ -29,13 +32,18 @@
 
 @attrs.frozen
 class KnownEnd:
-    """An ended job, and the attempts that count for the tasks among its restarts."""
+    """An ended job, and the lowest attempts that count for the tasks among its restarts.
+
+    ``is_complete`` is not set while it is unknown which attempts count, so that the store is read
+    before an end is acknowledged.
+    """
 
     record: EndedJob
     attempts: dict[tuple[int, int], int]
+    is_complete: bool
 
     def counted_attempt(self, step: int, index: int) -> int:
-        """Return the attempt that counts for a task, 0 if any may count."""
+        """Return the lowest attempt whose end counts for a task, 0 if that of any may count."""
         epoch = self.record.counted_epoch
         return self.attempts.get((step, index), first_attempt(epoch) if epoch else 0)
 
@@ -71,10 +79,13 @@
         known = self._known.get(job_id)
         return known.record.job_state if known is not None else None
 
-    def remember(self, job_id: str, record: EndedJob) -> None:
+    def remember(self, job_id: str, record: EndedJob, is_complete: bool = False) -> None:
         """Keep the record of an ended job in memory; the oldest ones are dropped."""
-        attempts = {(row.step, row.index): row.attempt for row in record.restarts}
-        self._known[job_id] = KnownEnd(record, attempts)
+        known = self._known.get(job_id)
+        is_complete = is_complete or record.names_attempts
+        if known is None or is_complete or not known.is_complete:
+            attempts = {(row.step, row.index): row.attempt for row in record.restarts}
+            self._known[job_id] = KnownEnd(record, attempts, is_complete)
         while len(self._known) > MAX_REMEMBERED_ENDS:
             self._known.popitem(last=False)
 
@@ -114,7 +125,7 @@
         """Acknowledge a run's end if its job has ended; read the job's rows if that is unknown."""
         job_id = TaskName.parse(event.task).job_id
         known = self._known.get(job_id)
-        if known is not None:
+        if known is not None and (known.is_complete or RunEnd(event.detail) not in COUNTED_ENDS):
             self._acknowledge_end(place, event, known)
         elif job_id not in self._lookups and len(self._lookups) < MAX_UNOWNED_LOOKUPS:
             self._lookups.add(job_id)
@@ -125,6 +136,14 @@
             # The open row is read first: a job moves to the ended table, never back.
             opened = await self._store.read_row(open_row(job_id))
             ended = await self.read(job_id)
+            if ended is not None:
+                record = await self._add_restarts(job_id, ended)
+                self.remember(job_id, record, is_complete=True)
+        except RecordError as error:
+            # Which attempts count stays unknown, and the runner's later ends wait for this one.
+            self._log.write("row_unreadable", place=job_id, reason=error.message)
+            self._acknowledge_superseded(place, event)
+            return
         except StoreError as error:
             self._log.write("lookup_failed", request=job_id, code=error.code)
             return
@@ -135,6 +154,20 @@
         elif opened is None:
             self._dispatch.acknowledge_ends(place, (event.end_number,))
 
+    async def _add_restarts(self, job_id: str, record: EndedJob) -> EndedJob:
+        """Return an ended job's record with the restarts that its progress row tells.
+
+        Raises StoreError and RecordError.
+        """
+        if record.names_attempts:
+            return record
+        progress = await self._store.read_row(progress_row(job_id))
+        if progress is not None:
+            restarts = restarts_in(load_record(progress.value, JobProgress))
+            return attrs.evolve(record, restarts=restarts)
+        # The restarts may have been moved from the progress row to the record meanwhile.
+        return await self.read(job_id) or record
+
     async def read(self, job_id: str) -> EndedJob | None:
         """Read and apply the record of an ended job, None if there is none; raises StoreError."""
         row = await self._store.read_row(ended_row(job_id))
@@ -151,8 +184,22 @@
         """
         name = TaskName.parse(event.task)
         counted_attempt = known.counted_attempt(name.step, name.index)
-        if event.detail == RunEnd.DONE.value and counted_attempt > event.attempt:
-            message = EndsStored(place.runner_id, (), (event.end_number,))
-            self._links.send(place.agent, message)
-        else:
+        counts = event.detail != RunEnd.DONE.value or event.attempt >= counted_attempt
+        self._log.write(
+            "unowned_end_settled",
+            request=name.job_id,
+            task=event.task,
+            attempt=event.attempt,
+            end=event.detail,
+            state=known.record.state,
+            counted_from=counted_attempt,
+            counts=counts,
+            runner=place.runner_id,
+        )
+        if counts:
             self._dispatch.acknowledge_ends(place, (event.end_number,))
+        else:
+            self._acknowledge_superseded(place, event)
+
+    def _acknowledge_superseded(self, place: Place, event: RunEvent) -> None:
+        self._links.send(place.agent, EndsStored(place.runner_id, (), (event.end_number,)))
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import attrs
+
 from gapdrum.background import Background
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import Job
 from gapdrum.core.models import JobState
 from gapdrum.core.records import (
     EndedJob,
+    JobProgress,
     OpenJob,
     Restart,
     dump_record,
@@ -17,13 +20,15 @@
     load_record,
     open_row,
     progress_row,
+    restarts_in,
 )
 from gapdrum.core.rows import ABSENT, Committed, Conflict, Expectation, Put, Row, Transaction
 from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
 from gapdrum.entry.ownership import OwnershipChecker
+from gapdrum.entry.store_access import StoreAccess
 from gapdrum.event_log import EventLog
-from gapdrum.exceptions import StoreError, StoreOutcomeUnknownError
+from gapdrum.exceptions import RecordError, StoreError, StoreOutcomeUnknownError
 from gapdrum.timers import MS_PER_S, Timers
 
 RETRY_INTERVAL_MS = 200
@@ -43,6 +48,7 @@
 
     def __init__(
         self,
+        store: StoreAccess,
         writer: GroupCommitWriter,
         dispatch: Dispatch,
         ended_jobs: EndedJobs,
@@ -50,6 +56,7 @@
         timers: Timers,
         log: EventLog,
     ) -> None:
+        self._store = store
         self._writer = writer
         self._dispatch = dispatch
         self._ended_jobs = ended_jobs
@@ -164,7 +171,8 @@
         """
         found = load_record(row.value, OpenJob)
         record = EndedJob(found.queue, JobState.CANCELLED.value, found.owner, found.epoch + 1, ())
-        transaction = _ending(job_id, row.version, record, True)
+        # The progress row stays: the owner may write it until this takes effect, and not after.
+        transaction = _ending(job_id, row.version, record, False)
         try:
             result = await self._writer.write(job_part(job_id), transaction)
         except StoreOutcomeUnknownError:
@@ -176,6 +184,7 @@
             return False
         self._log.write("job_cancelled", request=job_id, owner=found.owner, epoch=record.epoch)
         self._ended_jobs.apply(job_id, record)
+        self._background.spawn(self._move_attempts(job_id))
         return True
 
     async def _look_up_cancellation(self, job_id: str) -> None:
@@ -183,11 +192,48 @@
         try:
             for _ in range(CANCELLATION_LOOKUPS):
                 if await self._has_ended(job_id):
+                    await self._move_attempts(job_id)
                     return
                 await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
         finally:
             self._looked_up.discard(job_id)
 
+    async def _move_attempts(self, job_id: str) -> None:
+        """Move what the progress row of a cancelled job tells of attempts to its record."""
+        for _ in range(CANCELLATION_LOOKUPS):
+            try:
+                transaction = await self._moving(job_id)
+                if transaction is not None:
+                    # On a conflict another entry has moved them.
+                    await self._writer.write(job_part(job_id), transaction)
+                return
+            except RecordError as error:
+                self._log.write("row_unreadable", place=job_id, reason=error.message)
+                return
+            except StoreError as error:
+                self._log.write("end_unsettled", request=job_id, code=error.code)
+            await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
+
+    async def _moving(self, job_id: str) -> Transaction | None:
+        """Return the transaction that removes the progress row of an ended job, None without one.
+
+        Raises StoreError and RecordError.
+        """
+        progress = await self._store.read_row(progress_row(job_id))
+        ended = await self._store.read_row(ended_row(job_id)) if progress is not None else None
+        if ended is None:
+            return None
+        restarts = restarts_in(load_record(progress.value, JobProgress))
+        record = attrs.evolve(load_record(ended.value, EndedJob), restarts=restarts)
+        return Transaction(
+            expectations=(
+                Expectation(ended.at, ended.version),
+                Expectation(progress.at, progress.version),
+            ),
+            puts=(Put(ended.at, dump_record(record)),),
+            removals=(progress.at,),
+        )
+
     async def _has_ended(self, job_id: str) -> bool:
         if self._ended_jobs.known_state(job_id) is not None:
             return True
@@ -220,7 +266,7 @@
 def _restarts(job: Job) -> tuple[Restart, ...]:
     first = first_attempt(job.epoch)
     return tuple(
-        Restart(task.name.step, task.name.index, task.attempt)
+        Restart(task.name.step, task.name.index, task.lowest_counted_attempt)
         for task in job.tasks
-        if task.attempt != first
+        if task.lowest_counted_attempt != first
     )
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -105,7 +105,7 @@
         )
         self.ownership = OwnershipChecker(self.store, self.dispatch, self.ended_jobs, timers, log)
         self.job_ends = JobEndRecorder(
-            self.writer, self.dispatch, self.ended_jobs, self.ownership, timers, log
+            self.store, self.writer, self.dispatch, self.ended_jobs, self.ownership, timers, log
         )
         self.reach = Reach()
         self.acceptor = Acceptor(
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -240,6 +240,19 @@
 _add("end_unsettled", "It is unknown whether the store holds the job's end.", "request", "code")
 _add("progress_stored", "Ends of tasks of a long job are stored.", "request", "ends")
 _add("progress_unsettled", "Ends of tasks of a long job could not be stored.", "request", "code")
+_add(
+    "unowned_end_settled",
+    "The end of a run of an ended job may be acknowledged; it counts only if its attempt is "
+    "`counted_from` or higher, as lower ones were followed by another start of the task.",
+    "request",
+    "task",
+    "attempt",
+    "end",
+    "state",
+    "counted_from",
+    "counts",
+    "runner",
+)
 _add("lookup_failed", "The rows of a job could not be read.", "request", "code")
 
 # Tasks.
