Keep the policy of an accepted job in its row for the next owner

Their route had got another name, or was missing for a while, and their owner was killed or lost its lease.

Cause: a new owner looked the policy up by the name of the route at the acceptance. Without a route of that name it took one attempt, priority 0 and no slack; with a route of that name at another path it took that one's.

Change: the policy follows the job's record in its row, so that it is known to each owner. Earlier releases read the first record only. A row without a policy gets that of the route of its name; if there is none, it stays unknown and ends nothing. A policy that can't be read costs no other job.

--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -5,7 +5,7 @@
 from platform_core_steps import QUEUE, build_job, step_row
 
 from gapdrum.core.models import Resources, Step
-from gapdrum.core.records import OpenJob
+from gapdrum.core.records import JobPolicy, OpenJob
 from gapdrum.entry.admission import Admission
 
 LITTLE_WORK = 1_000
@@ -19,8 +19,8 @@
             "flags", "inspect-desk", "{}", "entry-1/life", 1, 0, (step_row(one_step(1)),)
         )
         job = build_job(
-            f"{number:016x}", record, 7, context.now_ms, durable=False, failure_limit=3,
-            priority=0, latency_factor=1.6, latency_slack_ms=60,
+            f"{number:016x}", record, 7, context.now_ms, durable=False,
+            policy=JobPolicy(3, 0, 1.6, 60),
         )  # fmt: skip
         context.dispatch.add_job(job, context.now_ms)
 
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -18,6 +18,7 @@
 from gapdrum.core.placer import TRY_INTERVAL_MS
 from gapdrum.core.records import (
     EndedJob,
+    JobPolicy,
     JobProgress,
     OpenJob,
     dump_record,
@@ -152,10 +153,7 @@
         version,
         1_000,
         durable=True,
-        failure_limit=3,
-        priority=0,
-        latency_factor=1.6,
-        latency_slack_ms=60,
+        policy=JobPolicy(3, 0, 1.6, 60),
     )
     return context.job
 
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -22,13 +22,13 @@
 
 from gapdrum.agent.entry_links import RETRY_INTERVAL_MS, UNNEEDED_KEPT_MS
 from gapdrum.core import orders
-from gapdrum.core.jobs import TaskPhase
+from gapdrum.core.jobs import TaskPhase, build_job
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.records import OpenJob, step_row
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.core.runner_ledger import Run
 from gapdrum.core.runner_models import RunningTask
-from gapdrum.entry.acceptance import build_queue_job
+from gapdrum.entry.acceptance import queue_policy
 from gapdrum.entry.receipts import ReceiptSender
 from gapdrum.entry.waiting_callers import Caller
 from gapdrum.timers import MS_PER_S
@@ -103,7 +103,8 @@
     steps = (Step(2, Resources(500, 10, 0), 900),)
     rows = tuple(step_row(step) for step in steps)
     record = OpenJob(QUEUE.name, QUEUE.upstream, "{}", OWNER, 1, 0, rows)
-    job = build_queue_job(JOB, record, 1, QUEUE, pair.timers.now_ms(), durable=True)
+    now_ms = pair.timers.now_ms()
+    job = build_job(JOB, record, 1, now_ms, durable=True, policy=queue_policy(QUEUE))
     pair.dispatch.add_job(job, pair.timers.now_ms())
     context.keys = pair.start_all()
 
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -31,7 +31,7 @@
 from gapdrum.core.models import Resources, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.placement_rules import build_pool, choose_runner, waiting_order
 from gapdrum.core.placer import TRY_INTERVAL_MS
-from gapdrum.core.records import EntryAddress, OpenJob, step_row
+from gapdrum.core.records import EntryAddress, JobPolicy, OpenJob, step_row
 from gapdrum.core.room_offers import OFFER_MS
 from gapdrum.core.rows import (
     ABSENT,
@@ -313,10 +313,7 @@
         7,
         context.now_ms,
         durable=durable,
-        failure_limit=failures,
-        priority=0,
-        latency_factor=1.6,
-        latency_slack_ms=60,
+        policy=JobPolicy(failures, 0, 1.6, 60),
     )
     if requeue_unknown_at_ms:
         job.requeue_unknown_at_ms = requeue_unknown_at_ms
@@ -996,10 +993,7 @@
             0,
             accepted_ms,
             durable=False,
-            failure_limit=1,
-            priority=int(row["priority"]),
-            latency_factor=1.6,
-            latency_slack_ms=100,
+            policy=JobPolicy(1, int(row["priority"]), 1.6, 100),
         )
         for task in job.tasks[: int(row["placed"])]:
             task.phase = TaskPhase.RUNNING
--- /dev/null
+++ b/features/steps/takeover_steps.py
@@ -0,0 +1,178 @@
+"""Steps on what is known of a job to its next owner, on a fake store."""
+
+import json
+
+from behave import given, then, when
+from ended_job_steps import StoredJobsEntry, run
+from platform_core_steps import JOB, FakeStore, new_lease, new_log
+from refusal_steps import LIMITS
+
+from gapdrum.background import Background
+from gapdrum.core.jobs import TaskPhase
+from gapdrum.core.models import Resources, RunEnd, Step
+from gapdrum.core.records import OpenJob, dump_record, lease_row, load_record, open_row
+from gapdrum.core.rows import Put, Transaction
+from gapdrum.entry.acceptance import Acceptor
+from gapdrum.entry.configuration_watch import ConfigurationWatch
+from gapdrum.entry.group_commit import GroupCommitWriter
+from gapdrum.entry.job_ends import PROGRESS_DELAY_MS
+from gapdrum.entry.takeover import Takeover
+
+HOST = "inspections.example"
+ESTIMATE_MS = 100
+OTHER_JOB = JOB[:-2] + "00"
+
+
+class OwnerEntry(StoredJobsEntry):
+    """An entry that accepts jobs, owns them and takes over those of lost entries."""
+
+    def __init__(self, store, instance, route_rows, version):
+        super().__init__(store, instance)
+        log = new_log(self.timers)
+        writer = GroupCommitWriter(store, Background(log))
+        self.configuration = ConfigurationWatch(log)
+        self.configuration.on_change = self.apply_configuration
+        self.configure(version, route_rows)
+        self.lease = new_lease(store, self.timers, instance)
+        self.acceptor = Acceptor(store, writer, self.lease, self.timers, log, self.add_job)
+        self.takeover = Takeover(
+            store, writer, self.lease, self.dispatch, self.links, self.acceptor, self.ended_jobs,
+            self.configuration, self.timers, log,
+        )  # fmt: skip
+
+    def add_job(self, job):
+        self.dispatch.add_job(job, self.timers.now_ms())
+
+    def apply_configuration(self, _configuration):
+        pass
+
+    def configure(self, version, route_rows):
+        """Apply a version of the configuration."""
+        document = {"version": version, "routes": route_rows, "limits": LIMITS}
+        self.configuration.apply_from_peer(json.dumps(document).encode(), "test")
+
+    @property
+    def job(self):
+        return self.dispatch.jobs[JOB]
+
+
+def route_of(name, prefix, service="inspect-desk", **settings):
+    return {"name": name, "host": HOST, "prefix": prefix, "service": service, **settings}
+
+
+@given('an entry that has accepted a job at "{prefix}" of the route "{name}" with these settings')
+def accepted(context, prefix, name):
+    settings = {key: json.loads(value) for key, value in context.table[0].items()}
+    context.store = FakeStore()
+    context.version = 1
+    context.routes = [route_of(name, prefix, **settings)]
+    context.owner = owner = OwnerEntry(context.store, "edge-1", context.routes, 1)
+    queue = owner.configuration.current.find_queue(HOST, prefix)
+    steps = (Step(1, Resources(500, 10, 0), ESTIMATE_MS),)
+
+    async def accept():
+        await owner.lease.keep()
+        return await owner.acceptor.accept(JOB, queue, "{}", steps)
+
+    run(context, accept())
+    assert owner.job.durable
+
+
+@when("a run of the job fails, which is stored")
+def fails_once(context):
+    owner, job = context.owner, context.owner.job
+    task = job.tasks[0]
+    task.attempt, task.phase = 1, TaskPhase.RUNNING
+    job.record_end(task, 1, RunEnd.FAILED, owner.timers.now_ms())
+    owner.timers.time_ms += PROGRESS_DELAY_MS
+    run(context, owner.recorder.store_progress())
+
+
+@when("the configuration stays as it is")
+def stays(context):
+    pass
+
+
+@when('the configuration gives the route the name "{name}"')
+def renamed(context, name):
+    change_routes(context, {**context.routes[0], "name": name})
+
+
+@when("the configuration has no such route")
+def removed(context):
+    change_routes(context, route_of("tags", "/tags/"))
+
+
+@when('the configuration gives the path to a route "{name}" with {attempts:d} attempts')
+def path_given(context, name, attempts):
+    change_routes(context, {**context.routes[0], "name": name, "attempts": attempts})
+
+
+@when('the configuration gives the name "{name}" to the path "{prefix}" with {attempts:d} attempts')
+def name_given(context, name, prefix, attempts):
+    change_routes(context, route_of(name, prefix, "other-desk", attempts=attempts))
+
+
+@when("the configuration changes the attempts of the route to {attempts:d}")
+def attempts_changed(context, attempts):
+    change_routes(context, {**context.routes[0], "attempts": attempts})
+
+
+def change_routes(context, *routes):
+    context.version += 1
+    context.routes = list(routes)
+    context.owner.configure(context.version, context.routes)
+
+
+@when("the entry is lost, and another one takes the job over")
+def taken_over(context):
+    context.store.apply(Transaction(removals=(lease_row(context.owner.lease.instance),)))
+    number = int(context.owner.lease.instance.rpartition("-")[2]) + 1
+    context.owner = owner = OwnerEntry(
+        context.store, f"edge-{number}", context.routes, context.version
+    )
+
+    async def take_over():
+        await owner.lease.keep()
+        await owner.takeover.scan_if_due()
+
+    run(context, take_over())
+
+
+@then(
+    "the job goes on with {failed:d} failed run of {attempts:d}, priority {priority:d} and the "
+    "objective {objective_ms:d} ms"
+)
+def goes_on(context, failed, attempts, priority, objective_ms):
+    job = context.owner.job
+    assert job.ending is None, job.ending
+    assert len(job.tasks[0].failed_attempts) == failed, job.tasks[0]
+    found = (job.failure_limit, job.priority, job.objective_ms)
+    assert found == (attempts, priority, objective_ms), found
+
+
+@given("its row is as an earlier release writes it")
+def earlier_release(context):
+    owner = context.owner
+    record = load_record(context.store.row(open_row(JOB)).value, OpenJob)
+    put = Put(open_row(JOB), dump_record(record))
+    owner.job.version = context.store.apply(Transaction(puts=(put,))).version
+
+
+@then("the first record of its row is what an earlier release writes")
+def earlier_reads(context):
+    record = load_record(context.store.row(open_row(JOB)).value, OpenJob)
+    assert (record.queue, record.owner, record.epoch) == ("certs", context.owner.lease.owner, 1)
+
+
+@given("a job beside it whose row has a malformed policy")
+def malformed_policy(context):
+    row = context.store.row(open_row(JOB))
+    record = load_record(row.value, OpenJob)
+    put = Put(open_row(OTHER_JOB), dump_record(record) + b"\x01")
+    context.store.apply(Transaction(puts=(put,)))
+
+
+@then("it has taken over that job only")
+def that_job_only(context):
+    assert list(context.owner.dispatch.jobs) == [JOB]
--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -10,7 +10,8 @@
 PERMILLE = 1_000
 
 
-def _check_factor(_instance: object, attribute: attrs.Attribute, value: object) -> None:
+def check_factor(_instance: object, attribute: attrs.Attribute, value: object) -> None:
+    """Validate a latency factor; raises ValueError."""
     if not math.isfinite(value) or value < 0:
         raise ValueError(f"{attribute.name} must be a number from 0 on")
 
@@ -33,7 +34,7 @@
     upstream: str = text_field()
     priority: int = count_field()
     failure_limit: int = count_field()
-    latency_factor: float = attrs.field(validator=_check_factor)
+    latency_factor: float = attrs.field(validator=check_factor)
     latency_slack_ms: int = count_field()
     timeout_ms: int = count_field()
     weight: int = count_field(minimum=1, default=1)
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -7,6 +7,7 @@
 
 from gapdrum.core.models import JobState, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.records import (
+    JobPolicy,
     JobProgress,
     OpenJob,
     TaskProgress,
@@ -166,7 +167,7 @@
     durable: bool
     accepted_wall_ms: int
     accepted_ms: int  # accepted or taken over by this entry; objective counts from here
-    failure_limit: int  # the job fails once a task has so many failed attempts
+    failure_limit: int  # the job fails once a task has so many failed attempts, never if it is 0
     priority: int
     chain_ms: int
     objective_ms: int
@@ -286,13 +287,16 @@
 
     def outcome(self) -> JobState | None:
         """Return the final state that follows from its tasks, None while the job is open."""
-        limit = self.failure_limit
-        if any(len(task.failed_attempts) >= limit or task.is_given_up for task in self.tasks):
+        if any(self._has_failed(task) for task in self.tasks):
             return JobState.FAILED
         if all(task.phase is TaskPhase.DONE for task in self.tasks):
             return JobState.SUCCEEDED
         return None
 
+    def _has_failed(self, task: Task) -> bool:
+        limit = self.failure_limit
+        return task.is_given_up or 0 < limit <= len(task.failed_attempts)
+
     def active_tasks(self) -> Iterator[Task]:
         """Yield the tasks that are ordered or running."""
         for task in self.tasks:
@@ -341,10 +345,7 @@
     now_ms: int,
     *,
     durable: bool,
-    failure_limit: int,
-    priority: int,
-    latency_factor: float,
-    latency_slack_ms: int,
+    policy: JobPolicy,
 ) -> Job:
     """Return a job from its row, with all tasks waiting; its objective counts from ``now_ms``."""
     steps = tuple(row.to_step() for row in record.steps)
@@ -365,11 +366,11 @@
         durable=durable,
         accepted_wall_ms=record.accepted_wall_ms,
         accepted_ms=now_ms,
-        failure_limit=failure_limit,
-        priority=priority,
+        failure_limit=policy.failure_limit,
+        priority=policy.priority,
         chain_ms=chain_ms,
-        objective_ms=int(chain_ms * latency_factor) + latency_slack_ms,
-        begin_within_ms=begin_within_ms(chain_ms, latency_factor, latency_slack_ms),
+        objective_ms=int(chain_ms * policy.latency_factor) + policy.latency_slack_ms,
+        begin_within_ms=begin_within_ms(chain_ms, policy.latency_factor, policy.latency_slack_ms),
         steps=steps,
         tasks=tasks,
         by_name={task.name: task for task in tasks},
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -12,12 +12,14 @@
 from attrs import validators
 
 from gapdrum.codec import MAX_FRAME_BYTES, Decoder, encode, message
+from gapdrum.core.configuration import check_factor
 from gapdrum.core.models import JobState, Resources, Step, TaskName
 from gapdrum.core.rows import RowKey
 from gapdrum.exceptions import FrameError, RecordError
 from gapdrum.structures import count_field, rows_field, text_field
 
 T = TypeVar("T")
+U = TypeVar("U")
 
 OPEN_TABLE = "open"
 PROGRESS_TABLE = "progress"
@@ -128,6 +130,26 @@
     steps: tuple[StepRow, ...] = rows_field(StepRow, MAX_STEPS)
 
 
+@message(67)
+@attrs.frozen
+class JobPolicy:
+    """How a job is run: the policy of its queue when it was accepted, for all its owners.
+
+    ``failure_limit`` is 0 if it is not known, and the job then fails by no number of attempts.
+
+    It follows ``OpenJob`` in the job's row. Earlier releases don't write it, and read the first
+    record only.
+    """
+
+    failure_limit: int = count_field(default=0)
+    priority: int = count_field(default=0)
+    latency_factor: float = attrs.field(default=1.0, validator=check_factor)
+    latency_slack_ms: int = count_field(default=0)
+
+
+UNKNOWN_POLICY = JobPolicy()
+
+
 @attrs.frozen
 class TaskProgress:
     """Whether a task of an open job is done, its failed attempts, and the crashes under it.
@@ -229,12 +251,17 @@
     wanted_permille: int = count_field(default=0)
 
 
-def dump_record(record: object) -> bytes:
-    """Encode a record as the value of a row; a large one is compressed.
+def dump_job(record: OpenJob, policy: JobPolicy | None) -> bytes:
+    """Encode an open job as the value of its row, with its policy if that is known."""
+    return dump_record(record) if policy is None else dump_record(record, policy)
+
+
+def dump_record(*records: object) -> bytes:
+    """Encode a record, and what is added to it, as the value of a row; a large one is compressed.
 
     The progress of a job with ``MAX_TASKS`` tasks does not fit into a row otherwise.
     """
-    value = encode(record)
+    value = b"".join(map(encode, records))
     return value if len(value) < COMPRESSED_BYTES else zlib.compress(value)
 
 
@@ -252,6 +279,22 @@
     return record
 
 
+def load_records(value: bytes, kind: type[T], added_kind: type[U]) -> tuple[T, U | None]:
+    """Decode a row's value as two records; the second is None if the row does not have it.
+
+    Raises RecordError if the value is malformed or a record is of another kind.
+    """
+    try:
+        records = Decoder().feed(_decompress(value))
+        record, added = next(records, None), next(records, None)
+    except (FrameError, zlib.error) as error:
+        raise RecordError(str(error)) from error
+    if not isinstance(record, kind) or not isinstance(added, added_kind | None):
+        found = f"{type(record).__name__} and {type(added).__name__}"
+        raise RecordError(f"expected {kind.__name__} and {added_kind.__name__}, found {found}")
+    return record, added
+
+
 def _decompress(value: bytes) -> bytes:
     """Return the encoded record in a row's value; no record begins with zlib's first byte."""
     if not value.startswith(ZLIB_FIRST_BYTE):
--- a/src/gapdrum/entry/acceptance.py
+++ b/src/gapdrum/entry/acceptance.py
@@ -8,8 +8,9 @@
 from gapdrum.core.jobs import Job, build_job
 from gapdrum.core.models import Step
 from gapdrum.core.records import (
+    JobPolicy,
     OpenJob,
-    dump_record,
+    dump_job,
     ended_row,
     job_part,
     load_record,
@@ -89,8 +90,9 @@
         while True:
             owner = self._lease.owner
             record = initial_record(queue, spec, steps, owner, self._timers.wall_ms())
+            insertion = _insertion(job_id, record, queue_policy(queue))
             try:
-                result = await self._writer.write(job_part(job_id), _insertion(job_id, record))
+                result = await self._writer.write(job_part(job_id), insertion)
             except StoreOutcomeUnknownError:
                 unanswered = True
             except StoreRejectedError as error:
@@ -136,7 +138,16 @@
         if record.owner != self._lease.owner:
             return  # the lease was lost meanwhile: a takeover scan finds the job
         now_ms = self._timers.now_ms()
-        self._on_accepted(build_queue_job(job_id, record, version, queue, now_ms - store_ms))
+        self._on_accepted(
+            build_job(
+                job_id,
+                record,
+                version,
+                now_ms - store_ms,
+                durable=True,
+                policy=queue_policy(queue),
+            )
+        )
 
 
 def initial_record(
@@ -154,33 +165,18 @@
     )
 
 
-def _insertion(job_id: str, record: OpenJob) -> Transaction:
+def queue_policy(queue: Queue) -> JobPolicy:
+    """Return the policy of the jobs that a queue accepts."""
+    return JobPolicy(
+        queue.failure_limit, queue.priority, queue.latency_factor, queue.latency_slack_ms
+    )
+
+
+def _insertion(job_id: str, record: OpenJob, policy: JobPolicy) -> Transaction:
     return Transaction(
         expectations=(
             Expectation(open_row(job_id), ABSENT),
             Expectation(ended_row(job_id), ABSENT),
         ),
-        puts=(Put(open_row(job_id), dump_record(record)),),
-    )
-
-
-def build_queue_job(
-    job_id: str,
-    record: OpenJob,
-    version: int,
-    queue: Queue | None,
-    now_ms: int,
-    durable: bool = True,
-) -> Job:
-    """Return a job with its queue's policy, or with defaults if the queue no longer exists."""
-    return build_job(
-        job_id,
-        record,
-        version,
-        now_ms,
-        durable=durable,
-        failure_limit=queue.failure_limit if queue else 1,
-        priority=queue.priority if queue else 0,
-        latency_factor=queue.latency_factor if queue else 1.0,
-        latency_slack_ms=queue.latency_slack_ms if queue else 0,
+        puts=(Put(open_row(job_id), dump_job(record, policy)),),
     )
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -5,22 +5,25 @@
 import attrs
 
 from gapdrum.core.dispatch import Dispatch
-from gapdrum.core.jobs import TaskPhase
+from gapdrum.core.jobs import TaskPhase, build_job
 from gapdrum.core.orders import JobEpoch, JobsClaimed
 from gapdrum.core.records import (
     JOB_PARTS,
     OPEN_TABLE,
     PROGRESS_TABLE,
+    UNKNOWN_POLICY,
+    JobPolicy,
     JobProgress,
     OpenJob,
-    dump_record,
+    dump_job,
     entry_of_owner,
     load_record,
+    load_records,
 )
 from gapdrum.core.rows import Conflict, Expectation, Put, Row, Transaction
 from gapdrum.core.run_bounds import SILENCE_LIMIT_MS
 from gapdrum.core.subsets import SUCCESSION_MS, choose_successors
-from gapdrum.entry.acceptance import Acceptor, build_queue_job
+from gapdrum.entry.acceptance import Acceptor, queue_policy
 from gapdrum.entry.configuration_watch import ConfigurationWatch
 from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.group_commit import GroupCommitWriter
@@ -37,6 +40,15 @@
 SCAN_INTERVAL_MS = 10_000
 
 
+@attrs.frozen
+class FoundJob:
+    """An open job's row; ``policy`` is None if it is not in a row of an earlier release."""
+
+    row: Row
+    record: OpenJob
+    policy: JobPolicy | None
+
+
 class Takeover:
     """Finds open jobs whose owner holds no lease, and claims them under the next epoch.
 
@@ -92,37 +104,38 @@
 
     async def _scan(self) -> None:
         """Read the open jobs before the leases, as an entry writes its lease before any job."""
-        rows: dict[str, list[tuple[Row, str | None]]] = {}
+        found: dict[str, list[FoundJob]] = {}
         for part in random.sample(JOB_PARTS, len(JOB_PARTS)):
-            found = await self._store.read_all(OPEN_TABLE, part)
-            rows[part] = [(row, self._owner_of(row)) for row in found]
+            rows = await self._store.read_all(OPEN_TABLE, part)
+            found[part] = [job for job in map(self._decode_job, rows) if job is not None]
         owners = await self._lease.poll()
-        self._record_orphans({owner for part in rows.values() for _, owner in part}, owners)
-        for part, found in rows.items():
-            claimable = [row for row, owner in found if self._may_claim(row, owner, owners)]
+        self._record_orphans({job.record.owner for jobs in found.values() for job in jobs}, owners)
+        for part, jobs in found.items():
+            claimable = [job for job in jobs if self._may_claim(job, owners)]
             for start in range(0, len(claimable), CLAIM_BATCH):
                 await self._claim(part, claimable[start : start + CLAIM_BATCH])
 
-    def _record_orphans(self, found: set[str | None], owners: frozenset[str]) -> None:
+    def _record_orphans(self, found: set[str], owners: frozenset[str]) -> None:
         """Record since when jobs are known of each owner without a lease."""
         now_ms = self._timers.now_ms()
         self._orphaned_ms = {
-            owner: self._orphaned_ms.get(owner, now_ms) for owner in found - owners - {None}
+            owner: self._orphaned_ms.get(owner, now_ms) for owner in found - owners
         }
 
-    def _owner_of(self, row: Row) -> str | None:
-        """Return a job's owner, None if its row can't be read."""
+    def _decode_job(self, row: Row) -> FoundJob | None:
+        """Return a job from its row, None if that can't be read."""
         try:
-            return load_record(row.value, OpenJob).owner
+            return FoundJob(row, *load_records(row.value, OpenJob, JobPolicy))
         except RecordError as error:
             # No entry can run the job; requests that need the row are answered with this error.
             self._log_unreadable(row, error)
             return None
 
-    def _may_claim(self, row: Row, owner: str | None, owners: frozenset[str]) -> bool:
+    def _may_claim(self, job: FoundJob, owners: frozenset[str]) -> bool:
+        owner = job.record.owner
         if owner == self._lease.owner:
             # The answer to a claim may have been lost: this entry owns the row, but has no job.
-            return not self._is_known(row.at.key)
+            return not self._is_known(job.row.at.key)
         if owner not in self._orphaned_ms:
             return False
         waited_ms = self._timers.now_ms() - self._orphaned_ms[owner]
@@ -136,40 +149,44 @@
             or self._ended_jobs.known_state(job_id) is not None
         )
 
-    async def _claim(self, part: str, rows: list[Row]) -> None:
-        claims = [(row, self._claimed_record(row)) for row in rows]
+    async def _claim(self, part: str, jobs: list[FoundJob]) -> None:
+        claims = [self._claim_of(job) for job in jobs]
         transaction = Transaction(
-            tuple(Expectation(row.at, row.version) for row in rows),
-            tuple(Put(row.at, dump_record(record)) for row, record in claims),
+            tuple(Expectation(job.row.at, job.row.version) for job in jobs),
+            tuple(Put(claim.row.at, dump_job(claim.record, claim.policy)) for claim in claims),
         )
         result = await self._writer.write(part, transaction)
         if isinstance(result, Conflict):
             self._scan_requested = True  # another entry has claimed some of the jobs
-            if len(rows) > 1:
-                for row in rows:
-                    await self._claim(part, [row])
+            if len(jobs) > 1:
+                for job in jobs:
+                    await self._claim(part, [job])
             return
         progress = {row.at.key: row for row in await self._store.read_all(PROGRESS_TABLE, part)}
-        for row, record in claims:
-            self._add_claimed_job(row.at.key, record, result.version, progress.get(row.at.key))
-        epochs = tuple(JobEpoch(row.at.key, record.epoch) for row, record in claims)
+        for claim in claims:
+            self._add_claimed_job(claim, result.version, progress.get(claim.row.at.key))
+        epochs = tuple(JobEpoch(claim.row.at.key, claim.record.epoch) for claim in claims)
         self._links.broadcast(JobsClaimed(epochs))
 
-    def _claimed_record(self, row: Row) -> OpenJob:
-        record = load_record(row.value, OpenJob)
-        return attrs.evolve(record, owner=self._lease.owner, epoch=record.epoch + 1)
+    def _claim_of(self, job: FoundJob) -> FoundJob:
+        """Return a job as this entry claims it, under the next epoch."""
+        record = attrs.evolve(job.record, owner=self._lease.owner, epoch=job.record.epoch + 1)
+        return attrs.evolve(job, record=record, policy=job.policy or self._policy_of(record.queue))
 
-    def _add_claimed_job(
-        self, job_id: str, record: OpenJob, version: int, progress: Row | None
-    ) -> None:
+    def _policy_of(self, name: str) -> JobPolicy | None:
+        """Return the current policy of a queue, None if there is no such queue."""
+        queue = self._configuration.current.queue_named(name)
+        return queue_policy(queue) if queue is not None else None
+
+    def _add_claimed_job(self, claim: FoundJob, version: int, progress: Row | None) -> None:
+        job_id, record, policy = claim.row.at.key, claim.record, claim.policy or UNKNOWN_POLICY
         if self._ended_jobs.known_state(job_id) is not None:  # cancelled elsewhere since the claim
             self._log.write(
                 "job_dropped", request=job_id, epoch=record.epoch, reason="ended_elsewhere"
             )
             return
         now_ms = self._timers.now_ms()
-        queue = self._configuration.current.queue_named(record.queue)
-        job = build_queue_job(job_id, record, version, queue, now_ms)
+        job = build_job(job_id, record, version, now_ms, durable=True, policy=policy)
         job.requeue_unknown_at_ms = now_ms + SILENCE_LIMIT_MS
         for task in job.tasks:
             task.phase = TaskPhase.UNKNOWN
@@ -189,6 +206,7 @@
             version=version,
             done=sum(task.phase is TaskPhase.DONE for task in job.tasks),
             tasks=len(job.tasks),
+            failure_limit=policy.failure_limit,
         )
         self._dispatch.add_job(job, now_ms)
 
--- a/src/gapdrum/entry/waiting_callers.py
+++ b/src/gapdrum/entry/waiting_callers.py
@@ -8,9 +8,9 @@
 
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import Dispatch
-from gapdrum.core.jobs import Job
+from gapdrum.core.jobs import Job, build_job
 from gapdrum.core.models import JobState, Step
-from gapdrum.entry.acceptance import build_queue_job, initial_record
+from gapdrum.entry.acceptance import initial_record, queue_policy
 from gapdrum.entry.lease import Lease
 from gapdrum.event_log import EventLog
 from gapdrum.pauses import PauseDetector
@@ -133,7 +133,7 @@
     ) -> None:
         now_ms = self._timers.now_ms()
         record = initial_record(queue, spec, steps, self._lease.owner, self._timers.wall_ms())
-        job = build_queue_job(job_id, record, 0, queue, now_ms, durable=False)
+        job = build_job(job_id, record, 0, now_ms, durable=False, policy=queue_policy(queue))
         job.caller_deadline_ms = caller.until_ms
         job.submission = 1 + secrets.randbits(SUBMISSION_BITS)
         self._log.write(
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -226,7 +226,7 @@
 _add("job_cancelled", "A caller has cancelled the job.", "request", "owner", "epoch")
 _add(
     "job_taken_over", "This entry owns the job from now on.",
-    "request", "epoch", "version", "done", "tasks",
+    "request", "epoch", "version", "done", "tasks", "failure_limit",
 )  # fmt: skip
 _add(
     "job_ended", "The job has ended, and its callers are notified.",
--- a/tools/load_replay.py
+++ b/tools/load_replay.py
@@ -24,12 +24,12 @@
 from gapdrum.core import orders
 from gapdrum.core.configuration import Queue
 from gapdrum.core.dispatch import build_dispatch
-from gapdrum.core.jobs import LATE_FACTOR, Job
+from gapdrum.core.jobs import LATE_FACTOR, Job, build_job
 from gapdrum.core.models import Resources, RunKey, Step
 from gapdrum.core.run_bounds import RunBounds
 from gapdrum.core.runner_ledger import RunnerLedger
 from gapdrum.core.subsets import Candidate, choose_entries
-from gapdrum.entry.acceptance import build_queue_job, initial_record
+from gapdrum.entry.acceptance import initial_record, queue_policy
 from gapdrum.entry.admission import Admission
 from gapdrum.entry.queue_demand import QUEUE_DEMAND_INTERVAL_MS, QueueDemandPublisher
 from gapdrum.entry.receipts import ReceiptSender
@@ -267,7 +267,7 @@
             return
         record = initial_record(queue, "{}", (step,), self.name, 0)
         now_ms = self.timers.now_ms()
-        job = build_queue_job(given.job_id, record, 0, queue, now_ms, durable=False)
+        job = build_job(given.job_id, record, 0, now_ms, durable=False, policy=queue_policy(queue))
         self.dispatch.add_job(job, now_ms)
 
     def leave(self, job_id: str) -> None:
