Place a job where the configuration sends its path, at each owner

The queue had got another service, and then the jobs' owner was killed.

Cause: an owner moved its jobs when a configuration came, a new owner took the upstream of the acceptance from the job's row. A job that was being stored while a configuration came was left out too. Queues were found by name, so that a renamed one's jobs stayed behind at every owner.

Change: one function, Job.follow, decides for new jobs, jobs that are taken over, and all jobs when a configuration comes. It finds the queue by the path, which stands in the row; without such a queue, or with an older configuration, the job stays. Where it was sent is stored beside its progress. `job_rerouted` tells each change.

--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -1,15 +1,18 @@
 """Steps on what is known of a job to its next owner, on a fake store."""
 
+import asyncio
 import json
 
 from behave import given, then, when
-from ended_job_steps import StoredJobsEntry, run
+from ended_job_steps import StoredJobsEntry, call, run
 from platform_core_steps import JOB, FakeStore, new_lease, new_log
 from refusal_steps import LIMITS
 
 from gapdrum.background import Background
-from gapdrum.core.jobs import TaskPhase
+from gapdrum.core import orders
+from gapdrum.core.jobs import Place, TaskPhase
 from gapdrum.core.models import Resources, RunEnd, Step
+from gapdrum.core.placer import TRY_INTERVAL_MS
 from gapdrum.core.records import OpenJob, dump_record, lease_row, load_record, open_row
 from gapdrum.core.rows import Put, Transaction
 from gapdrum.entry.acceptance import Acceptor
@@ -43,8 +46,8 @@
     def add_job(self, job):
         self.dispatch.add_job(job, self.timers.now_ms())
 
-    def apply_configuration(self, _configuration):
-        pass
+    def apply_configuration(self, configuration):
+        self.dispatch.apply_configuration(configuration, self.timers.now_ms())
 
     def configure(self, version, route_rows):
         """Apply a version of the configuration."""
@@ -65,7 +68,7 @@
     settings = {key: json.loads(value) for key, value in context.table[0].items()}
     context.store = FakeStore()
     context.version = 1
-    context.routes = [route_of(name, prefix, **settings)]
+    context.routes = context.first_routes = [route_of(name, prefix, **settings)]
     context.owner = owner = OwnerEntry(context.store, "edge-1", context.routes, 1)
     queue = owner.configuration.current.find_queue(HOST, prefix)
     steps = (Step(1, Resources(500, 10, 0), ESTIMATE_MS),)
@@ -113,6 +116,78 @@
     change_routes(context, route_of(name, prefix, "other-desk", attempts=attempts))
 
 
+@when('the configuration sends the route to "{upstream}"')
+def sent_to(context, upstream):
+    change_routes(context, {**context.routes[0], "service": upstream})
+
+
+@when('the configuration gives the path to "{name}" at "{upstream}"')
+def path_given_to(context, name, upstream):
+    change_routes(context, {**context.routes[0], "name": name, "service": upstream})
+
+
+@when("a second passes")
+def second_passes(context):
+    context.owner.timers.time_ms += 1_000
+
+
+@when("the entry stores the progress of its job")
+def progress_stored(context):
+    context.owner.timers.time_ms += PROGRESS_DELAY_MS
+    run(context, context.owner.recorder.store_progress())
+
+
+@when("an entry that knows only the first version takes the job over")
+def outdated_takes_over(context):
+    context.version, context.routes = 1, context.first_routes
+    taken_over(context)
+
+
+@given('an entry that accepts a job at "{prefix}" while its route is sent to "{upstream}"')
+def accepted_meanwhile(context, prefix, upstream):
+    context.store = FakeStore()
+    context.version = 1
+    context.routes = [route_of("certs", prefix)]
+    context.owner = owner = OwnerEntry(context.store, "edge-1", context.routes, 1)
+    queue = owner.configuration.current.find_queue(HOST, prefix)
+    steps = (Step(1, Resources(500, 10, 0), ESTIMATE_MS),)
+
+    async def accept():
+        await owner.lease.keep()
+        accepting = asyncio.ensure_future(owner.acceptor.accept(JOB, queue, "{}", steps))
+        await asyncio.sleep(0)
+        sent_to(context, upstream)
+        await accepting
+
+    run(context, accept())
+
+
+@then('the task waits for room at "{upstream}", and counts for "{queue}"')
+def waits_at(context, upstream, queue):
+    owner = context.owner
+    assert (owner.job.upstream, owner.job.queue) == (upstream, queue), owner.job
+    for task in owner.job.tasks:  # nobody has told of it
+        owner.job.release(task)
+    owner.dispatch.placer.enqueue(owner.job)
+    for number, name in enumerate(("inspect-desk", "inspect-desk-2", "other-desk")):
+        add_runner(owner, f"side-{number}", f"i-{number}", name)
+    owner.timers.time_ms += TRY_INTERVAL_MS
+    run(context, call(owner.dispatch.placer.place_waiting, owner.timers.now_ms()))
+    runner = owner.dispatch.fleet.runners[owner.job.tasks[0].place]
+    assert runner.upstream == upstream, runner
+
+
+def add_runner(owner, agent, runner_id, upstream):
+    now_ms = owner.timers.now_ms()
+    view = owner.dispatch.fleet.agent_joined(
+        orders.AgentGreeting(agent, "life-1", "plaine-nord", 1), now_ms
+    )
+    report = orders.RunnerReport(runner_id, upstream, orders.READY, (), 4_000, 4_000, 0)
+    owner.dispatch.apply_report(view, report, now_ms)
+    owner.dispatch.apply_room(view, orders.RoomReport(runner_id, 4_000, 4_000, 0, 0, 0))
+    owner.dispatch.fleet.runners[Place(agent, runner_id)].synced = True
+
+
 @when("the configuration changes the attempts of the route to {attempts:d}")
 def attempts_changed(context, attempts):
     change_routes(context, {**context.routes[0], "attempts": attempts})
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -53,6 +53,56 @@
       | 3        | 2        | 1.5     | 900               |
     Then the first record of its row is what an earlier release writes
 
+  # Guards against accepted jobs that wait for an upstream without runners: a new owner took the
+  # upstream from the job's row, and moved the job only with the next configuration.
+  Scenario Outline: a job is placed where the configuration sends its path, whoever owns it
+    Given an entry that has accepted a job at "/certs/" of the route "certs" with these settings
+      | attempts |
+      | 3        |
+    When the configuration <change>
+    And <then>
+    Then the task waits for room at "<upstream>", and counts for "<queue>"
+
+    Examples:
+      | change                                     | then                                                             | upstream       | queue   |
+      | sends the route to "inspect-desk-2"        | a second passes                                                  | inspect-desk-2 | certs   |
+      | sends the route to "inspect-desk-2"        | the entry is lost, and another one takes the job over            | inspect-desk-2 | certs   |
+      | gives the path to "certs-2" at "inspect-desk-2" | a second passes                                             | inspect-desk-2 | certs-2 |
+      | gives the path to "certs-2" at "inspect-desk-2" | the entry is lost, and another one takes the job over       | inspect-desk-2 | certs-2 |
+      | gives the name "certs" to the path "/other/" with 1 attempts | a second passes                                | inspect-desk   | certs   |
+      | gives the name "certs" to the path "/other/" with 1 attempts | the entry is lost, and another one takes the job over | inspect-desk | certs |
+      | has no such route                          | the entry is lost, and another one takes the job over            | inspect-desk   | certs   |
+      | sends the route to "inspect-desk-2"        | an entry that knows only the first version takes the job over    | inspect-desk   | certs   |
+
+  Scenario Outline: a job whose route is gone stays where it was sent last
+    Given an entry that has accepted a job at "/certs/" of the route "certs" with these settings
+      | attempts |
+      | 3        |
+    When the configuration sends the route to "inspect-desk-2"
+    And the entry stores the progress of its job
+    And the configuration has no such route
+    And <then>
+    Then the task waits for room at "inspect-desk-2", and counts for "certs"
+
+    Examples:
+      | then                                                          |
+      | a second passes                                               |
+      | the entry is lost, and another one takes the job over         |
+      | an entry that knows only the first version takes the job over |
+
+  Scenario: a job is placed where its path was sent while it was being stored
+    Given an entry that accepts a job at "/certs/" while its route is sent to "inspect-desk-2"
+    Then the task waits for room at "inspect-desk-2", and counts for "certs"
+
+  Scenario: a job that an earlier release has accepted follows the route of its name
+    Given an entry that has accepted a job at "/certs/" of the route "certs" with these settings
+      | attempts |
+      | 3        |
+    And its row is as an earlier release writes it
+    When the configuration sends the route to "inspect-desk-2"
+    And the entry is lost, and another one takes the job over
+    Then the task waits for room at "inspect-desk-2", and counts for "certs"
+
   # Guards against one bad row that keeps all other jobs of a part from being taken over.
   Scenario: a row whose policy can't be read costs no other job
     Given an entry that has accepted a job at "/certs/" of the route "certs" with these settings
--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -40,6 +40,7 @@
     weight: int = count_field(minimum=1, default=1)
     reserved_permille: int = count_field(maximum=PERMILLE, default=0)
     ceiling_permille: int = count_field(maximum=PERMILLE, minimum=1, default=PERMILLE)
+    version: int = count_field(default=0)  # of the configuration that the queue is from
 
     @property
     def has_own_share(self) -> bool:
@@ -73,6 +74,13 @@
                 found = queue
         return found
 
+    def queue_at(self, host: str, prefix: str) -> Queue | None:
+        """Return the queue with exactly this path, whatever its name, None if there is none."""
+        for queue in self.queues:
+            if (queue.host, queue.prefix) == (host, prefix):
+                return queue
+        return None
+
     def queue_named(self, name: str) -> Queue | None:
         """Return the queue of that name, None if it does not exist any more."""
         for queue in self.queues:
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -6,6 +6,7 @@
 import attrs
 
 from gapdrum.core import orders
+from gapdrum.core.configuration import Configuration
 from gapdrum.core.effects import Effects
 from gapdrum.core.fleet import RUNNER_NOT_REPORTED, Fleet, LostRunner
 from gapdrum.core.jobs import Job, Place, StoredEnd, Task, TaskPhase
@@ -29,6 +30,7 @@
     jobs: dict[str, Job]
     fleet: Fleet
     placer: Placer
+    configuration: Configuration | None = None  # the newest one
 
     @property
     def durations(self) -> TaskDurations:
@@ -40,10 +42,31 @@
     def add_job(self, job: Job, now_ms: int) -> None:
         """Own a new job, or one that was taken over, and schedule its placement."""
         self.jobs[job.job_id] = job
+        self._follow_configuration(job, now_ms)
         self.placer.enqueue(job)
         self._check_outcome(job)
         self.effects.schedule_placement()
 
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> None:
+        """Place the tasks of all jobs where a new configuration sends their queues."""
+        self.configuration = configuration
+        self.placer.meter.set_queues(configuration.queues)
+        for job in self.jobs.values():
+            self._follow_configuration(job, now_ms)
+        self.effects.schedule_placement()
+
+    def _follow_configuration(self, job: Job, now_ms: int) -> None:
+        former = job.upstream
+        if self.configuration is not None and job.follow(self.configuration, now_ms):
+            self.effects.note(
+                "job_rerouted",
+                request=job.job_id,
+                queue=job.queue,
+                upstream=job.upstream,
+                former=former,
+                version=job.configuration_version,
+            )
+
     def drop_job(self, job_id: str, reason: str) -> Job | None:
         """Forget a job that has ended, is refused or has a new owner; stop none of its runs."""
         job = self.jobs.pop(job_id, None)
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -5,10 +5,12 @@
 
 import attrs
 
+from gapdrum.core.configuration import Configuration
 from gapdrum.core.models import JobState, RunEnd, RunKey, Step, TaskName
 from gapdrum.core.records import (
     JobPolicy,
     JobProgress,
+    JobRoute,
     OpenJob,
     TaskProgress,
     first_attempt,
@@ -153,13 +155,19 @@
     ``durable`` job has a row in the store, at ``version``, and another entry takes it over if this
     one is lost; ``confirmed_ms`` is when the row was last known to name this owner. The caller of a
     non-durable job waits for its end and may submit it again: each time gets its own
-    ``submission``. ``begun`` is set once a run may have started, and ``ending`` is the final state
-    from when it is known until it is stored and the job is dropped.
+    ``submission``. ``host`` and ``prefix`` are the path at which it was submitted, and
+    ``configuration_version`` tells from which configuration ``queue`` and ``upstream`` are;
+    ``was_rerouted`` is set if that is not the one of its acceptance. ``begun`` is set once a run
+    may have started, and ``ending`` is the final state from when it is known until it is stored and
+    the job is dropped.
     """
 
     job_id: str
     queue: str
     upstream: str
+    host: str
+    prefix: str
+    configuration_version: int
     spec: str
     owner: str
     epoch: int
@@ -177,6 +185,7 @@
     by_name: dict[TaskName, Task]
     least_cpu_milli: int  # of its smallest task
     submission: int = 0
+    was_rerouted: bool = False
     begun: bool = False
     ending: JobState | None = None
     has_progress_row: bool = False
@@ -215,6 +224,35 @@
         """Return the time after which a result has no value to the caller."""
         return self.accepted_ms + LATE_FACTOR * self.objective_ms
 
+    def follow(self, configuration: Configuration, now_ms: int) -> bool:
+        """Use the name and the upstream that a configuration gives the queue at the job's path.
+
+        Returns whether one of them has changed. Without such a queue the former ones stay in
+        force, as accepted jobs are to end, and so they do with an older configuration.
+        """
+        if self.prefix:
+            queue = configuration.queue_at(self.host, self.prefix)
+        else:  # the row of an earlier release does not tell the path
+            queue = configuration.queue_named(self.queue)
+        if queue is None:
+            return False
+        return self.reroute(JobRoute(queue.name, queue.upstream, configuration.version), now_ms)
+
+    def reroute(self, route: JobRoute, now_ms: int) -> bool:
+        """Use a queue's name and upstream unless they are older; return whether that is a change.
+
+        A change is to be stored, for owners that know no configuration with this queue.
+        """
+        if route.version <= self.configuration_version:
+            return False
+        self.configuration_version = route.version
+        if (route.queue, route.upstream) == (self.queue, self.upstream):
+            return False
+        self.queue, self.upstream = route.queue, route.upstream
+        self.was_rerouted = True
+        self.unstored_progress_since_ms = self.unstored_progress_since_ms or now_ms
+        return True
+
     def extend_caller_deadline(self, until_ms: int | None) -> None:
         """Add a caller that waits until a time, or without a limit if that is None."""
         if until_ms is None or self.caller_deadline_ms is None:
@@ -303,6 +341,12 @@
             if task.phase in (TaskPhase.ORDERED, TaskPhase.RUNNING):
                 yield task
 
+    def progress_records(self) -> tuple[JobProgress] | tuple[JobProgress, JobRoute]:
+        """Return the records of the job's progress row."""
+        if not self.was_rerouted:
+            return (self.progress(),)
+        return self.progress(), JobRoute(self.queue, self.upstream, self.configuration_version)
+
     def progress(self) -> JobProgress:
         """Return the facts on its tasks that never change back: done, failed and crashed ones."""
         return JobProgress(
@@ -359,6 +403,9 @@
         job_id=job_id,
         queue=record.queue,
         upstream=record.upstream,
+        host=policy.host,
+        prefix=policy.prefix,
+        configuration_version=policy.version,
         spec=record.spec,
         owner=record.owner,
         epoch=record.epoch,
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -136,6 +136,9 @@
     """How a job is run: the policy of its queue when it was accepted, for all its owners.
 
     ``failure_limit`` is 0 if it is not known, and the job then fails by no number of attempts.
+    ``host`` and ``prefix`` are the path at which the job was submitted, which identifies its queue:
+    a queue may be renamed, and its name be given to another one. ``version`` is that of the
+    configuration.
 
     It follows ``OpenJob`` in the job's row. Earlier releases don't write it, and read the first
     record only.
@@ -145,6 +148,9 @@
     priority: int = count_field(default=0)
     latency_factor: float = attrs.field(default=1.0, validator=check_factor)
     latency_slack_ms: int = count_field(default=0)
+    host: str = text_field(default="")
+    prefix: str = text_field(default="")
+    version: int = count_field(default=0)
 
 
 UNKNOWN_POLICY = JobPolicy()
@@ -178,6 +184,20 @@
     tasks: tuple[TaskProgress, ...] = rows_field(TaskProgress, MAX_TASKS)
 
 
+@message(68)
+@attrs.frozen
+class JobRoute:
+    """Where the tasks of an open job are placed since a configuration of this version.
+
+    It follows ``JobProgress`` in the progress row of a job whose queue was renamed or sent to
+    another upstream, so that a next owner knows it also if the queue does not exist any more.
+    """
+
+    queue: str = text_field()
+    upstream: str = text_field()
+    version: int = count_field()
+
+
 @attrs.frozen
 class Restart:
     """A task and its lowest attempt whose end counts, 0 if that of any may count."""
--- a/src/gapdrum/entry/acceptance.py
+++ b/src/gapdrum/entry/acceptance.py
@@ -168,7 +168,13 @@
 def queue_policy(queue: Queue) -> JobPolicy:
     """Return the policy of the jobs that a queue accepts."""
     return JobPolicy(
-        queue.failure_limit, queue.priority, queue.latency_factor, queue.latency_slack_ms
+        queue.failure_limit,
+        queue.priority,
+        queue.latency_factor,
+        queue.latency_slack_ms,
+        queue.host,
+        queue.prefix,
+        queue.version,
     )
 
 
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -131,7 +131,7 @@
                 Expectation(open_row(job.job_id), job.version),
                 Expectation(progress_row(job.job_id), job.progress_version),
             ),
-            puts=(Put(progress_row(job.job_id), dump_record(job.progress())),),
+            puts=(Put(progress_row(job.job_id), dump_record(*job.progress_records())),),
         )
         job.has_progress_row = True
         try:
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -250,11 +250,7 @@
         self.limits.max_body_bytes = configuration.max_body_bytes
         self.limits.header_timeout_ms = configuration.header_timeout_ms
         self.limits.idle_timeout_ms = configuration.idle_timeout_ms
-        self.dispatch.placer.meter.set_queues(configuration.queues)
-        for job in self.dispatch.jobs.values():
-            queue = configuration.queue_named(job.queue)
-            if queue is not None:
-                job.upstream = queue.upstream
+        self.dispatch.apply_configuration(configuration, self.timers.now_ms())
 
     def _apply_zone_drains(self) -> None:
         """Stop placement in drained zones, and notify the agents."""
--- a/src/gapdrum/entry/takeover.py
+++ b/src/gapdrum/entry/takeover.py
@@ -14,10 +14,10 @@
     UNKNOWN_POLICY,
     JobPolicy,
     JobProgress,
+    JobRoute,
     OpenJob,
     dump_job,
     entry_of_owner,
-    load_record,
     load_records,
 )
 from gapdrum.core.rows import Conflict, Expectation, Put, Row, Transaction
@@ -174,9 +174,12 @@
         return attrs.evolve(job, record=record, policy=job.policy or self._policy_of(record.queue))
 
     def _policy_of(self, name: str) -> JobPolicy | None:
-        """Return the current policy of a queue, None if there is no such queue."""
+        """Return the current policy of a queue, None if there is no such queue.
+
+        From which configuration the job's upstream is remains unknown.
+        """
         queue = self._configuration.current.queue_named(name)
-        return queue_policy(queue) if queue is not None else None
+        return attrs.evolve(queue_policy(queue), version=0) if queue is not None else None
 
     def _add_claimed_job(self, claim: FoundJob, version: int, progress: Row | None) -> None:
         job_id, record, policy = claim.row.at.key, claim.record, claim.policy or UNKNOWN_POLICY
@@ -194,7 +197,10 @@
             job.has_progress_row = True
             job.progress_version = progress.version
             try:
-                job.restore(load_record(progress.value, JobProgress))
+                done, route = load_records(progress.value, JobProgress, JobRoute)
+                job.restore(done)
+                if route is not None:
+                    job.reroute(route, now_ms)
             except RecordError as error:
                 # Which tasks are done is unknown, so no task of the job may be started.
                 self._log_unreadable(progress, error)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -228,6 +228,10 @@
     "job_taken_over", "This entry owns the job from now on.",
     "request", "epoch", "version", "done", "tasks", "failure_limit",
 )  # fmt: skip
+_add(
+    "job_rerouted", "The job's queue has a new name or upstream by the configuration.",
+    "request", "queue", "upstream", "former", "version",
+)  # fmt: skip
 _add(
     "job_ended", "The job has ended, and its callers are notified.",
     "request", "state", "epoch", "store_ms", "total_ms", "objective_ms",
--- a/src/gapdrum/platform/configuration.py
+++ b/src/gapdrum/platform/configuration.py
@@ -22,9 +22,11 @@
 def _decode(document: dict[str, Any], former: Configuration | None) -> Configuration:
     limits = document["limits"]
     routes = document["routes"]
-    shared = apply_shares(tuple(_decode_queue(route) for route in routes), routes, former)
+    version = int(document["version"])
+    queues = tuple(_decode_queue(route, version) for route in routes)
+    shared = apply_shares(queues, routes, former)
     return Configuration(
-        version=int(document["version"]),
+        version=version,
         queues=shared.queues,
         max_header_bytes=int(limits["max_header_bytes"]),
         max_body_bytes=int(limits["max_body_bytes"]),
@@ -34,7 +36,7 @@
     )
 
 
-def _decode_queue(route: dict[str, Any]) -> Queue:
+def _decode_queue(route: dict[str, Any], version: int) -> Queue:
     return Queue(
         name=route["name"],
         host=route["host"].lower(),
@@ -47,4 +49,5 @@
         # The latency target is ``stretch`` times the work plus ``target_latency_ms``.
         latency_slack_ms=int(route.get("target_latency_ms", 0)),
         timeout_ms=int(route.get("timeout_ms", 0)),
+        version=version,
     )
