Count a late failure only if no start came after too many

Its first run failed at a machine that was cut off, the owner gave it up and started the task again, twice.

Cause: a success of an abandoned attempt is superseded, but a failure of one counted whenever it became known, also after the start that it forbids. The same held for ended jobs, at each entry.

Change: a late failure counts as long as fewer failures than the job allows precede the last start, and is superseded otherwise. A next owner does not know the last start and takes each known failure for an earlier one. For ended jobs only the failures count that the owner had counted; they follow the record in the row, where earlier releases don't read them.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -230,6 +230,74 @@
       | another entry | 1       | was superseded |
       | another entry | 2       | is stored      |
 
+  # Guards against a task that is started more often than its job allows: a failure of an abandoned run
+  # became known after further starts, and counted.
+  Scenario Outline: a failure that becomes known late counts only if no start came after too many
+    Given an entry that owns a job of 2 tasks, one of them at work
+    And the job allows <attempts> attempts
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And attempt 2 <goes>
+    And it is sent the end "failed" of attempt 1
+    Then the end of attempt 1 <told>, and the task has failed as "<failed>"
+
+    Examples:
+      | attempts | goes                           | told           | failed |
+      | 1        | goes on                        | was superseded |        |
+      | 2        | goes on                        | counts         | 1      |
+      | 2        | fails, and the next one starts | was superseded | 2      |
+      | 3        | fails, and the next one starts | counts         | 1 2    |
+
+  Scenario Outline: a late failure of an abandoned attempt at a next owner
+    Given an entry that owns a job of 2 tasks, one of them at work
+    And the job allows <attempts> attempts
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And another entry takes the job over and is sent the end "failed" of attempt 1
+    Then the end of attempt 1 <told>, and the task has failed as "<failed>"
+
+    Examples:
+      | attempts | told           | failed |
+      | 1        | was superseded |        |
+      | 2        | counts         | 1      |
+
+  Scenario Outline: a failure of an abandoned attempt does not count once its job has ended
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And the job is cancelled at <canceller>
+    And <entry> then is sent the end "failed" of attempt <attempt>
+    Then the agent learns that the end <told>
+
+    Examples:
+      | canceller                    | entry                  | attempt | told           |
+      | another entry, which goes on | it                     | 1       | was superseded |
+      | another entry, which goes on | it                     | 2       | is stored      |
+      | another entry, which goes on | another entry          | 1       | was superseded |
+      | another entry, which goes on | the owner              | 1       | was superseded |
+      | another entry, which goes on | an entry that was told | 1       | was superseded |
+      | another entry, which ends    | another entry          | 1       | was superseded |
+      | its owner                    | the owner              | 1       | was superseded |
+      | its owner                    | another entry          | 1       | was superseded |
+      | its owner                    | another entry          | 2       | is stored      |
+
+  # Guards against a job that is shown as failed although none of its failures counts any more.
+  Scenario Outline: a failure that was counted before another start still counts once the job has ended
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And it is sent the end "failed" of attempt 1
+    And the entry stores the progress of the job
+    And the job is cancelled at <canceller>
+    And <entry> then is sent the end "failed" of attempt 1
+    Then the agent learns that the end is stored
+
+    Examples:
+      | canceller                    | entry         |
+      | its owner                    | the owner     |
+      | its owner                    | another entry |
+      | another entry, which goes on | another entry |
+      | another entry, which ends    | another entry |
+
   # Guards against a runner whose ends all wait for one that nobody can judge.
   Scenario: an end whose counted attempts can't be read does not count
     Given an entry that owns a job of 2 tasks, one of them at work
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -23,6 +23,7 @@
     OpenJob,
     dump_record,
     ended_row,
+    load_end,
     load_record,
     open_row,
     progress_row,
@@ -595,6 +596,7 @@
     stored = load_record(context.store.row(progress_row(JOB)).value, JobProgress)
     context.entry = entry = StoredJobsEntry(context.store, "edge-3")
     job = own_job(context, "edge-3/life", 3, tasks)
+    job.failure_limit = getattr(context, "failure_limit", job.failure_limit)
     job.requeue_unknown_at_ms = 99_000
     for task in job.tasks:
         task.phase = TaskPhase.UNKNOWN
@@ -633,9 +635,55 @@
         assert cancel_at(context, other)
 
 
+@given("the job allows {attempts:d} attempts")
+def allows_attempts(context, attempts):
+    context.job.failure_limit = context.failure_limit = attempts
+
+
+@when("attempt 2 {goes}")
+def second_attempt_goes(context, goes):
+    if goes != "goes on":
+        event = orders.RunEvent(TASK.text, 2, 1, orders.ENDED, "failed", end_number=8)
+        message = orders.RunEvents("i-2", (event,))
+        entry = context.entry
+        view = entry.dispatch.fleet.runners[context.job.tasks[0].place].agent
+        run(context, call(entry.dispatch.apply_events, view, message, entry.timers.now_ms()))
+        add_other_room(context)
+        assert context.job.tasks[0].attempt == 3, context.job.tasks[0]
+    context.entry.links.sent.clear()
+
+
+def add_other_room(context):
+    """Let another runner have room, as the task avoids the one where it failed."""
+    entry = context.entry
+    greeting = orders.AgentGreeting("side-3", "life-1", "plaine-nord", 1)
+    report_runner(entry, entry.dispatch.fleet.agent_joined(greeting, entry.timers.now_ms()), "i-3")
+    place(context)
+
+
+@then('the end of attempt 1 {told}, and the task has failed as "{failed}"')
+def late_failure(context, told, failed):
+    superseded = (PLACE.agent, orders.EndsStored(PLACE.runner_id, (), (7,)))
+    sent = context.entry.links.sent
+    assert (superseded in sent) == (told == "was superseded"), sent
+    task = context.entry.dispatch.jobs[JOB].tasks[0]
+    assert task.failed_attempts == set(map(int, failed.split())), task.failed_attempts
+
+
+@then('the end of attempt 1 {told}, and the task has failed as ""')
+def late_failure_only(context, told):
+    late_failure(context, told, "")
+
+
+@when("the job is cancelled at its owner")
+def cancels_at_owner(context):
+    assert cancel_at(context, context.owner)
+    context.owner.links.sent.clear()
+
+
 @when('{entry} then is sent the end "{detail}" of attempt {attempt:d}')
 def then_sent_end(context, entry, detail, attempt):
-    entries = {"it": context.other, "the owner": context.owner}
+    entries = {"it": getattr(context, "other", None), "the owner": context.owner}
     receiver = entries.get(entry) or StoredJobsEntry(context.store, "edge-4")
     if entry == "an entry that was told":
         run(context, call(receiver.ended_jobs.apply_cancellation, orders.JobCancelled(JOB, 2)))
@@ -689,8 +737,10 @@
 )
 def fits(context, limit):
     job = context.job
-    ended = EndedJob("flags", "succeeded", OWNER, 2, job_ends._restarts(job), 2)
-    for record in (job.progress(), ended):
-        value = dump_record(record)
+    progress = dump_record(job.progress())
+    assert load_record(progress, JobProgress) == job.progress()
+    job.ending = JobState.SUCCEEDED
+    end = job_ends.build_end(job)
+    assert load_end(end.dump()) == end
+    for value in (progress, end.dump()):
         assert len(value) <= limit, len(value)
-        assert load_record(value, type(record)) == record
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -298,13 +298,11 @@
         )
         if task.phase is TaskPhase.UNKNOWN:
             task.attempt = max(task.attempt, event.attempt)
-        if end is RunEnd.DONE and _is_superseded(task, event.attempt):
-            # An earlier attempt has done the work. A durable job's task is done only by its last
-            # attempt, so this end must not count; a non-durable task is done, and its newer run
-            # is stopped.
-            if job.durable:
-                self._acknowledge_superseded_end(place, event.end_number)
-                return
+        if job.durable and not job.counts_end(task, event.attempt, end):
+            self._acknowledge_superseded_end(place, event.end_number)
+            return
+        if end is RunEnd.DONE and event.attempt != task.attempt:
+            # An earlier attempt has done the work of a non-durable task: stop its newer run.
             self._stop_if_active(task)
         job.begun = True
         if end is RunEnd.DONE and event.attempt == task.attempt and task.started_ms:
@@ -314,7 +312,7 @@
                 self.fleet.unassign(task)
             if end is RunEnd.FAILED:
                 task.avoided.add(place.runner_id)
-            job.record_end(task, event.attempt, end, now_ms)
+        job.record_end(task, event.attempt, end, now_ms)
         if not job.durable and event.durable and event.end_number:
             # A restarted agent does not know the job, and keeps the end until it is acknowledged.
             self.acknowledge_ends(place, (event.end_number,))
@@ -513,12 +511,6 @@
             self.effects.job_ended(job)
 
 
-def _is_superseded(task: Task, attempt: int) -> bool:
-    """Return whether a later attempt than this one was started, or may have been."""
-    is_abandoned = task.phase is TaskPhase.UNKNOWN and attempt <= task.abandoned_attempt
-    return is_abandoned or attempt != task.attempt
-
-
 def _why_not_held(agent_incarnation: str, task: Task) -> str:
     """Return why an agent does not hold a task's run and has reported no outcome of it."""
     if task.reported_by != agent_incarnation:
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -299,16 +299,35 @@
         """Return a task's next attempt number, above those of all owners' attempts so far."""
         return max(task.attempt + 1, first_attempt(self.epoch))
 
+    def counts_end(self, task: Task, attempt: int, end: RunEnd) -> bool:
+        """Tell whether an end of a durable job's run may count for its task.
+
+        A success of an attempt that another start has followed, or may have, must not. A failure of
+        one may as long as no start has come after as many failures as the job allows.
+        """
+        is_abandoned = task.phase is TaskPhase.UNKNOWN and attempt <= task.abandoned_attempt
+        if attempt == task.attempt and not is_abandoned:
+            return True
+        if end is not RunEnd.FAILED:
+            return end is not RunEnd.DONE
+        if attempt in task.failed_attempts:
+            return True
+        # Which start was the last one is unknown after a takeover: any failure may precede it.
+        before = {
+            failed for failed in task.failed_attempts if is_abandoned or failed < task.attempt
+        }
+        return len(before) + 1 < self.failure_limit
+
     def record_end(self, task: Task, attempt: int, end: RunEnd, now_ms: int) -> None:
         """Record how a run ended that counts for the task; a task that is done stays done."""
+        if end is RunEnd.FAILED:
+            task.failed_attempts.add(attempt)
+            self.unstored_progress_since_ms = self.unstored_progress_since_ms or now_ms
         if task.phase is TaskPhase.DONE:
             return
         if end is RunEnd.DONE:
             task.phase = TaskPhase.DONE
             self.unstored_progress_since_ms = self.unstored_progress_since_ms or now_ms
-        elif end is RunEnd.FAILED:
-            task.failed_attempts.add(attempt)
-            self.unstored_progress_since_ms = self.unstored_progress_since_ms or now_ms
         # A task of phase UNKNOWN is not requeued here: a later run of it may be at an agent that
         # has not reported yet.
         open_phases = (TaskPhase.ORDERED, TaskPhase.RUNNING)
@@ -332,6 +351,8 @@
         return None
 
     def _has_failed(self, task: Task) -> bool:
+        if task.phase is TaskPhase.DONE:
+            return False
         limit = self.failure_limit
         return task.is_given_up or 0 < limit <= len(task.failed_attempts)
 
--- a/src/gapdrum/core/records.py
+++ b/src/gapdrum/core/records.py
@@ -236,6 +236,42 @@
         return bool(self.counted_epoch or self.restarts)
 
 
+@attrs.frozen
+class TaskFailures:
+    """The failed attempts of a task that were counted and followed by another start."""
+
+    step: int = count_field()
+    index: int = count_field()
+    attempts: tuple[int, ...] = attrs.field(converter=tuple, validator=_COUNTS)
+
+
+@message(69)
+@attrs.frozen
+class JobFailures:
+    """The counted failures of an ended job's tasks that its restarts don't tell.
+
+    It follows ``EndedJob`` in the job's row where there are any. A failed end of another attempt
+    below the lowest one that counts must not count: the task may have been started since then as
+    often as its job allows.
+    """
+
+    tasks: tuple[TaskFailures, ...] = rows_field(TaskFailures, MAX_TASKS, default=())
+
+
+@attrs.frozen
+class JobEnd:
+    """The end of a job as its row in the table of ended jobs tells it."""
+
+    record: EndedJob
+    failures: JobFailures = JobFailures()
+
+    def dump(self) -> bytes:
+        """Encode the end as the value of its row."""
+        if not self.failures.tasks:
+            return dump_record(self.record)
+        return dump_record(self.record, self.failures)
+
+
 @attrs.frozen
 class QueueDepth:
     """How many open jobs of a queue at an entry have not begun."""
@@ -315,6 +351,12 @@
     return record, added
 
 
+def load_end(value: bytes) -> JobEnd:
+    """Decode the row of an ended job; raises RecordError if the value is malformed."""
+    record, failures = load_records(value, EndedJob, JobFailures)
+    return JobEnd(record, failures or JobFailures())
+
+
 def _decompress(value: bytes) -> bytes:
     """Return the encoded record in a row's value; no record begins with zlib's first byte."""
     if not value.startswith(ZLIB_FIRST_BYTE):
@@ -331,6 +373,17 @@
     )
 
 
+def failures_in(progress: JobProgress) -> JobFailures:
+    """Return the failures that the progress of a job tells."""
+    return JobFailures(
+        tuple(
+            TaskFailures(row.step, row.index, row.failed_attempts)
+            for row in progress.tasks
+            if row.failed_attempts
+        )
+    )
+
+
 def owner_name(instance: str, incarnation: str) -> str:
     """Return the owner's name in a job's row, for one incarnation of the entry ``instance``."""
     return f"{instance}/{incarnation}"
--- a/src/gapdrum/entry/ended_jobs.py
+++ b/src/gapdrum/entry/ended_jobs.py
@@ -11,10 +11,13 @@
 from gapdrum.core.orders import EndsStored, JobCancelled, JobEpoch, JobsCancelled, RunEvent
 from gapdrum.core.records import (
     EndedJob,
+    JobEnd,
     JobProgress,
     ended_row,
     entry_of_owner,
+    failures_in,
     first_attempt,
+    load_end,
     load_record,
     open_row,
     progress_row,
@@ -32,16 +35,24 @@
 
 @attrs.frozen
 class KnownEnd:
-    """An ended job, and the lowest attempts that count for the tasks among its restarts.
+    """An ended job, with the attempts whose ends count for its tasks.
 
-    ``is_complete`` is not set while it is unknown which attempts count, so that the store is read
-    before an end is acknowledged.
+    ``attempts`` has the lowest such attempt of each task among the restarts, ``failed`` the earlier
+    ones whose failure was counted. ``is_complete`` is not set while they are unknown, so that the
+    store is read before an end is acknowledged.
     """
 
     record: EndedJob
     attempts: dict[tuple[int, int], int]
+    failed: dict[tuple[int, int], tuple[int, ...]]
     is_complete: bool
 
+    def counts(self, step: int, index: int, attempt: int, end: RunEnd) -> bool:
+        """Tell whether the end of an attempt may count for a task."""
+        if end not in COUNTED_ENDS or attempt >= self.counted_attempt(step, index):
+            return True
+        return end is RunEnd.FAILED and attempt in self.failed.get((step, index), ())
+
     def counted_attempt(self, step: int, index: int) -> int:
         """Return the lowest attempt whose end counts for a task, 0 if that of any may count."""
         epoch = self.record.counted_epoch
@@ -79,17 +90,18 @@
         known = self._known.get(job_id)
         return known.record.job_state if known is not None else None
 
-    def remember(self, job_id: str, record: EndedJob, is_complete: bool = False) -> None:
-        """Keep the record of an ended job in memory; the oldest ones are dropped."""
+    def remember(self, job_id: str, end: JobEnd, is_complete: bool = False) -> None:
+        """Keep the end of a job in memory; the oldest ones are dropped."""
         known = self._known.get(job_id)
-        is_complete = is_complete or record.names_attempts
+        is_complete = is_complete or end.record.names_attempts
         if known is None or is_complete or not known.is_complete:
-            attempts = {(row.step, row.index): row.attempt for row in record.restarts}
-            self._known[job_id] = KnownEnd(record, attempts, is_complete)
+            attempts = {(row.step, row.index): row.attempt for row in end.record.restarts}
+            failed = {(row.step, row.index): row.attempts for row in end.failures.tasks}
+            self._known[job_id] = KnownEnd(end.record, attempts, failed, is_complete)
         while len(self._known) > MAX_REMEMBERED_ENDS:
             self._known.popitem(last=False)
 
-    def apply(self, job_id: str, record: EndedJob) -> None:
+    def apply(self, job_id: str, end: JobEnd) -> None:
         """Apply a job's stored end; repeating it does no harm.
 
         If this entry runs the job, it stops the runs. If the job was cancelled by another entry
@@ -97,7 +109,8 @@
         have been notified before.
         """
         is_new = job_id not in self._known
-        self.remember(job_id, record)
+        record = end.record
+        self.remember(job_id, end)
         job = self._dispatch.jobs.get(job_id)
         # The owner that has stored the record itself completes the job with the answer.
         if job is not None and (record.owner, record.epoch) != (job.owner, job.epoch):
@@ -111,7 +124,8 @@
         """Apply the message of a peer or an agent that a job was cancelled in the store."""
         if cancelled.job_id not in self._known:
             state = JobState.CANCELLED.value
-            self.remember(cancelled.job_id, EndedJob("", state, "", cancelled.epoch, ()))
+            record = EndedJob("", state, "", cancelled.epoch, ())
+            self.remember(cancelled.job_id, JobEnd(record))
         self._dispatch.cancel_job(cancelled)
 
     def _drop_job(self, job: Job) -> None:
@@ -137,8 +151,8 @@
             opened = await self._store.read_row(open_row(job_id))
             ended = await self.read(job_id)
             if ended is not None:
-                record = await self._add_restarts(job_id, ended)
-                self.remember(job_id, record, is_complete=True)
+                end = await self._add_attempts(job_id, ended)
+                self.remember(job_id, end, is_complete=True)
         except RecordError as error:
             # Which attempts count stays unknown, and the runner's later ends wait for this one.
             self._log.write("row_unreadable", place=job_id, reason=error.message)
@@ -154,37 +168,36 @@
         elif opened is None:
             self._dispatch.acknowledge_ends(place, (event.end_number,))
 
-    async def _add_restarts(self, job_id: str, record: EndedJob) -> EndedJob:
-        """Return an ended job's record with the restarts that its progress row tells.
+    async def _add_attempts(self, job_id: str, end: JobEnd) -> JobEnd:
+        """Return the end of a job with what its progress row tells of attempts.
 
         Raises StoreError and RecordError.
         """
-        if record.names_attempts:
-            return record
-        progress = await self._store.read_row(progress_row(job_id))
-        if progress is not None:
-            restarts = restarts_in(load_record(progress.value, JobProgress))
-            return attrs.evolve(record, restarts=restarts)
-        # The restarts may have been moved from the progress row to the record meanwhile.
-        return await self.read(job_id) or record
-
-    async def read(self, job_id: str) -> EndedJob | None:
-        """Read and apply the record of an ended job, None if there is none; raises StoreError."""
+        if end.record.names_attempts:
+            return end
+        row = await self._store.read_row(progress_row(job_id))
+        if row is not None:
+            return with_attempts(end, load_record(row.value, JobProgress))
+        # What it told may have been moved from the progress row to the job's meanwhile.
+        return await self.read(job_id) or end
+
+    async def read(self, job_id: str) -> JobEnd | None:
+        """Read and apply the end of a job, None if there is none; raises StoreError."""
         row = await self._store.read_row(ended_row(job_id))
         if row is None:
             return None
-        record = load_record(row.value, EndedJob)
-        self.apply(job_id, record)
-        return record
+        end = load_end(row.value)
+        self.apply(job_id, end)
+        return end
 
     def _acknowledge_end(self, place: Place, event: RunEvent, known: KnownEnd) -> None:
-        """Acknowledge a run's end; a success whose task was run again, only as superseded.
+        """Acknowledge a run's end, one that must not count only as superseded.
 
         The agent then lets the runner's lease lapse first, so that the end does not count.
         """
         name = TaskName.parse(event.task)
         counted_attempt = known.counted_attempt(name.step, name.index)
-        counts = event.detail != RunEnd.DONE.value or event.attempt >= counted_attempt
+        counts = known.counts(name.step, name.index, event.attempt, RunEnd(event.detail))
         self._log.write(
             "unowned_end_settled",
             request=name.job_id,
@@ -203,3 +216,9 @@
 
     def _acknowledge_superseded(self, place: Place, event: RunEvent) -> None:
         self._links.send(place.agent, EndsStored(place.runner_id, (), (event.end_number,)))
+
+
+def with_attempts(end: JobEnd, progress: JobProgress) -> JobEnd:
+    """Return the end of a cancelled job with what its progress tells of attempts."""
+    record = attrs.evolve(end.record, restarts=restarts_in(progress))
+    return JobEnd(record, failures_in(progress))
--- a/src/gapdrum/entry/job_api.py
+++ b/src/gapdrum/entry/job_api.py
@@ -251,8 +251,8 @@
         opened = await self._store.read_row(open_row(job_id))
         if opened is not None:
             return JobState.RUNNING
-        record = await self._ended_jobs.read(job_id)
-        return None if record is None else record.job_state
+        end = await self._ended_jobs.read(job_id)
+        return None if end is None else end.record.job_state
 
     # Cancellation.
 
--- a/src/gapdrum/entry/job_ends.py
+++ b/src/gapdrum/entry/job_ends.py
@@ -2,28 +2,29 @@
 
 import asyncio
 
-import attrs
-
 from gapdrum.background import Background
 from gapdrum.core.dispatch import Dispatch
 from gapdrum.core.jobs import Job
 from gapdrum.core.models import JobState
 from gapdrum.core.records import (
     EndedJob,
+    JobEnd,
+    JobFailures,
     JobProgress,
     OpenJob,
     Restart,
+    TaskFailures,
     dump_record,
     ended_row,
     first_attempt,
     job_part,
+    load_end,
     load_record,
     open_row,
     progress_row,
-    restarts_in,
 )
 from gapdrum.core.rows import ABSENT, Committed, Conflict, Expectation, Put, Row, Transaction
-from gapdrum.entry.ended_jobs import EndedJobs
+from gapdrum.entry.ended_jobs import EndedJobs, with_attempts
 from gapdrum.entry.group_commit import GroupCommitWriter
 from gapdrum.entry.ownership import OwnershipChecker
 from gapdrum.entry.store_access import StoreAccess
@@ -74,36 +75,34 @@
 
     async def finish(self, job: Job) -> bool:
         """Store a job's end; return whether this entry's record is the one that is stored."""
-        record = EndedJob(
-            job.queue, job.ending.value, job.owner, job.epoch, _restarts(job), job.epoch
-        )
+        end = build_end(job)
         began_ms = self._timers.now_ms()
         while self._dispatch.jobs.get(job.job_id) is job:
-            transaction = _ending(job.job_id, job.version, record, job.has_progress_row)
+            transaction = _ending(job.job_id, job.version, end, job.has_progress_row)
             try:
                 result = await self._writer.write(job_part(job.job_id), transaction)
             except StoreError as error:
                 self._log.write("end_unsettled", request=job.job_id, code=error.code)
                 await asyncio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
                 continue
-            if isinstance(result, Committed) or _is_own_write(result, record):
-                self._complete_job(job, record, began_ms)
+            if isinstance(result, Committed) or _is_own_write(result, end):
+                self._complete_job(job, end, began_ms)
                 return True
             await self._ownership.settle(job)
         return False
 
-    def _complete_job(self, job: Job, record: EndedJob, began_ms: int) -> None:
+    def _complete_job(self, job: Job, end: JobEnd, began_ms: int) -> None:
         now_ms = self._timers.now_ms()
         self._log.write(
             "job_ended",
             request=job.job_id,
-            state=record.state,
+            state=end.record.state,
             epoch=job.epoch,
             store_ms=now_ms - began_ms,
             total_ms=now_ms - job.accepted_ms,
             objective_ms=job.objective_ms,
         )
-        self._ended_jobs.remember(job.job_id, record)
+        self._ended_jobs.remember(job.job_id, end)
         self._dispatch.acknowledge_stored_ends(job, list(job.unstored_ends))
         self._dispatch.stop_runs(job)
         self._dispatch.drop_job(job.job_id, "ended")
@@ -170,9 +169,10 @@
         repeat its call.
         """
         found = load_record(row.value, OpenJob)
-        record = EndedJob(found.queue, JobState.CANCELLED.value, found.owner, found.epoch + 1, ())
+        state = JobState.CANCELLED.value
+        end = JobEnd(EndedJob(found.queue, state, found.owner, found.epoch + 1, ()))
         # The progress row stays: the owner may write it until this takes effect, and not after.
-        transaction = _ending(job_id, row.version, record, False)
+        transaction = _ending(job_id, row.version, end, False)
         try:
             result = await self._writer.write(job_part(job_id), transaction)
         except StoreOutcomeUnknownError:
@@ -180,10 +180,10 @@
                 self._looked_up.add(job_id)
                 self._background.spawn(self._look_up_cancellation(job_id))
             raise
-        if isinstance(result, Conflict) and not _is_own_write(result, record):
+        if isinstance(result, Conflict) and not _is_own_write(result, end):
             return False
-        self._log.write("job_cancelled", request=job_id, owner=found.owner, epoch=record.epoch)
-        self._ended_jobs.apply(job_id, record)
+        self._log.write("job_cancelled", request=job_id, owner=found.owner, epoch=found.epoch + 1)
+        self._ended_jobs.apply(job_id, end)
         self._background.spawn(self._move_attempts(job_id))
         return True
 
@@ -223,14 +223,13 @@
         ended = await self._store.read_row(ended_row(job_id)) if progress is not None else None
         if ended is None:
             return None
-        restarts = restarts_in(load_record(progress.value, JobProgress))
-        record = attrs.evolve(load_record(ended.value, EndedJob), restarts=restarts)
+        end = with_attempts(load_end(ended.value), load_record(progress.value, JobProgress))
         return Transaction(
             expectations=(
                 Expectation(ended.at, ended.version),
                 Expectation(progress.at, progress.version),
             ),
-            puts=(Put(ended.at, dump_record(record)),),
+            puts=(Put(ended.at, end.dump()),),
             removals=(progress.at,),
         )
 
@@ -244,7 +243,13 @@
             return False
 
 
-def _ending(job_id: str, version: int, record: EndedJob, has_progress: bool) -> Transaction:
+def build_end(job: Job) -> JobEnd:
+    """Return the end of a job that this entry owns."""
+    record = EndedJob(job.queue, job.ending.value, job.owner, job.epoch, _restarts(job), job.epoch)
+    return JobEnd(record, _failures(job))
+
+
+def _ending(job_id: str, version: int, end: JobEnd, has_progress: bool) -> Transaction:
     removals = [open_row(job_id)]
     if has_progress:
         removals.append(progress_row(job_id))
@@ -253,14 +258,14 @@
             Expectation(open_row(job_id), version),
             Expectation(ended_row(job_id), ABSENT),
         ),
-        puts=(Put(ended_row(job_id), dump_record(record)),),
+        puts=(Put(ended_row(job_id), end.dump()),),
         removals=tuple(removals),
     )
 
 
-def _is_own_write(conflict: Conflict, record: EndedJob) -> bool:
+def _is_own_write(conflict: Conflict, end: JobEnd) -> bool:
     """Return whether the conflicting row is from an earlier write that got no answer."""
-    return any(row.value == dump_record(record) for row in conflict.rows)
+    return any(row.value == end.dump() for row in conflict.rows)
 
 
 def _restarts(job: Job) -> tuple[Restart, ...]:
@@ -270,3 +275,14 @@
         for task in job.tasks
         if task.lowest_counted_attempt != first
     )
+
+
+def _failures(job: Job) -> JobFailures:
+    """Return the failures that were counted of attempts below the lowest one that counts."""
+    rows = []
+    for task in job.tasks:
+        lowest = task.lowest_counted_attempt
+        attempts = sorted(attempt for attempt in task.failed_attempts if attempt < lowest)
+        if attempts:
+            rows.append(TaskFailures(task.name.step, task.name.index, attempts))
+    return JobFailures(tuple(rows))
