Queue only open jobs for placement

Cause: a job was cancelled elsewhere, and dropped, while its owner waited for the store to confirm an attempt that was given up. Then the dropped job was queued for placement, and each placement ended with a KeyError.

The 4 new scenarios of ended_jobs.feature fail with the placer before.

Change: a job is queued only if it is the open one of its name. An exception in the placement of one job is logged and counted (`placement_failed`), holds up no other, and the job is tried again a second later.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -230,6 +230,28 @@
       | another entry | 1       | was superseded |
       | another entry | 2       | is stored      |
 
+  # Guards against an entry that places nothing any more: it queued a job for placement that had been
+  # cancelled elsewhere while an attempt that it had given up was being stored.
+  Scenario Outline: a job that is dropped while its progress is stored is not placed any more
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the job <goes> while the entry stores its progress
+    Then the job is not queued for placement
+    And a new job is ordered at once
+
+    Examples:
+      | goes                            |
+      | is cancelled elsewhere          |
+      | is claimed elsewhere            |
+      | is lost with the entry's lease  |
+
+  Scenario: a job whose placement fails holds up no other job, and is tried again
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When the placement of the job fails
+    Then a new job is ordered at once
+    And the failed placement is logged once
+    And the job is ordered a second later
+
   # Guards against a task that is started more often than its job allows: a failure of an abandoned run
   # became known after further starts, and counted.
   Scenario Outline: a failure that becomes known late counts only if no start came after too many
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -11,7 +11,7 @@
 
 from gapdrum.agent.entry_links import EntryLink
 from gapdrum.background import Background
-from gapdrum.core import orders
+from gapdrum.core import orders, placer
 from gapdrum.core.dispatch import build_dispatch
 from gapdrum.core.jobs import Place, TaskPhase, build_job
 from gapdrum.core.models import JobState, Resources, RunEnd, Step
@@ -41,6 +41,7 @@
 
 PLACE = Place("side-1", "i-1")
 FORMER, OWNER = "edge-1/life", "edge-2/life"
+OTHER_JOB = "00000000000000f2"
 TURNS = 50  # of the event loop, for background work on the fake store
 
 
@@ -635,6 +636,80 @@
         assert cancel_at(context, other)
 
 
+@when("the job {goes} while the entry stores its progress")
+def dropped_meanwhile(context, goes):
+    entry, store = context.entry, context.store
+
+    async def execute(transaction):
+        result = store.apply(transaction)
+        if goes == "is cancelled elsewhere":
+            entry.ended_jobs.apply_cancellation(orders.JobCancelled(JOB, 2))
+        elif goes == "is claimed elsewhere":
+            entry.dispatch.drop_claimed_job(orders.JobLost(JOB, 2))
+        else:
+            entry.dispatch.drop_job(JOB, "lease_lost")
+        return result
+
+    with patch.object(store, "transact", execute):
+        run(context, entry.recorder.store_progress())
+    assert JOB not in entry.dispatch.jobs
+
+
+@then("the job is not queued for placement")
+def not_queued(context):
+    assert context.entry.dispatch.placer.waiting <= context.entry.dispatch.jobs.keys()
+    place(context)
+
+
+@when("the placement of the job fails")
+def placement_fails(context):
+    entry = context.entry
+    report_runner(entry, entry.view, "i-1")
+    choose = placer.choose_runner
+
+    def fail(job, *arguments):
+        if job.job_id == JOB:
+            raise KeyError("planted")
+        return choose(job, *arguments)
+
+    patched = patch.object(placer, "choose_runner", fail)
+    patched.start()
+    context.add_cleanup(patch.stopall)
+    entry.dispatch.placer.enqueue(context.job)
+
+
+@then("a new job is ordered at once")
+def new_job_ordered(context):
+    entry = context.entry
+    now_ms = entry.timers.now_ms()
+    policy = JobPolicy(3, 0, 1.6, 60)
+    job = build_job(OTHER_JOB, open_record(FORMER, 1), 0, now_ms, durable=False, policy=policy)
+    run(context, call(entry.dispatch.add_job, job, now_ms))
+    place(context)
+    place(context)
+    assert OTHER_JOB in list_ordered_jobs(context), entry.links.sent
+
+
+def list_ordered_jobs(context):
+    sent = context.entry.links.sent
+    return [message.job_id for _, message in sent if isinstance(message, orders.StartOrder)]
+
+
+@then("the failed placement is logged once")
+def failure_logged(context):
+    notes = context.entry.dispatch.effects.noted("placement_failed")
+    assert [note["request"] for note in notes] == [JOB], notes
+
+
+@then("the job is ordered a second later")
+def ordered_later(context):
+    patch.stopall()
+    context.entry.timers.time_ms += placer.FAILED_RETRY_MS
+    report_runner(context.entry, context.entry.view, "i-1")
+    place(context)
+    assert JOB in list_ordered_jobs(context), context.entry.links.sent
+
+
 @given("the job allows {attempts:d} attempts")
 def allows_attempts(context, attempts):
     context.job.failure_limit = context.failure_limit = attempts
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -197,6 +197,7 @@
     unstored_ends: list[StoredEnd] = attrs.Factory(list)
     requeue_unknown_at_ms: int = 0  # when tasks that are still UNKNOWN are requeued, 0 if none is
     confirmed_ms: int = 0
+    place_from_ms: int = 0  # later than now if its placement has failed
     caller_deadline_ms: int | None = None  # when its last caller stops waiting, if known
 
     @property
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -42,6 +42,8 @@
 MAX_DEFERRED_JOBS = 8
 # Minimum interval of placement passes while no runner has room.
 TRY_INTERVAL_MS = 20
+# Interval of attempts to place a job whose placement has failed.
+FAILED_RETRY_MS = 1_000
 # Why a task is held that must run alone.
 NO_IDLE_RUNNER = "no_idle_runner"
 MEDIAN = 0.5  # the quantile of the queue's durations that a task is expected to take
@@ -143,9 +145,16 @@
         ]
 
     def enqueue(self, job: Job) -> None:
-        """Queue a job with tasks that no placement pass has tried yet."""
-        self.waiting.add(job.job_id)
-        self._has_new_jobs = True
+        """Queue a job with tasks that no placement pass has tried yet, if it is still open."""
+        if self._add_waiting(job):
+            self._has_new_jobs = True
+
+    def _add_waiting(self, job: Job) -> bool:
+        """Queue a job; return whether it is open, as it may have been dropped meanwhile."""
+        is_open = self.jobs.get(job.job_id) is job
+        if is_open:
+            self.waiting.add(job.job_id)
+        return is_open
 
     def place_waiting(self, now_ms: int) -> None:
         """Place the waiting tasks that find room, those of the most urgent jobs first."""
@@ -188,17 +197,15 @@
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
             if job.durable and not holds_lease or deferred[job.upstream] >= MAX_DEFERRED_JOBS:
                 continue
-            if not job.may_start(now_ms):
+            if not job.may_start(now_ms) or now_ms < job.place_from_ms:
                 continue
-            pool = pools[job.upstream]
-            if job.ending is not None or not self._place_job(job, pool, now_ms):
-                self.waiting.discard(job.job_id)
+            try:
+                lacks_room = self._place_or_keep(job, pools[job.upstream], now_ms)
+            except Exception as error:  # a bug that one job reveals must not hold up the others
+                job.place_from_ms = now_ms + FAILED_RETRY_MS
+                self.effects.note("placement_failed", request=job.job_id, error=repr(error)[:300])
                 continue
-            # Freed room is of no use to a task that needs an idle runner.
-            ready = [task for task in job.ready_tasks() if not task.must_run_alone(now_ms)]
-            if any(waits_for_better(job, task, pool, now_ms) for task in ready):
-                continue  # it could be placed where it would end late; others may use that room
-            if any(may_ever_fit(task, pool) for task in ready):
+            if lacks_room:
                 deferred[job.upstream] += 1
                 most_urgent.setdefault(job.upstream, job)  # jobs come in order of urgency
         waiting = Counter(job.upstream for job in jobs)
@@ -210,6 +217,17 @@
             for name, job in most_urgent.items()
         )
 
+    def _place_or_keep(self, job: Job, pool: RunnerPool, now_ms: int) -> bool:
+        """Place the tasks of a job; return whether one of them waits for room that may come."""
+        if job.ending is not None or not self._place_job(job, pool, now_ms):
+            self.waiting.discard(job.job_id)
+            return False
+        # Freed room is of no use to a task that needs an idle runner.
+        ready = [task for task in job.ready_tasks() if not task.must_run_alone(now_ms)]
+        if any(waits_for_better(job, task, pool, now_ms) for task in ready):
+            return False  # it could be placed where it would end late; others may use that room
+        return any(may_ever_fit(task, pool) for task in ready)
+
     def _least_waiting(self, jobs: list[Job]) -> dict[str, int]:
         """Return the processor room of the smallest task that waits, by upstream."""
         least: dict[str, int] = {}
@@ -362,7 +380,7 @@
             self.backlog.record_returned(work_of_task(task), now_ms)
         self.fleet.unassign(task)
         job.release(task)
-        self.waiting.add(job.job_id)
+        self._add_waiting(job)
 
     def count_uneven_runners(self) -> int:
         """Return how many runners have a known speed, where speeds differ enough to matter."""
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -272,6 +272,7 @@
     "request", "task", "attempt", "runner", "free_cpu_milli", "heard_ms_ago", "slowness_permille",
     "near", "expected_ms",
 )  # fmt: skip
+_add("placement_failed", "The placement of a job has raised an exception.", "request", "error")
 _add("task_started", "The runner has started the task.", "request", "task", "attempt", "runner")
 _add(
     "task_adopted",
