Show a job that has begun as running also at its next owner

What callers saw: GET showed a job as pending that had been running, and the number of waiting jobs included it, after its entry was lost.

Cause: whether a job has begun was in its owner's memory only.

Change: a job with a task that is done or has failed has begun.

--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -397,6 +397,7 @@
             task.failed_attempts = set(row.failed_attempts)
             task.crashes = row.crashes
             task.crashes_alone = row.crashes_alone
+            self.begun |= row.done or bool(row.failed_attempts)
             if row.done:
                 task.phase = TaskPhase.DONE
                 task.attempt = row.attempt
