Test what a next owner knows of each field of a job

Cause: policy, upstream and counted attempts were known to an owner only, and whoever acted in its place assumed something else. Nothing showed which other fields that holds for.

Change: a scenario stores a job with a value of its own in each field, lets a next owner take it over, and compares. A field that is neither kept nor listed as given up fails it.

--- a/features/steps/takeover_steps.py
+++ b/features/steps/takeover_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import attrs
 from behave import given, then, when
 from ended_job_steps import StoredJobsEntry, call, run
 from platform_core_steps import JOB, FakeStore, new_lease, new_log
@@ -188,6 +189,46 @@
     owner.dispatch.fleet.runners[Place(agent, runner_id)].synced = True
 
 
+# What is known of each field.
+
+
+@when("each field of its first task that is stored has a value of its own")
+def stored_values(context):
+    job = context.owner.job
+    task = job.tasks[0]
+    task.failed_attempts = {1, 2}
+    task.crashes, task.crashes_alone, task.attempt = 4, 1, 3
+    task.abandon(3)
+    job.begun = True
+    job.unstored_progress_since_ms = context.owner.timers.now_ms()
+    context.former = job
+
+
+@then("these fields of the {kind} are as the owner before knew them")
+def fields_known(context, kind):
+    former, found = both_owners(context, kind)
+    context.kept = context.text.split()
+    for name in context.kept:
+        assert getattr(found, name) == getattr(former, name), (name, former, found)
+
+
+@then("these begin anew, and the {kind} has no other field")
+def no_other_field(context, kind):
+    _, found = both_owners(context, kind)
+    names = [field.name for field in attrs.fields(type(found))]
+    assert sorted([*context.kept, *context.text.split()]) == sorted(names), names
+
+
+def both_owners(context, kind):
+    jobs = context.former, context.owner.job
+    return jobs if kind == "job" else [job.tasks[0] for job in jobs]
+
+
+@then("the job has begun")
+def has_begun(context):
+    assert context.owner.job.begun
+
+
 @when("the configuration changes the attempts of the route to {attempts:d}")
 def attempts_changed(context, attempts):
     change_routes(context, {**context.routes[0], "attempts": attempts})
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -111,3 +111,37 @@
     And a job beside it whose row has a malformed policy
     When the entry is lost, and another one takes the job over
     Then it has taken over that job only
+
+  # Guards against a decision that hangs on what only the memory of an owner holds: a new field has to be
+  # stored, to follow from what is stored, or to be given up for a reason.
+  Scenario Outline: each field of a <kind> is known to a next owner, or given up
+    Given an entry that has accepted a job at "/certs/" of the route "certs" with these settings
+      | attempts | priority | stretch | target_latency_ms |
+      | 3        | 2        | 1.5     | 900               |
+    When the configuration gives the path to "certs-2" at "inspect-desk-2"
+    And each field of its first task that is stored has a value of its own
+    And the entry stores the progress of its job
+    And the configuration has no such route
+    And the entry is lost, and another one takes the job over
+    Then these fields of the <kind> are as the owner before knew them
+      """
+      <kept>
+      """
+    And these begin anew, and the <kind> has no other field
+      """
+      <anew>
+      """
+
+    Examples:
+      | kind | kept | anew |
+      | job  | job_id queue upstream host prefix configuration_version spec accepted_wall_ms failure_limit priority chain_ms objective_ms begin_within_ms steps least_cpu_milli was_rerouted durable has_progress_row begun | owner epoch version progress_version accepted_ms confirmed_ms tasks by_name submission ending unstored_progress_since_ms progress_is_urgent unstored_ends requeue_unknown_at_ms place_from_ms caller_deadline_ms |
+      | task | name step failed_attempts crashes crashes_alone abandoned_attempt | phase attempt place place_by_attempt incarnation_by_attempt reported_by started_ms slowness moves avoided hold_logged exclusive_attempts crashed_ms abandoned_is_stored |
+
+  # Guards against a job that is shown as not begun although a task of it is done.
+  Scenario: a job that has begun is running also at a next owner
+    Given an entry that has accepted a job at "/certs/" of the route "certs" with these settings
+      | attempts |
+      | 3        |
+    When a run of the job fails, which is stored
+    And the entry is lost, and another one takes the job over
+    Then the job has begun
