Change routes, fail tasks and lose owners in the soak

Cause: the soak wrote one configuration, no task of its jobs failed by its own fault, and its cancelled jobs had tasks of 15 s, so that no run of them could end before. No check counted failures.

Change: a profile that renames, removes, swaps and moves routes and brings them back, cuts agents off, and then kills or suspends owners, while jobs of three steps fail or are cancelled at any entry. Two checks, with scenarios: starts after as many counted failures as the job allows, and jobs that failed without them. A scenario of 24 s in soak.feature.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,3 +31,10 @@
     When the soak runs seed 8001 for 24 s with rejections only, 8 entries, 8 agents and 16 callers
     Then no promise is violated
     And callers have cancelled jobs
+
+  # Guards against what only an owner knows of a job: routes change while agents are cut off, tasks fail or
+  # are done again, jobs are cancelled elsewhere, and their owners are lost after the last change.
+  Scenario: the promises hold while routes change, and agents and owners are lost
+    When the soak runs seed 9002 for 24 s with changes only, 3 entries, 6 agents and 4 callers
+    Then no promise is violated
+    And callers have cancelled jobs
--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -99,3 +99,25 @@
       | lease_taken@a started@a lease_taken@b           | entry_joined@a run_stopped_for_owner@a entry_joined@b | 0 |
       | lease_taken@a started@a lease_taken@b started@b | entry_joined@a entry_joined@b run_stopped_for_owner@a | 0 |
       | lease_taken@a started@a lease_taken@b           | entry_joined@b started@x run_stopped_for_owner@a      | 0 |
+
+  Scenario Outline: starts after as many failures that count as the job allows
+    Given runner 1 recorded "<rows>"
+    When the runs of a durable job are checked
+    Then starts over the budget found: <starts>
+
+    Examples: three attempts are allowed
+      | rows                                                                                                                       | starts |
+      | started@1 failed@2 forgotten@3 started@4 failed@5 forgotten@6 started@7 failed@8 forgotten@9                               | 0      |
+      | started@1 failed@2 forgotten@3 started@4 failed@5 forgotten@6 started@7 failed@8 forgotten@9 started@10                    | 1      |
+      | started@1 failed@2 started@4 failed@5 started@7 failed@8 started@10 stopped@11                                             | 0      |
+
+  Scenario Outline: jobs that failed without enough failures of a task
+    Given runner 1 recorded "<rows>"
+    When the runs of a durable job that has failed are checked
+    Then failures without cause found: <jobs>
+
+    Examples: three attempts are allowed
+      | rows                                                              | jobs |
+      | started@1 failed@2 started@4 failed@5 started@7 failed@8          | 0    |
+      | started@1 failed@2 started@4 stopped@5                            | 1    |
+      | started@1 failed@2 started@4 killed@5                             | 0    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -36,13 +36,11 @@
 
 
 @when(
-    "the soak runs seed {seed:d} for {seconds:d} s with rejections only, {entries:d} entries, "
+    "the soak runs seed {seed:d} for {seconds:d} s with {only} only, {entries:d} entries, "
     "{agents:d} agents and {callers:d} callers"
 )
-def run_rejections_only(context, seed, seconds, entries, agents, callers):
-    context.soak = Soak(
-        seed, seconds, entries=entries, agents=agents, callers=callers, only="rejections"
-    )
+def run_one_kind(context, seed, seconds, only, entries, agents, callers):
+    context.soak = Soak(seed, seconds, entries=entries, agents=agents, callers=callers, only=only)
     context.violations = context.soak.run()
 
 
@@ -104,6 +102,22 @@
     context.violations = check_runs(context.histories, [job], context.killed_ns)
 
 
+@when("the runs of a durable job that has failed are checked")
+def check_failed(context):
+    job = SubmittedJob(JOB, True, [200], state="failed")
+    context.violations = check_runs(context.histories, [job], context.killed_ns)
+
+
+@then("starts over the budget found: {count:d}")
+def excess_found(context, count):
+    assert_found(context, "budget: ", count)
+
+
+@then("failures without cause found: {count:d}")
+def without_cause_found(context, count):
+    assert_found(context, "without cause", count)
+
+
 @then("overlaps found: {count:d}")
 def overlaps_found(context, count):
     assert_found(context, "overlap", count)
--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -14,6 +14,7 @@
 import asyncio
 import json
 import os
+import random
 import time
 from pathlib import Path
 from typing import Annotated, Any
@@ -109,7 +110,7 @@
     def forget_ends(self, acknowledged_end: int) -> None:
         """Forget acknowledged ends; an end that a lapse of the lease followed does not count."""
         for number, task, attempt, how, _ in self.ended:
-            if number <= acknowledged_end and how == "done":
+            if number <= acknowledged_end and how in ("done", "failed"):
                 void = self.lapsed_ms >= self.ended_ms[number]
                 self._record(task, attempt, "forgotten_after_lapse" if void else "forgotten")
         self.ended = [row for row in self.ended if row[0] > acknowledged_end]
@@ -145,7 +146,7 @@
             task,
             attempt,
             5 if mode == "errors" else self.pace.duration_ms(spec),
-            bool(spec.get("fail")) or mode == "errors",
+            bool(spec.get("fail")) or mode == "errors" or _fails(task, attempt, spec),
             mode == "hang",
             self.now_ms,
             bool(spec.get("crash")),
@@ -191,6 +192,11 @@
         return {"running": running, "ended": self.ended[:ENDS_PER_ANSWER]}
 
 
+def _fails(task: str, attempt: int, spec: dict[str, Any]) -> bool:
+    """Return whether a run fails of a task of which the share ``fail_share`` of runs does."""
+    return random.Random(f"{task} {attempt}").random() < spec.get("fail_share", 0.0)
+
+
 def _percent(run: HostedRun, now_ms: int) -> int:
     if run.hangs:
         return 0
--- a/tools/platform_system.py
+++ b/tools/platform_system.py
@@ -132,7 +132,7 @@
         free = [line.split()[-1] for line in lines if line.startswith("gapdrum_free_cpu_milli ")]
         return sum(map(float, free)) / RUNNER_CPU_MILLI
 
-    def put_configuration(self, version: int, queues=QUEUES) -> None:
+    def put_configuration(self, version: int, queues=QUEUES, upstream: str = UPSTREAM) -> None:
         """Write a version of the configuration to the store, as operators do."""
         routes = [
             {
@@ -140,7 +140,7 @@
                 "host": CALLER_HOST,
                 "prefix": prefix,
                 "priority": priority,
-                "service": UPSTREAM,
+                "service": upstream,
                 "attempts": attempts,
                 "stretch": 1.6,
                 "target_latency_ms": 60,
--- a/tools/proxy.py
+++ b/tools/proxy.py
@@ -21,7 +21,8 @@
     ``delay`` holds each chunk for ``delay_s``, ``silent`` holds all data, and ``one_way`` holds
     the data from the target. Held data is forwarded when the mode ends. The rejections answer each
     HTTP call themselves, and nothing of it is forwarded. With a ``parity`` the mode applies to
-    every second connection, so that a process loses only some of its connections.
+    every second connection, so that a process loses only some of its connections, and with
+    ``only`` to those whose first chunk contains these bytes, such as the name of a process.
     """
 
     def __init__(self, port: int, target_port: int) -> None:
@@ -29,6 +30,8 @@
         self.mode = PASS
         self.delay_s = 0.0
         self.parity: int | None = None
+        self.only = b""
+        self._first: dict[int, bytes] = {}  # chunk of each connection
         self._accepted = 0
         self._target_port = target_port
         self._writers: set[asyncio.StreamWriter] = set()
@@ -86,9 +89,11 @@
         except asyncio.CancelledError:
             return  # on close; otherwise asyncio prints a traceback for the stream's task
         self._writers -= {writer, target[1]}
+        self._first.pop(number, None)
 
     def _mode_of(self, number: int) -> str:
-        return self.mode if self.parity in (None, number % 2) else PASS
+        applies = self.parity in (None, number % 2) and self.only in self._first.get(number, b"")
+        return self.mode if applies else PASS
 
     async def _forward(
         self,
@@ -101,6 +106,8 @@
         held_modes = (SILENT, ONE_WAY) if source is None else (SILENT,)
         try:
             while chunk := await reader.read(CHUNK_BYTES):
+                if source is not None:
+                    self._first.setdefault(number, chunk)
                 if self._mode_of(number) == DELAY:
                     await asyncio.sleep(self.delay_s)
                 while self._mode_of(number) in held_modes:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,12 +5,14 @@
 Faults come singly, in series and at several processes at once, and overlap: processes are killed,
 paused, terminated and restarted; the links to the store, and those of agents to each entry, are
 delayed, silenced, cut in one direction or reset; the store is unavailable, rejects some processes,
-loses answers or executes calls late; runners leave calls unanswered or execute them late. Callers
-disconnect, reach their deadline, resubmit as soon as they may, and cancel durable jobs.
+loses answers or executes calls late; runners leave calls unanswered or execute them late. Operators
+rename, remove and move routes. Callers disconnect, reach their deadline, resubmit as soon as they
+may, and cancel durable jobs.
 
 The checks use what callers and runners observed: no task runs at two runners at once, however
 briefly; no runner's capacity is exceeded; a durable task is not started again after a "done" end
-that counts (the runner was told to forget it, and its lease did not lapse before that); no end
+that counts (the runner was told to forget it, and its lease did not lapse before that), nor after
+as many "failed" ends that count as its queue allows, and its job fails for no other cause; no end
 counts for a submission that began after it; a refused job never runs; nothing of a cancelled job
 runs some time after that was acknowledged; an accepted durable job ends in the same state at all
 entries; an agent that has not restarted loses no outcome, and stops no run
@@ -142,6 +144,7 @@
             for entry in range(len(self.system.entries)):
                 states.add(self._final_state(job.job_id, entry))
             allowed = {"succeeded", "failed"} | ({"cancelled"} if job.cancelling else set())
+            job.state = " or ".join(sorted(states))
             if len(states) != 1 or not states <= allowed:
                 violations.append(f"{job.job_id} is {states}")
         return violations
@@ -184,7 +187,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--planted", default="", help="a mechanism of planted.py to disable")
-    parser.add_argument("--only", default="", choices=("", "outages", "rejections"))
+    parser.add_argument("--only", default="", choices=("", "outages", "rejections", "changes"))
     parser.add_argument("--entries", type=int, default=ENTRIES)
     parser.add_argument("--agents", type=int, default=AGENTS)
     parser.add_argument("--callers", type=int, default=CALLERS)
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -88,6 +88,24 @@
         return self.deadline_s if self.leaves_s is None else min(self.leaves_s, self.deadline_s)
 
 
+@attrs.frozen
+class Burst:
+    """Durable jobs that are submitted at once: steps in series, and choices for each job.
+
+    Of the runs of a task, one of ``fail_shares`` fails by the task's own fault. A share of the
+    jobs is cancelled at any entry, ``cancel_s`` after the submission.
+    """
+
+    steps: int = 2
+    run_ms: tuple[int, ...] = BURST_RUN_MS
+    fail_shares: tuple[float, ...] = (0.0,)
+    cancel_share: float = 0.0
+    cancel_s: tuple[float, float] = CANCEL_S
+
+
+PLAIN_BURST = Burst()
+
+
 class Callers:
     """Threads that each submit one job after another until they are stopped.
 
@@ -134,19 +152,30 @@
                 continue  # the caller was answered or closed the connection meanwhile
         return len(leaving)
 
-    def submit_burst(self, entries: list[int], rng: random.Random) -> int:
-        """Submit durable jobs of two steps at these entries at once; return how many."""
+    def submit_burst(
+        self, entries: list[int], rng: random.Random, burst: Burst = PLAIN_BURST
+    ) -> None:
+        """Submit durable jobs of several steps at these entries at once."""
         for number in range(BURST_JOBS):
             job = SubmittedJob(f"{rng.getrandbits(64):016x}", durable=True)
             step = {"count": rng.randint(1, 4), "cpu": TASK_CPU_MILLI}
-            spec = json.dumps({"run_ms": rng.choice(BURST_RUN_MS)})
-            document = {"spec": spec, "steps": [step, {**step, "after": [0]}]}
+            run_ms, fail_share = rng.choice(burst.run_ms), rng.choice(burst.fail_shares)
+            spec = json.dumps({"run_ms": run_ms, "fail_share": fail_share})
+            others = [{**step, "after": [before]} for before in range(burst.steps - 1)]
+            document = {"spec": spec, "steps": [step, *others]}
             port = self._system.entries[entries[number % len(entries)]].port
             connection = http.client.HTTPConnection(HOST, port, timeout=CONNECT_TIMEOUT_S)
             body = json.dumps(document).encode()
             self.jobs.append(job)
             job.statuses.append(self._request(connection, "POST", job, body))
-        return BURST_JOBS
+            if 200 in job.statuses and rng.random() < burst.cancel_share:
+                self._cancel_later(job, burst.cancel_s)
+
+    def _cancel_later(self, job: SubmittedJob, cancel_s: tuple[float, float]) -> None:
+        rng = random.Random(f"cancel {job.job_id}")
+        thread = threading.Thread(target=self._cancel, args=(job, rng, cancel_s))
+        self._threads.append(thread)
+        thread.start()
 
     def _call(self, seed: float) -> None:
         rng = random.Random(seed)
@@ -197,12 +226,14 @@
             else:
                 return
 
-    def _cancel(self, job: SubmittedJob, rng: random.Random) -> None:
+    def _cancel(
+        self, job: SubmittedJob, rng: random.Random, cancel_s: tuple[float, float] = CANCEL_S
+    ) -> None:
         """Cancel a job at one entry, and again at others until that is acknowledged.
 
         Jobs are also cancelled after ``stop``: their tasks take longer than the soak waits.
         """
-        self._stop.wait(rng.uniform(*CANCEL_S))
+        self._stop.wait(rng.uniform(*cancel_s))
         for _ in range(CANCEL_TRIES):
             reached = self._connect(rng.randrange(len(self._system.entries)))
             if reached is None:
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -6,11 +6,12 @@
 from itertools import combinations
 
 import attrs
-from platform_system import RUNNER_CPU_MILLI
+from platform_system import QUEUES, RUNNER_CPU_MILLI
 from soak_callers import TASK_CPU_MILLI, SubmittedJob
 
 ENDS = ("done", "failed", "stopped", "lapsed")
 NS_PER_MS = 1_000_000
+ATTEMPTS = {name: attempts for name, _, _, attempts in QUEUES}
 # The platform requires a cancelled job to start nothing after 4 s (its ``cancel_ms``) and to have
 # stopped 50 ms later (``stop_ms``), and allows processes 4 s (``contact_ms``) after a fault.
 CANCEL_MS, STOP_MS, CONTACT_MS = 4_000, 50, 4_000
@@ -85,6 +86,9 @@
     for task, runs in by_task.items():
         if _job_id(task) in durable:
             violations += find_starts_after_end(task, runs, counted)
+            allowed = ATTEMPTS[by_id[_job_id(task)].queue]
+            violations += find_excess_starts(task, runs, counted, allowed)
+    violations += find_failed_without_cause(by_task, jobs)
     started = {_job_id(task) for task in by_task}
     violations += [
         f"{job.job_id} was refused and ran" for job in jobs if job.job_id in started and job.refused
@@ -120,6 +124,42 @@
     ]
 
 
+def find_excess_starts(
+    task: str, runs: list[ObservedRun], counted: set[tuple[str, int]], allowed: int
+) -> list[str]:
+    """Return the starts of a durable task after as many counted failures as its job allows."""
+    failed = [run for run in runs if run.how == "failed" and (task, run.attempt) in counted]
+    return [
+        f"budget: {task} {run.describe()} after {before} failures"
+        for run in runs
+        if (before := sum(end.ended_ns < run.began_ns for end in failed)) >= allowed
+    ]
+
+
+def find_failed_without_cause(
+    by_task: dict[str, list[ObservedRun]], jobs: list[SubmittedJob]
+) -> list[str]:
+    """Return the durable jobs that failed though no task has used its attempts up.
+
+    A task under which runners were lost may be given up sooner.
+    """
+    queues = {job.job_id: job.queue for job in jobs}
+    causes = {
+        job_id
+        for task, runs in by_task.items()
+        if (job_id := _job_id(task)) in queues
+        and (
+            sum(run.how == "failed" for run in runs) >= ATTEMPTS[queues[job_id]]
+            or any(run.how in ("killed", "") for run in runs)
+        )
+    }
+    return [
+        f"{job.job_id} failed without cause"
+        for job in jobs
+        if job.durable and job.state == "failed" and job.job_id not in causes
+    ]
+
+
 def find_uncancelled(
     histories: list[list[dict]],
     cancelled_ns: dict[str, int],
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -6,11 +6,12 @@
 import time
 from collections.abc import Callable, Iterable
 
+import msgpack
 import urllib3
 from local_system import Process, find_port
-from platform_system import ZONES, PlatformSystem
+from platform_system import QUEUES, UPSTREAM, ZONES, PlatformSystem
 from proxy import MODES, ONE_WAY, PASS, REJECTIONS, SILENT, Proxy
-from soak_callers import Callers
+from soak_callers import Burst, Callers
 from soak_outages import Outages, run_outages
 
 DRAIN_SHARE = 0.25  # of the single faults: followed by a change of the drained zones
@@ -19,6 +20,11 @@
 # The store rejects a share of the processes, mostly for longer than an entry lease lasts.
 REJECTED_SHARE = 0.33
 REJECTED_S = (4.0, 10.0)
+# Agents and entries are lost for longer than entries wait for them, an entry lease included.
+LOST_S = (2.5, 6.5)
+# Jobs are open, and fail or are cancelled, while tasks of them are done again.
+OPEN_BURST = Burst(3, (700, 1_500, 2_500), (0.0, 0.0, 0.3, 0.6), 0.5, (1.0, 6.0))
+AWAY_UPSTREAM = "away-desk"  # it has no runners
 # Writes whose single answers the store loses, by their table.
 LOST_TABLES = ("open", "progress", "ended", "leases")
 
@@ -67,6 +73,8 @@
         self._combined_random = random.Random(f"herds {seed}")
         self._reset_random = random.Random(f"resets {seed}")
         self._rejection_random = random.Random(f"rejections {seed}")
+        self._change_random = random.Random(f"changes {seed}")
+        self._version = 1
         self._outages = Outages(
             seed, proxies.streams, proxies.stores, lambda one: self._kill_all([one]), self._start
         )
@@ -87,9 +95,12 @@
         about: they make tasks start again themselves.
         """
         if only:
-            {"outages": self._inject_outages, "rejections": self._inject_rejections}[only](
-                seconds, callers
-            )
+            kinds = {
+                "outages": self._inject_outages,
+                "rejections": self._inject_rejections,
+                "changes": self._inject_changes,
+            }
+            kinds[only](seconds, callers)
             return
         threads = [
             threading.Thread(target=inject, args=(seconds, callers))
@@ -390,6 +401,76 @@
             time.sleep(rng.uniform(0.2, 3.0))
         self._system.set_store_fault()
 
+    # Configurations that change while owners and agents are lost
+
+    def _inject_changes(self, seconds: float, callers: Callers) -> None:
+        """Change the routes for a while, again and again, while jobs fail or are cancelled.
+
+        Meanwhile agents are cut off from all entries, and owners are lost after the last change.
+        """
+        rng = self._change_random
+        entries = self._system.entries
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s and not self._ended.is_set():
+            owners = rng.sample(range(len(entries)), rng.randint(1, len(entries) - 1))
+            callers.submit_burst(owners, rng, OPEN_BURST)
+            change = self._change_routes(rng)
+            callers.submit_burst(owners, rng, OPEN_BURST)
+            victim = self._cut_agent_off(rng)
+            time.sleep(rng.uniform(0.5, 3.0))
+            self._change_back()
+            time.sleep(rng.uniform(0.0, 2.0))
+            fate = rng.choice((self._kill_owner, self._suspend_owner))
+            self._record(f"routes {change}, {victim} cut off, {fate(rng, rng.choice(owners))}")
+            time.sleep(rng.uniform(*LOST_S))
+
+    def _change_routes(self, rng: random.Random) -> str:
+        """Write a configuration with other routes for the same paths, or without some."""
+        change = rng.choice(("renamed", "removed", "swapped", "sent away", "unchanged"))
+        queues, upstream = QUEUES, UPSTREAM
+        if change == "renamed":
+            queues = tuple((f"{name}-2", *rest) for name, *rest in QUEUES)
+        elif change == "removed":
+            queues = QUEUES[1:]
+        elif change == "swapped":
+            names = [name for name, *_ in QUEUES]
+            queues = tuple((names[n - 1], *rest) for n, (_, *rest) in enumerate(QUEUES))
+        elif change == "sent away":
+            upstream = AWAY_UPSTREAM
+        if change != "unchanged":
+            self._version += 1
+            self._system.put_configuration(self._version, queues, upstream)
+        return change
+
+    def _change_back(self) -> None:
+        self._version += 1
+        self._system.put_configuration(self._version)
+
+    def _cut_agent_off(self, rng: random.Random) -> str:
+        """Silence all streams of an agent for a while."""
+        agent = rng.choice(self._system.agents)
+        for proxy in self._proxies.streams:
+            proxy.only, proxy.mode = msgpack.packb(agent.name), SILENT
+        self._schedule(rng.uniform(*LOST_S), self._connect_agents)
+        return agent.name
+
+    def _connect_agents(self) -> None:
+        for proxy in self._proxies.streams:
+            proxy.mode = PASS
+
+    def _kill_owner(self, rng: random.Random, number: int) -> str:
+        process = self._system.entries[number]
+        self._kill_all([process])
+        self._schedule(rng.uniform(*LOST_S), lambda: self._start(process))
+        return f"kill {process.name}"
+
+    def _suspend_owner(self, rng: random.Random, number: int) -> str:
+        process = self._system.entries[number]
+        if process.popen.poll() is None:
+            process.signal(signal.SIGSTOP)
+            self._schedule(rng.uniform(*LOST_S), lambda: process.signal(signal.SIGCONT))
+        return f"suspend {process.name}"
+
     # Recovery
 
     def _schedule(self, delay_s: float, work: Callable[[], object]) -> None:
@@ -410,7 +491,7 @@
         for timer in self._timers:
             timer.cancel()
         for proxy in self._proxies.all:
-            proxy.mode = PASS
+            proxy.mode, proxy.only = PASS, b""
         self._system.set_store_fault()
         for process in [*self._processes, *self._system.runners]:
             self._start(process)
