Take a failure for too late if a former owner may have started after it

What callers saw: nothing yet; found by reading the rule for late failures. A next owner that waits to start a task counted a failure of an attempt that the owner before had given up, although that one may have started the task again after as many failures as the job allows (BUDGET).

Cause: after the time in which agents tell of a task, its last attempt is 0, and the rule took no known failure for an earlier one.

Evidence: the new scenario with attempts 2 fails on the code before.

Change: while an owner has not started the task itself, all known failures may precede the last start.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -283,6 +283,22 @@
       | 1        | was superseded |        |
       | 2        | counts         | 1      |
 
+  # A former owner may have started the task after two failures, the one that it knew and this one.
+  Scenario Outline: a late failure of an abandoned attempt once a next owner waits to start the task
+    Given an entry that owns a job of 2 tasks, one of them at work
+    And the job allows <attempts> attempts
+    And attempt 1 has failed, which is stored, and attempt 2 is at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And another entry takes the job over, and nobody tells of the task in time
+    And it is sent the end "failed" of attempt 2
+    Then the end of attempt 1 <told>, and the task has failed as "<failed>"
+
+    Examples:
+      | attempts | told           | failed |
+      | 2        | was superseded | 1      |
+      | 3        | counts         | 1 2    |
+
   Scenario Outline: a failure of an abandoned attempt does not count once its job has ended
     Given an entry that owns a job of 2 tasks, one of them at work
     When its agent is lost, and another one has room
--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -593,6 +593,12 @@
 
 @when('another entry takes the job over and is sent the end "{detail}" of attempt {attempt:d}')
 def next_owner_sent_end(context, detail, attempt):
+    take_over(context)
+    run(context, call(context.entry.report, end_of(detail, attempt)))
+
+
+def take_over(context):
+    """Let another entry take the job over, and be told of none of its tasks."""
     tasks = len(context.job.tasks)
     stored = load_record(context.store.row(progress_row(JOB)).value, JobProgress)
     context.entry = entry = StoredJobsEntry(context.store, "edge-3")
@@ -603,7 +609,6 @@
         task.phase = TaskPhase.UNKNOWN
     job.restore(stored)
     run(context, call(entry.dispatch.add_job, job, 1_000))
-    run(context, call(entry.report, end_of(detail, attempt)))
 
 
 @then("the agent learns that the end is not needed yet")
@@ -715,6 +720,39 @@
     context.job.failure_limit = context.failure_limit = attempts
 
 
+@given("attempt 1 has failed, which is stored, and attempt 2 is at work")
+def failed_before(context):
+    task = context.job.tasks[0]
+    task.failed_attempts, task.attempt = {1}, 2
+    task.assign_place(PLACE)
+
+
+@when("another entry takes the job over, and nobody tells of the task in time")
+def taken_over_untold(context):
+    take_over(context)
+    requeue(context)
+
+
+def requeue(context):
+    """Let the time pass in which agents tell a new owner of its tasks."""
+    entry = context.entry
+    job = entry.dispatch.jobs[JOB]
+    entry.timers.time_ms = job.requeue_unknown_at_ms
+    run(context, call(entry.dispatch.requeue_unknown_tasks, entry.timers.now_ms()))
+
+
+@when("nobody has told of the task in time, and its end is sent again")
+def sent_again(context):
+    requeue(context)
+    sent_end(context, "done", 1)
+
+
+@then("the agent learns twice that the end was superseded")
+def superseded_twice(context):
+    message = (PLACE.agent, orders.EndsStored(PLACE.runner_id, (), (7,)))
+    assert context.entry.links.sent == [message] * 2, context.entry.links.sent
+
+
 @when("attempt 2 {goes}")
 def second_attempt_goes(context, goes):
     if goes != "goes on":
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -318,10 +318,9 @@
             return end is not RunEnd.DONE
         if attempt in task.failed_attempts:
             return True
-        # Which start was the last one is unknown after a takeover: any failure may precede it.
-        before = {
-            failed for failed in task.failed_attempts if is_abandoned or failed < task.attempt
-        }
+        # A former owner may have started attempts unknown to this one, after any of the failures.
+        is_last = task.phase is not TaskPhase.UNKNOWN and task.attempt > task.abandoned_attempt
+        before = [one for one in task.failed_attempts if one < task.attempt or not is_last]
         return len(before) + 1 < self.failure_limit
 
     def record_end(self, task: Task, attempt: int, end: RunEnd, now_ms: int) -> None:
