Don't take an abandoned attempt for the last one of a next owner

What callers saw: nothing yet; found by reading. A success of an attempt that a former owner had abandoned was superseded, but counted when its agent told it again after the next owner had given up waiting for the task (TWICE).

Cause: the first report made that attempt the last known one of the task, and an end of the last attempt counts.

Evidence: the new scenario fails on the code before.

Change: only attempts above the abandoned one become the last known one.

--- a/features/ended_jobs.feature
+++ b/features/ended_jobs.feature
@@ -299,6 +299,14 @@
       | 2        | was superseded | 1      |
       | 3        | counts         | 1 2    |
 
+  Scenario: a success of an abandoned attempt that is told again never counts
+    Given an entry that owns a job of 2 tasks, one of them at work
+    When its agent is lost, and another one has room
+    And the entry stores the progress of the job
+    And another entry takes the job over and is sent the end "done" of attempt 1
+    And nobody has told of the task in time, and its end is sent again
+    Then the agent learns twice that the end was superseded
+
   Scenario Outline: a failure of an abandoned attempt does not count once its job has ended
     Given an entry that owns a job of 2 tasks, one of them at work
     When its agent is lost, and another one has room
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -296,7 +296,7 @@
             runner=place.runner_id,
             ran_ms=now_ms - task.started_ms if task.started_ms else 0,
         )
-        if task.phase is TaskPhase.UNKNOWN:
+        if task.phase is TaskPhase.UNKNOWN and event.attempt > task.abandoned_attempt:
             task.attempt = max(task.attempt, event.attempt)
         if job.durable and not job.counts_end(task, event.attempt, end):
             self._acknowledge_superseded_end(place, event.end_number)
