Find the queue of a job without a scan of all queues

Cause: a job that is added looked its queue up among all queues, and a new configuration did so for each open job: with many routes an entry would be busy for long at once.

Change: an index by path, and no look-up for a configuration that the job follows already.

--- a/src/gapdrum/core/configuration.py
+++ b/src/gapdrum/core/configuration.py
@@ -63,6 +63,11 @@
     header_timeout_ms: int = count_field(minimum=1)
     idle_timeout_ms: int = count_field(minimum=1)
     findings: tuple[Finding, ...] = ()
+    _by_path: dict[tuple[str, str], Queue] = attrs.field(init=False, eq=False, repr=False)
+
+    @_by_path.default
+    def _index_by_path(self) -> dict[tuple[str, str], Queue]:
+        return {(queue.host, queue.prefix): queue for queue in self.queues}
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path, None if there is none."""
@@ -76,10 +81,7 @@
 
     def queue_at(self, host: str, prefix: str) -> Queue | None:
         """Return the queue with exactly this path, whatever its name, None if there is none."""
-        for queue in self.queues:
-            if (queue.host, queue.prefix) == (host, prefix):
-                return queue
-        return None
+        return self._by_path.get((host, prefix))
 
     def queue_named(self, name: str) -> Queue | None:
         """Return the queue of that name, None if it does not exist any more."""
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -232,6 +232,8 @@
         Returns whether one of them has changed. Without such a queue the former ones stay in
         force, as accepted jobs are to end, and so they do with an older configuration.
         """
+        if configuration.version <= self.configuration_version:
+            return False
         if self.prefix:
             queue = configuration.queue_at(self.host, self.prefix)
         else:  # the row of an earlier release does not tell the path
