Revert "Try smaller jobs, and those without the same labels, beside jobs without room"

The small jobs behind eight larger, more urgent ones take the room that would become large enough for these.

--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -184,7 +184,6 @@
     tasks: list[Task]
     by_name: dict[TaskName, Task]
     least_cpu_milli: int  # of its smallest task
-    labels: frozenset[str]  # that its steps require of runners
     submission: int = 0
     was_rerouted: bool = False
     begun: bool = False
@@ -299,10 +298,6 @@
             and not open_steps.intersection(task.step.after)
         ]
 
-    def least_ready_cpu_milli(self) -> int:
-        """Return the processor room of the smallest task that may be placed now, 0 without one."""
-        return min((task.step.resources.cpu_milli for task in self.ready_tasks()), default=0)
-
     def next_attempt(self, task: Task) -> int:
         """Return a task's next attempt number, above those of all owners' attempts so far."""
         return max(task.attempt + 1, first_attempt(self.epoch))
@@ -451,7 +446,6 @@
         tasks=tasks,
         by_name={task.name: task for task in tasks},
         least_cpu_milli=min(step.resources.cpu_milli for step in steps),
-        labels=frozenset(step.required_label for step in steps),
         confirmed_ms=now_ms,
     )
 
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -1,7 +1,7 @@
 """The placement of waiting tasks on runners, and the expected wait of new jobs."""
 
 import random
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -36,12 +36,10 @@
 from gapdrum.core.stragglers import MoveContext, MoveDecision, StragglerPolicy
 from gapdrum.core.task_durations import TaskDurations
 
-# Once so many jobs of an upstream found no room, a placement pass skips those that ask for no less
-# and for the same labels: under overload trying all is wasted work. Jobs that no runner could ever
-# hold do not count, or a few of them would block all others.
+# A placement pass skips the other jobs of an upstream once so many found no room: smaller ones
+# may still fit, but under overload trying all is wasted work. Jobs that no runner could ever hold
+# do not count, or a few of them would block all others.
 MAX_DEFERRED_JOBS = 8
-# Once so many tasks of a step found no room, a pass skips its others, which ask for the same.
-MAX_REFUSED_TASKS = 2
 # Minimum interval of placement passes while no runner has room.
 TRY_INTERVAL_MS = 20
 # Interval of attempts to place a job whose placement has failed.
@@ -53,30 +51,6 @@
 WARM_UP_MS = 2_500
 
 
-@attrs.define
-class Deferred:
-    """The jobs of an upstream that found no room in a placement pass, and their smallest task."""
-
-    jobs: int = 0
-    least_cpu_milli: int = 0
-
-    def add(self, job: Job) -> None:
-        """Count a job, one of whose ready tasks has found no room."""
-        least_cpu_milli = job.least_ready_cpu_milli()
-        self.least_cpu_milli = min(self.least_cpu_milli or least_cpu_milli, least_cpu_milli)
-        self.jobs += 1
-
-    def precludes(self, job: Job) -> bool:
-        """Tell whether a job would find no room either."""
-        if self.jobs < MAX_DEFERRED_JOBS:
-            return False
-        # A later step may have the smallest task of the job.
-        return (
-            job.least_cpu_milli >= self.least_cpu_milli
-            or job.least_ready_cpu_milli() >= self.least_cpu_milli
-        )
-
-
 @attrs.define
 class Placer:
     """Places waiting tasks on runners and sends the start orders. Callers pass the time."""
@@ -219,10 +193,9 @@
     def _place_all(self, jobs: list[Job], pools: dict[str, RunnerPool], now_ms: int) -> None:
         holds_lease = self.holds_lease()
         most_urgent: dict[str, Job] = {}
-        deferred: defaultdict[tuple, Deferred] = defaultdict(Deferred)
+        deferred: Counter[str] = Counter()
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
-            alike = deferred[job.upstream, job.labels]
-            if job.durable and not holds_lease or alike.precludes(job):
+            if job.durable and not holds_lease or deferred[job.upstream] >= MAX_DEFERRED_JOBS:
                 continue
             if not job.may_start(now_ms) or now_ms < job.place_from_ms:
                 continue
@@ -233,7 +206,7 @@
                 self.effects.note("placement_failed", request=job.job_id, error=repr(error)[:300])
                 continue
             if lacks_room:
-                alike.add(job)
+                deferred[job.upstream] += 1
                 most_urgent.setdefault(job.upstream, job)  # jobs come in order of urgency
         waiting = Counter(job.upstream for job in jobs)
         least = self._least_waiting(jobs)
@@ -268,19 +241,19 @@
         """Place the ready tasks of a job that find room; return whether others still wait."""
         chosen: dict[Place, list[Task]] = {}
         deferred = False
-        refused: Counter[int] = Counter()  # tasks without room, by step
+        refused = None
         ready = job.ready_tasks()
         for task in ready:
             if task.must_run_alone(now_ms):
                 deferred |= not self._place_alone(job, task, now_ms)
                 continue
-            if refused[task.name.step] >= MAX_REFUSED_TASKS:
-                continue
             runner = choose_runner(job, task, pool, self.zone, now_ms, self.rng)
             if runner is None:
                 deferred = True
                 self._log_deferral(job, task, pool, now_ms)
-                refused[task.name.step] += 1
+                if task.step.resources == refused:
+                    break
+                refused = task.step.resources
                 continue
             task.slowness = pool.speeds.of(runner) * distance(task.step, runner, self.far_factor)
             self._assign(job, task, runner, now_ms)
