Don't let jobs that wait for a label hold up those that need another or none

Cause: a placement pass skips the other jobs of an upstream once eight found no room, whatever they need. Within a job, two tasks without room ended it for all tasks of that size, whatever label their step needs.

Evidence: the two new scenarios of platform_core.feature fail on the code before.

Change: the eight are counted by upstream and labels, the two tasks by step.

Measured: platform_core, takeover, ended_jobs and urgent_work pass; without labels and with one step a job the passes are as before.

--- a/features/platform_core.feature
+++ b/features/platform_core.feature
@@ -190,6 +190,22 @@
     When a job of 1 tasks is added behind them
     Then 1 tasks are ordered
 
+  # Guards against idle room beside tasks that wait for runners of a kind.
+  Scenario: jobs that wait for a label do not hold up those that need none
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a runner with the label "fast" that has no room
+    And 10 jobs of one task of 500 that need a runner with the label "fast"
+    When a job of 1 tasks is added behind them
+    Then 1 tasks are ordered
+
+  Scenario: tasks of a step that wait for a label do not hold up another step
+    Given an owner that sees one runner
+    And the agent tells that it holds nothing
+    And a runner with the label "fast" that has no room
+    When a job has 4 tasks that need the label "fast", and 2 that need none
+    Then 2 tasks are ordered
+
   Scenario: jobs that wait for a full upstream do not hold up those of another
     Given an owner that sees one runner
     And the agent tells that it holds nothing
--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -369,6 +369,35 @@
         add_job(context, 1, job_id=f"{number:016x}", step=step)
 
 
+@given('a runner with the label "{label}" that has no room')
+def labelled_runner(context, label):
+    report = orders.RunnerReport("i-2", "inspect-desk", orders.READY, (label,), 4_000, 4_000, 0)
+    context.dispatch.apply_report(context.view, report, context.now_ms)
+    context.dispatch.apply_room(context.view, orders.RoomReport("i-2", 0, 4_000, 0, 0, 0))
+    holdings = orders.Holdings("i-2", (), ())
+    context.dispatch.apply_holdings(context.view, holdings, context.now_ms)
+
+
+@given('{count:d} jobs of one task of {cpu:d} that need a runner with the label "{label}"')
+def new_labelled_jobs(context, count, cpu, label):
+    for number in range(count):
+        step = Step(1, Resources(cpu, 10, 0), 100, required_label=label)
+        add_job(context, 1, job_id=f"{number:016x}", step=step)
+
+
+@when('a job has {first:d} tasks that need the label "{label}", and {second:d} that need none')
+def two_steps(context, first, label, second):
+    steps = (
+        Step(first, Resources(500, 10, 0), 100, required_label=label),
+        Step(second, Resources(500, 10, 0), 100),
+    )
+    record = OpenJob("flags", "inspect-desk", "{}", OWNER, 1, 0, tuple(map(step_row, steps)))
+    policy = JobPolicy(3, 0, 1.6, 60)
+    job = build_job(JOB, record, 7, context.now_ms, durable=True, policy=policy)
+    context.dispatch.add_job(job, context.now_ms)
+    context.dispatch.placer.place_waiting(context.now_ms)
+
+
 @when("a job of {tasks:d} tasks is added behind them")
 def job_behind(context, tasks):
     context.now_ms += 1
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -134,7 +134,7 @@
 
     Examples:
       | kind | kept | anew |
-      | job  | job_id queue upstream host prefix configuration_version spec accepted_wall_ms failure_limit priority chain_ms objective_ms begin_within_ms steps least_cpu_milli was_rerouted durable has_progress_row begun | owner epoch version progress_version accepted_ms confirmed_ms tasks by_name submission ending unstored_progress_since_ms progress_is_urgent unstored_ends requeue_unknown_at_ms place_from_ms caller_deadline_ms |
+      | job  | job_id queue upstream host prefix configuration_version spec accepted_wall_ms failure_limit priority chain_ms objective_ms begin_within_ms steps least_cpu_milli labels was_rerouted durable has_progress_row begun | owner epoch version progress_version accepted_ms confirmed_ms tasks by_name submission ending unstored_progress_since_ms progress_is_urgent unstored_ends requeue_unknown_at_ms place_from_ms caller_deadline_ms |
       | task | name step failed_attempts crashes crashes_alone abandoned_attempt | phase attempt place place_by_attempt incarnation_by_attempt reported_by started_ms slowness moves avoided hold_logged exclusive_attempts crashed_ms abandoned_is_stored |
 
   # Guards against a job that is shown as not begun although a task of it is done.
--- a/src/gapdrum/core/jobs.py
+++ b/src/gapdrum/core/jobs.py
@@ -184,6 +184,7 @@
     tasks: list[Task]
     by_name: dict[TaskName, Task]
     least_cpu_milli: int  # of its smallest task
+    labels: frozenset[str]  # that its steps require of runners
     submission: int = 0
     was_rerouted: bool = False
     begun: bool = False
@@ -446,6 +447,7 @@
         tasks=tasks,
         by_name={task.name: task for task in tasks},
         least_cpu_milli=min(step.resources.cpu_milli for step in steps),
+        labels=frozenset(step.required_label for step in steps),
         confirmed_ms=now_ms,
     )
 
--- a/src/gapdrum/core/placer.py
+++ b/src/gapdrum/core/placer.py
@@ -36,10 +36,12 @@
 from gapdrum.core.stragglers import MoveContext, MoveDecision, StragglerPolicy
 from gapdrum.core.task_durations import TaskDurations
 
-# A placement pass skips the other jobs of an upstream once so many found no room: smaller ones
-# may still fit, but under overload trying all is wasted work. Jobs that no runner could ever hold
-# do not count, or a few of them would block all others.
+# A placement pass skips the other jobs of an upstream that need the same labels once so many found
+# no room: smaller ones may still fit, but under overload trying all is wasted work. Jobs that no
+# runner could ever hold do not count, or a few of them would block all others.
 MAX_DEFERRED_JOBS = 8
+# A pass skips the other tasks of a step once so many found no room, as they ask for the same.
+MAX_REFUSED_TASKS = 2
 # Minimum interval of placement passes while no runner has room.
 TRY_INTERVAL_MS = 20
 # Interval of attempts to place a job whose placement has failed.
@@ -193,9 +195,10 @@
     def _place_all(self, jobs: list[Job], pools: dict[str, RunnerPool], now_ms: int) -> None:
         holds_lease = self.holds_lease()
         most_urgent: dict[str, Job] = {}
-        deferred: Counter[str] = Counter()
+        deferred: Counter[tuple[str, frozenset[str]]] = Counter()
         for job in sorted(jobs, key=lambda job: waiting_order(job, now_ms)):
-            if job.durable and not holds_lease or deferred[job.upstream] >= MAX_DEFERRED_JOBS:
+            needs = job.upstream, job.labels
+            if job.durable and not holds_lease or deferred[needs] >= MAX_DEFERRED_JOBS:
                 continue
             if not job.may_start(now_ms) or now_ms < job.place_from_ms:
                 continue
@@ -206,7 +209,7 @@
                 self.effects.note("placement_failed", request=job.job_id, error=repr(error)[:300])
                 continue
             if lacks_room:
-                deferred[job.upstream] += 1
+                deferred[needs] += 1
                 most_urgent.setdefault(job.upstream, job)  # jobs come in order of urgency
         waiting = Counter(job.upstream for job in jobs)
         least = self._least_waiting(jobs)
@@ -241,19 +244,19 @@
         """Place the ready tasks of a job that find room; return whether others still wait."""
         chosen: dict[Place, list[Task]] = {}
         deferred = False
-        refused = None
+        refused: Counter[int] = Counter()  # tasks without room, by step
         ready = job.ready_tasks()
         for task in ready:
             if task.must_run_alone(now_ms):
                 deferred |= not self._place_alone(job, task, now_ms)
                 continue
+            if refused[task.name.step] >= MAX_REFUSED_TASKS:
+                continue
             runner = choose_runner(job, task, pool, self.zone, now_ms, self.rng)
             if runner is None:
                 deferred = True
                 self._log_deferral(job, task, pool, now_ms)
-                if task.step.resources == refused:
-                    break
-                refused = task.step.resources
+                refused[task.name.step] += 1
                 continue
             task.slowness = pool.speeds.of(runner) * distance(task.step, runner, self.far_factor)
             self._assign(job, task, runner, now_ms)
