Tell what the decision on an end of an ended job means for failures

Change: texts only.

Measured: platform_core.feature and ended_jobs.feature pass, the page of events is as generated.

--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -246,8 +246,8 @@
 _add("progress_unsettled", "Ends of tasks of a long job could not be stored.", "request", "code")
 _add(
     "unowned_end_settled",
-    "The end of a run of an ended job may be acknowledged; it counts only if its attempt is "
-    "`counted_from` or higher, as lower ones were followed by another start of the task.",
+    "The end of a run of an ended job may be acknowledged; an end of an attempt below "
+    "`counted_from` counts only if it is a failure that the owner had counted.",
     "request",
     "task",
     "attempt",
