Bound what one request takes, in its head, chunks and trailers

What callers saw: an entry that ran out of memory while clients sent heads over the limit, bodies in small chunks, or trailers.

Cause: a chunk was an object of its own, which takes 28 times the 2 bytes of a small one. Trailer fields, and a field without end after the last chunk, counted as nothing, and were kept as headers. Header fields were counted only after 256 KB had been parsed, and kept after the refusal. A parser and its protocol refer to each other, so what was refused was freed only by the garbage collector. The limit on a head counted a space that a field need not have.

Change: RequestReader parses in pieces, collects a body in one buffer, counts all that is neither head nor body as framing, which is limited like a head, ignores trailers, and stops the parser at the field that exceeds the limit. It is closed when its request is refused.

Requests at each limit pass.

--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -1,14 +1,17 @@
-"""An asyncio HTTP/1.1 listener: one protocol object per connection, parsed by httptools."""
+"""An asyncio HTTP/1.1 listener: one protocol object per connection."""
 
 import asyncio
 import ssl
 from collections.abc import Awaitable, Callable
 
-import attrs
-import httptools
-
 from gapdrum.timers import Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+from gapdrum.transport.request_reader import (
+    HttpLimits,
+    ReceivedRequest,
+    RejectedRequestError,
+    RequestReader,
+)
 
 SWEEP_INTERVAL_MS = 250  # the longest delay until a connection's time-out is noticed
 DISCARD_S = 0.5  # a rejected sender may finish writing, so that it gets the response and no reset
@@ -17,16 +20,6 @@
 Handler = Callable[[HttpRequest], HttpResponse | Awaitable[HttpResponse]]
 
 
-@attrs.define
-class HttpLimits:
-    """Limits on requests and connections; they may change while connections are open."""
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: int = 3_000  # from the first byte of a request to the end of its body
-    idle_timeout_ms: int = 15_000
-
-
 class HttpListener:
     """Accepts connections at one address and passes complete requests to a handler.
 
@@ -84,22 +77,15 @@
     def __init__(self, listener: HttpListener) -> None:
         self._listener = listener
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._waiting: list[HttpRequest] = []
+        self._reader: RequestReader | None = RequestReader(
+            listener.limits, self._take_request, self._send_continue
+        )
+        self._waiting: list[tuple[HttpRequest, bool]] = []
         self._refused = False
         self._closed = asyncio.get_running_loop().create_future()
         self.busy = False
         self._reading_since_ms = 0
         self._idle_since_ms = listener.timers.now_ms()
-        self._reset_message()
-
-    def _reset_message(self) -> None:
-        self._target = b""
-        self._headers: dict[str, str] = {}
-        self._header_bytes = 0
-        self._in_headers = True
-        self._body: list[bytes] = []
-        self._body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
@@ -109,25 +95,25 @@
         self._listener.connections.discard(self)
         self._waiting.clear()
         self._refused = True
+        self._release()
         if not self._closed.done():
             self._closed.set_result(None)
 
     def data_received(self, data: bytes) -> None:
         if self._refused:
             return
-        if not self._reading_since_ms:
-            self._reading_since_ms = self._listener.timers.now_ms()
-        if self._in_headers:
-            self._header_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "upgrade_unsupported")
-        except httptools.HttpParserError:
-            self._refuse(400, "malformed_request")
-        else:
-            if self._in_headers and self._header_bytes > self._listener.limits.max_header_bytes:
-                self._refuse(431, "headers_too_large")
+        unparsed = memoryview(data)
+        while unparsed and not self._refused:
+            if not self._reading_since_ms:
+                self._reading_since_ms = self._listener.timers.now_ms()
+            try:
+                consumed = self._reader.feed(unparsed)
+            except RejectedRequestError as error:
+                self._refuse(error.status, error.code)
+                return
+            unparsed = unparsed[consumed:]
+            if not self._reader.is_inside_request:
+                self._reading_since_ms = 0
 
     def eof_received(self) -> bool:
         """Reject a request that the sender has cut short; otherwise close the connection.
@@ -140,81 +126,48 @@
             self._refuse(400, "request_cut_short")
         return self._refused
 
-    # Callbacks of the parser, under the names that httptools requires.
-
-    def on_message_begin(self) -> None:
-        self._reset_message()
+    def _send_continue(self) -> None:
+        self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self) -> None:
-        self._in_headers = False
-        limits = self._listener.limits
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers.items())
-        if size + len(self._target) > limits.max_header_bytes:
-            self._refuse(431, "headers_too_large")
-            return
-        length = self._headers.get("content-length", "0")
-        if length.isdigit() and int(length) > limits.max_body_bytes:
-            self._refuse(413, "body_too_large")
-        elif self._headers.get("expect", "").lower() == "100-continue":
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > self._listener.limits.max_body_bytes:
-            self._refuse(413, "body_too_large")
-        elif not self._refused:
-            self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        if self._refused:
-            return
-        now_ms = self._listener.timers.now_ms()
+    def _take_request(self, received: ReceivedRequest) -> None:
         request = HttpRequest(
-            self._parser.get_method().decode("latin-1"),
-            self._target.decode("latin-1"),
-            self._headers,
-            b"".join(self._body),
-            now_ms,
+            received.method,
+            received.target,
+            received.headers,
+            received.body,
+            self._listener.timers.now_ms(),
             self._closed,
         )
         self._reading_since_ms = 0
-        self._in_headers = True
-        self._header_bytes = 0
         if self.busy:
-            self._waiting.append(request)
+            self._waiting.append((request, received.keep_alive))
         else:
-            self._start(request)
+            self._start(request, received.keep_alive)
 
-    def _start(self, request: HttpRequest) -> None:
+    def _start(self, request: HttpRequest, keep_alive: bool) -> None:
         self.busy = True
         result = self._listener.handler(request)
         if isinstance(result, HttpResponse):
-            self._answer(result)
+            self._answer(result, keep_alive)
         else:
-            asyncio.ensure_future(self._finish(result))
+            asyncio.ensure_future(self._finish(result, keep_alive))
 
-    async def _finish(self, result: Awaitable[HttpResponse]) -> None:
-        self._answer(await result)
+    async def _finish(self, result: Awaitable[HttpResponse], keep_alive: bool) -> None:
+        self._answer(await result, keep_alive)
 
-    def _answer(self, response: HttpResponse) -> None:
+    def _answer(self, response: HttpResponse, keep_alive: bool) -> None:
         self.busy = False
         self._idle_since_ms = self._listener.timers.now_ms()
         if self._transport.is_closing():
             return
         # Requests that were already read are answered before the connection closes.
-        ends = (self._listener.closing or self._refused) and not self._waiting
-        keep_alive = (self._refused or self._parser.should_keep_alive()) and not ends
+        if (self._listener.closing or self._refused) and not self._waiting:
+            keep_alive = False
         self._transport.write(response.encode(keep_alive))
         if response.close or not keep_alive:
             self._transport.close()
         elif self._waiting:
-            self._start(self._waiting.pop(0))
+            self._start(*self._waiting.pop(0))
 
     def _refuse(self, status: int, code: str) -> None:
         """Reject a malformed request, and close the connection without a reset.
@@ -225,12 +178,19 @@
         if self._refused:
             return
         self._refused = True
+        self._release()
         self._listener.on_refused(status, code)
         if self.busy:
             return
         self._transport.write(json_response(status, {"code": code}).encode(False))
         asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
 
+    def _release(self) -> None:
+        """Free the request that is being received."""
+        if self._reader is not None:
+            self._reader.close()
+        self._reader = None
+
     def enforce_timeouts(self, now_ms: int) -> None:
         """Close the connection if its sender is too slow or has been idle for too long."""
         limits = self._listener.limits
