Read no further ahead than one request, and stop while answers are unread

What callers saw: an entry that ran out of memory while clients sent many requests ahead and left their answers unread.

Answers were written whatever the peer had read, and a connection that was closed with unread answers stayed until its peer read them. Answers that were ready at once ran one inside the other, a level of the stack for each.

Change: one request is read while another is answered; what follows stays unparsed, and over 16 KB of it stop the reading. The next request waits while over 16 KB of answers are unread, and a peer that reads nothing for the idle time-out loses its connection. A connection that is not read is checked for its peer's end, so that a caller that has gone still ends its job. Requests run in turns of sixteen.

--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -35,7 +35,8 @@
 from gapdrum.timelines import LogLine
 from gapdrum.transport import http_server
 from gapdrum.transport.http_messages import HttpRequest
-from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.http_server import HttpListener
+from gapdrum.transport.request_reader import HttpLimits
 
 ANSWER_WAIT_S = 0.05
 CONFIGURATION_TOLD = 76  # on the wire
@@ -87,9 +88,17 @@
     def close(self):
         self.closed = True
 
+    abort = close
+
     def is_closing(self):
         return self.closed
 
+    def set_write_buffer_limits(self, _high):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
 
 def build_entry(context):
     """Build an entry's HTTP API, with a store that answers and a dispatch that runs nothing."""
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -1,10 +1,13 @@
 """An asyncio HTTP/1.1 listener: one protocol object per connection."""
 
 import asyncio
+import select
+import socket
 import ssl
+from collections import deque
 from collections.abc import Awaitable, Callable
 
-from gapdrum.timers import Timers
+from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.request_reader import (
     HttpLimits,
@@ -16,6 +19,13 @@
 SWEEP_INTERVAL_MS = 250  # the longest delay until a connection's time-out is noticed
 DISCARD_S = 0.5  # a rejected sender may finish writing, so that it gets the response and no reset
 BACKLOG_CONNECTIONS = 512  # for bursts of new connections; a full backlog costs callers seconds
+READ_BYTES = 16 * 1024  # read at a time, and ahead of the request that is being answered
+UNREAD_ANSWER_BYTES = 16 * 1024  # from which on a connection's next request waits
+# Of each connection, in the kernel. Received bytes that are not read yet use the machine's memory.
+KERNEL_BUFFER_BYTES = 32 * 1024
+REQUESTS_PER_TURN = 16  # of one connection, before others have their turn
+NOTHING = memoryview(b"")
+GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 Handler = Callable[[HttpRequest], HttpResponse | Awaitable[HttpResponse]]
 
@@ -35,18 +45,31 @@
         self.timers = timers
         self.closing = False
         self.connections: set[_Connection] = set()
+        # All connections read into it, as each copies what it keeps at once.
+        self.receive_buffer = memoryview(bytearray(READ_BYTES))
         # Called for each request that is rejected before it reaches the handler.
         self.on_refused: Callable[[int, str], None] = lambda _status, _code: None
+        # Called for each connection that is closed without a response.
+        self.on_closed: Callable[[str], None] = lambda _reason: None
         self._server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         """Listen, and return the port; raises OSError if the address is in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _Connection(self), host, port, backlog=BACKLOG_CONNECTIONS, ssl=tls
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.create_server((host, port), family=family)
+        # Accepted connections inherit these.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+        handshake_s = self.limits.header_timeout_ms / MS_PER_S if tls is not None else None
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self),
+            sock=listening,
+            backlog=BACKLOG_CONNECTIONS,
+            ssl=tls,
+            ssl_handshake_timeout=handshake_s,
         )
         self.timers.subscribe(SWEEP_INTERVAL_MS, self._sweep)
-        return self._server.sockets[0].getsockname()[1]
+        return listening.getsockname()[1]
 
     def close(self) -> None:
         """Stop accepting connections."""
@@ -71,8 +94,12 @@
             connection.enforce_timeouts(now_ms)
 
 
-class _Connection(asyncio.Protocol):
-    """One caller's connection; pipelined requests are answered in order."""
+class _Connection(asyncio.BufferedProtocol):
+    """One caller's connection; pipelined requests are answered in order.
+
+    While a request is answered, the next one is read, and what follows it stays unparsed; beyond
+    ``READ_BYTES`` of that the connection is not read. The same holds while answers are unread.
+    """
 
     def __init__(self, listener: HttpListener) -> None:
         self._listener = listener
@@ -80,15 +107,27 @@
         self._reader: RequestReader | None = RequestReader(
             listener.limits, self._take_request, self._send_continue
         )
-        self._waiting: list[tuple[HttpRequest, bool]] = []
+        self._unparsed = NOTHING
+        self._waiting: deque[ReceivedRequest] = deque()
+        self._answering: asyncio.Future | None = None
         self._refused = False
+        self._discarded_bytes = 0
+        self._reading_paused = False
+        self._writing_paused = False
+        self._turn_pending = False
+        self._turning = False
+        self._unread_bytes = 0  # of answers, when they were last checked
+        self._unread_since_ms = 0
         self._closed = asyncio.get_running_loop().create_future()
         self.busy = False
         self._reading_since_ms = 0
         self._idle_since_ms = listener.timers.now_ms()
 
+    # Callbacks of asyncio.
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
+        transport.set_write_buffer_limits(UNREAD_ANSWER_BYTES)
         self._listener.connections.add(self)
 
     def connection_lost(self, _error: Exception | None) -> None:
@@ -99,21 +138,22 @@
         if not self._closed.done():
             self._closed.set_result(None)
 
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        return self._listener.receive_buffer
+
+    def buffer_updated(self, received_bytes: int) -> None:
+        self.data_received(bytes(self._listener.receive_buffer[:received_bytes]))
+
     def data_received(self, data: bytes) -> None:
         if self._refused:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > 2 * self._listener.limits.max_body_bytes:
+                self._stop_discarding()
             return
-        unparsed = memoryview(data)
-        while unparsed and not self._refused:
-            if not self._reading_since_ms:
-                self._reading_since_ms = self._listener.timers.now_ms()
-            try:
-                consumed = self._reader.feed(unparsed)
-            except RejectedRequestError as error:
-                self._refuse(error.status, error.code)
-                return
-            unparsed = unparsed[consumed:]
-            if not self._reader.is_inside_request:
-                self._reading_since_ms = 0
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
+        self._take_turn()
 
     def eof_received(self) -> bool:
         """Reject a request that the sender has cut short; otherwise close the connection.
@@ -126,10 +166,70 @@
             self._refuse(400, "request_cut_short")
         return self._refused
 
+    def pause_writing(self) -> None:
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        self._writing_paused = False
+        self._take_turn()
+
+    # Requests.
+
+    def _take_turn(self) -> None:
+        """Parse and answer requests as far as possible, but only a few in one turn."""
+        self._turn_pending = False
+        if self._turning:
+            return
+        self._turning = True
+        try:
+            for _ in range(REQUESTS_PER_TURN):
+                if not self._advance():
+                    break
+            else:
+                self._schedule_turn()
+        finally:
+            self._turning = False
+        self._adjust_reading()
+
+    def _schedule_turn(self) -> None:
+        if not self._turn_pending:
+            self._turn_pending = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _advance(self) -> bool:
+        """Answer the next request, or parse up to its end; return whether there was one."""
+        if self._writing_paused or self._transport.is_closing():
+            return False
+        if not self._waiting:
+            self._parse()
+        if not self._waiting or self.busy:
+            return False
+        self._start(self._waiting.popleft())
+        return True
+
+    def _parse(self) -> None:
+        """Parse until a request is complete or all is parsed."""
+        while self._unparsed and not self._waiting and not self._refused:
+            if not self._reading_since_ms:
+                self._reading_since_ms = self._listener.timers.now_ms()
+            try:
+                consumed = self._reader.feed(self._unparsed)
+            except RejectedRequestError as error:
+                self._refuse(error.status, error.code)
+                return
+            self._unparsed = self._unparsed[consumed:]
+            if not self._reader.is_inside_request:
+                self._reading_since_ms = 0
+
+    def _take_request(self, request: ReceivedRequest) -> None:
+        self._reading_since_ms = 0
+        self._waiting.append(request)
+
     def _send_continue(self) -> None:
         self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _take_request(self, received: ReceivedRequest) -> None:
+    def _start(self, received: ReceivedRequest) -> None:
+        self.busy = True
         request = HttpRequest(
             received.method,
             received.target,
@@ -138,36 +238,40 @@
             self._listener.timers.now_ms(),
             self._closed,
         )
-        self._reading_since_ms = 0
-        if self.busy:
-            self._waiting.append((request, received.keep_alive))
-        else:
-            self._start(request, received.keep_alive)
-
-    def _start(self, request: HttpRequest, keep_alive: bool) -> None:
-        self.busy = True
-        result = self._listener.handler(request)
+        try:
+            result = self._listener.handler(request)
+        except BaseException:
+            self.abort()  # the error is logged as that of a callback
+            raise
         if isinstance(result, HttpResponse):
-            self._answer(result, keep_alive)
+            self._answer(result, received.keep_alive)
         else:
-            asyncio.ensure_future(self._finish(result, keep_alive))
+            self._answering = asyncio.ensure_future(self._finish(result, received.keep_alive))
 
     async def _finish(self, result: Awaitable[HttpResponse], keep_alive: bool) -> None:
-        self._answer(await result, keep_alive)
+        try:
+            response = await result
+        except BaseException:
+            self.abort()  # the error is logged as that of a task
+            raise
+        self._answer(response, keep_alive)
+        self._take_turn()
 
     def _answer(self, response: HttpResponse, keep_alive: bool) -> None:
         self.busy = False
+        self._answering = None
         self._idle_since_ms = self._listener.timers.now_ms()
         if self._transport.is_closing():
             return
         # Requests that were already read are answered before the connection closes.
-        if (self._listener.closing or self._refused) and not self._waiting:
-            keep_alive = False
+        is_last = not self._waiting and not self._unparsed
+        if self._refused or self._listener.closing:
+            keep_alive = keep_alive and not is_last
         self._transport.write(response.encode(keep_alive))
-        if response.close or not keep_alive:
-            self._transport.close()
-        elif self._waiting:
-            self._start(*self._waiting.pop(0))
+        if self._reading_paused and not keep_alive:
+            asyncio.get_running_loop().call_later(DISCARD_S, self._end)
+        elif response.close or not keep_alive:
+            self._close()
 
     def _refuse(self, status: int, code: str) -> None:
         """Reject a malformed request, and close the connection without a reset.
@@ -178,24 +282,91 @@
         if self._refused:
             return
         self._refused = True
+        self._reading_since_ms = 0
         self._release()
         self._listener.on_refused(status, code)
-        if self.busy:
+        if self.busy or self._waiting:
             return
         self._transport.write(json_response(status, {"code": code}).encode(False))
-        asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
+        asyncio.get_running_loop().call_later(DISCARD_S, self._end)
 
     def _release(self) -> None:
         """Free the request that is being received."""
         if self._reader is not None:
             self._reader.close()
         self._reader = None
+        self._unparsed = NOTHING
+
+    def _stop_discarding(self) -> None:
+        """Read no more of a rejected sender: end the connection, or wait for its last answer."""
+        if self.busy or self._waiting:
+            self._pause_reading()
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        """Close the connection, even if its peer does not read the answer."""
+        if self._count_unread():
+            self.abort()
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        """Close the connection once its peer has read all answers."""
+        if not self._transport.is_closing():
+            self._transport.close()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._listener.connections.discard(self)
+        self._transport.abort()
+
+    # Flow control.
+
+    def _adjust_reading(self) -> None:
+        """Read only as far ahead as ``READ_BYTES``, and keep no more than what is unparsed."""
+        if len(self._unparsed) < len(self._unparsed.obj):
+            self._unparsed = memoryview(bytes(self._unparsed)) if self._unparsed else NOTHING
+        if self._transport.is_closing() or self._refused:
+            return
+        if len(self._unparsed) > READ_BYTES:
+            self._pause_reading()
+        elif self._reading_paused and not self._unparsed:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._reading_paused and not self._transport.is_closing():
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _is_peer_gone(self) -> bool:
+        """Tell whether the peer has closed a connection that is not read."""
+        connection = self._transport.get_extra_info("socket")
+        if connection is None or connection.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(connection.fileno(), GONE_EVENTS)
+        return bool(poll.poll(0))
+
+    def _count_unread(self) -> int:
+        """Return the bytes of answers that this process still holds."""
+        return 0 if self._closed.done() else self._transport.get_write_buffer_size()
+
+    # Time-outs.
 
     def enforce_timeouts(self, now_ms: int) -> None:
-        """Close the connection if its sender is too slow or has been idle for too long."""
+        """Close the connection if its peer is too slow or has been idle for too long."""
         limits = self._listener.limits
+        if self._check_unread(now_ms):
+            return
+        if self._reading_paused and self._is_peer_gone():
+            self._close()
+            return
         if self._refused or self._transport.is_closing():
             return
+        if self._reading_since_ms and (self._waiting or self._writing_paused):
+            self._reading_since_ms = now_ms  # this end does not read on
         reading_ms = now_ms - self._reading_since_ms if self._reading_since_ms else 0
         if reading_ms > limits.header_timeout_ms:
             self._refuse(408, "request_too_slow")
@@ -203,7 +374,20 @@
         if now_ms - self._idle_since_ms > limits.idle_timeout_ms:
             self.close_if_idle()
 
+    def _check_unread(self, now_ms: int) -> bool:
+        """Abort a connection whose peer has read nothing for too long; return whether it was."""
+        unread_bytes = self._count_unread()
+        if not unread_bytes or unread_bytes < self._unread_bytes or not self._unread_since_ms:
+            self._unread_since_ms = now_ms if unread_bytes else 0
+        self._unread_bytes = unread_bytes
+        if now_ms - (self._unread_since_ms or now_ms) <= self._listener.limits.idle_timeout_ms:
+            return False
+        self._listener.on_closed("answers_unread")
+        self.abort()
+        return True
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or answered."""
-        if not self.busy and not self._reading_since_ms:
-            self._transport.close()
+        has_requests = self.busy or self._waiting or self._unparsed
+        if not has_requests and not self._reading_since_ms:
+            self._close()
