Limit the connections at each HTTP address

What callers saw: nothing yet: connections without an end took the descriptors that an entry needs for the store and its agents.

Cause: any number of connections was accepted and kept, each until its time-out.

Change: limits for callers' connections and for those of each other address follow from the memory and the descriptors of the machine, from its settings. A new connection beyond the limit closes those that wait for no answer: refused ones, then the longest idle, those that leave answers unread, and the longest unfinished request. If all others wait for answers, it gets 502 with Retry-After, not 503, as its request was not read and the job may run already. asyncio accepts 32 connections a turn now, so that the limit holds while hundreds arrive. Refusals and closed connections are counted at every address, and logged once a second. The product's own settings files take memory_mb and max_fds.

--- a/features/steps/platform_core_steps.py
+++ b/features/steps/platform_core_steps.py
@@ -61,7 +61,8 @@
 from gapdrum.timers import Timers
 from gapdrum.transport.http_client import NoReplyError
 from gapdrum.transport.http_messages import HttpResponse
-from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.http_server import HttpListener
+from gapdrum.transport.request_reader import HttpLimits
 
 ROOT = Path(__file__).parent.parent.parent
 JOB = "00000000000000f1"
--- a/src/gapdrum/agent/program.py
+++ b/src/gapdrum/agent/program.py
@@ -17,6 +17,7 @@
 from gapdrum.agent.runner_registry import RunnerRegistry
 from gapdrum.agent.table_standby import TableStandby
 from gapdrum.background import Background
+from gapdrum.client_limits import derive_client_limits
 from gapdrum.core import orders
 from gapdrum.core.records import EntryAddress
 from gapdrum.core.room_shares import RoomShares
@@ -28,8 +29,9 @@
 from gapdrum.platform.rows import RowStore
 from gapdrum.stalls import CHECK_INTERVAL_MS, StallMonitor
 from gapdrum.timers import Timers
-from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.http_addresses import HttpAddresses
 from gapdrum.transport.metrics_listener import open_metrics
+from gapdrum.transport.refusal_counts import WRITE_INTERVAL_MS, RefusalCounts
 from gapdrum.zone_watch import ZoneWatch
 
 # How often ends that no entry has stored are sent again.
@@ -86,7 +88,11 @@
             self.zones,
             shares=self.shares,
         )
-        self.control = HttpListener(self.runners.handle, HttpLimits(), timers)
+        self.refusals = RefusalCounts(log)
+        self.addresses = HttpAddresses(
+            derive_client_limits(boot.memory_mb, boot.max_fds), self.refusals, timers
+        )
+        self.control = self.addresses.add(self.runners.handle)
         self.stalls = StallMonitor(timers, log)
         self._background = Background(log)
         self._add_gauges()
@@ -156,7 +162,7 @@
         self._background.keep(self.directory.follow)
         address = self.boot.heartbeat_address
         await self.control.open(address.host, address.port)
-        await open_metrics(self.boot.host, self.log.measures, self.timers)
+        await open_metrics(self.boot.host, self.log.measures, self.addresses)
         self.stalls.check_start()
         self.timers.subscribe(CHECK_INTERVAL_MS, self.stalls.check)
         self.timers.subscribe(orders.BEAT_INTERVAL_MS, self.links.beat)
@@ -166,6 +172,7 @@
         self.timers.subscribe(
             RELEASE_DELAY_MS, lambda: self.reservation_log.log_releases(self.timers.now_ms())
         )
+        self.timers.subscribe(WRITE_INTERVAL_MS, self.refusals.write)
         self.timers.subscribe(RESEND_ENDS_INTERVAL_MS, self.notifier.resend_unstored_ends)
         await stopping.wait()
         self.log.write("stopping", open=len(self.controllers))
--- a/src/gapdrum/agents.py
+++ b/src/gapdrum/agents.py
@@ -16,7 +16,7 @@
 from gapdrum.credentials import RUNNER, Credentials
 from gapdrum.entrylinks import EntryLink, EntryLinks
 from gapdrum.exceptions import GapdrumError, InvalidInputError
-from gapdrum.http import HttpServer, Request, Response, Router
+from gapdrum.http import HttpServer, Request, Response, Router, build_client_limits
 from gapdrum.ledger import AttemptRecord, Ledger
 from gapdrum.logs import set_up_logs
 from gapdrum.messages import (
@@ -262,7 +262,8 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    server = HttpServer(config.http, build_router(agent, loop), HTTP_THREADS)
+    limits = build_client_limits(config.memory_mb, config.max_fds)
+    server = HttpServer(config.http, build_router(agent, loop), HTTP_THREADS, limits)
     port = server.start()
     agent.state = PROCESS_CHART.next_state(agent.state, "serve")
     logger.info("agent {} listens on port {}", config.agent_id, port)
--- a/src/gapdrum/config.py
+++ b/src/gapdrum/config.py
@@ -67,6 +67,8 @@
     credentials: list[Credential]
     tls: Tls | None = None
     http_threads: int = count_field(1_000, 4, default=96)
+    memory_mb: int = count_field(1_048_576, 128, default=512)
+    max_fds: int = count_field(1_048_576, 256, default=4_096)
     drain_timeout_ms: int = count_field(600_000, default=20_000)
     log_json: bool = False
 
@@ -83,6 +85,8 @@
     stream_token: str = text_field(repr=False)
     credentials: list[Credential]
     entries_limit: int = count_field(64, 1, default=4)
+    memory_mb: int = count_field(1_048_576, 128, default=512)
+    max_fds: int = count_field(1_048_576, 256, default=4_096)
     drain_timeout_ms: int = count_field(600_000, default=20_000)
     log_json: bool = False
 
--- a/src/gapdrum/entries.py
+++ b/src/gapdrum/entries.py
@@ -16,7 +16,7 @@
 from gapdrum.credentials import Credentials
 from gapdrum.dispatcher import Dispatcher
 from gapdrum.exceptions import GapdrumError, StoreError
-from gapdrum.http import HttpServer, Router
+from gapdrum.http import HttpServer, Router, build_client_limits
 from gapdrum.journal import FLUSH_INTERVAL_MS
 from gapdrum.leases import RENEW_INTERVAL_MS, EntryRecord, build_renewal
 from gapdrum.links import HEARTBEAT_INTERVAL_MS, AgentLinks
@@ -53,6 +53,7 @@
             StoreClient(config.store_url), timers, self.settings.root.store_writes_per_s
         )
         self.settings_store = SettingsStore(self.committer, self.settings, timers)
+        self.client_limits = build_client_limits(config.memory_mb, config.max_fds)
         self.links = AgentLinks(config.stream_token, self.metrics)
         self.dispatcher = Dispatcher(
             self.owner,
@@ -190,7 +191,13 @@
     listener = await asyncio.start_server(
         entry.links.accept, config.streams.host, config.streams.port
     )
-    server = HttpServer(config.http, build_router(entry, loop), config.http_threads, config.tls)
+    server = HttpServer(
+        config.http,
+        build_router(entry, loop),
+        config.http_threads,
+        entry.client_limits,
+        config.tls,
+    )
     await entry.settings_store.refresh()
     # Renew before serving: peers treat the claims of an entry without a lease as a lost owner's.
     await entry.renew_lease()
--- a/src/gapdrum/entry/job_api.py
+++ b/src/gapdrum/entry/job_api.py
@@ -16,7 +16,6 @@
 from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.job_ends import JobEndRecorder
 from gapdrum.entry.lease import Lease
-from gapdrum.entry.refusal_counts import RefusalCounts
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.entry.waiting_callers import Caller, WaitingCallers
 from gapdrum.event_log import EventLog
@@ -31,6 +30,7 @@
 )
 from gapdrum.timers import MS_PER_S
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
+from gapdrum.transport.refusal_counts import RefusalCounts
 
 # Retry delay of refused callers, as outages of the store last seconds.
 RETRY_AFTER_S = 1
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from gapdrum.background import Background
+from gapdrum.client_limits import derive_client_limits
 from gapdrum.core import orders
 from gapdrum.core.configuration import Configuration
 from gapdrum.core.dispatch import build_dispatch
@@ -30,7 +31,6 @@
 from gapdrum.entry.peer_notifier import PeerNotifier
 from gapdrum.entry.queue_demand import QUEUE_DEMAND_INTERVAL_MS, QueueDemandPublisher
 from gapdrum.entry.receipts import ReceiptSender
-from gapdrum.entry.refusal_counts import WRITE_INTERVAL_MS
 from gapdrum.entry.room_demand import RoomDemandPublisher
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.entry.takeover import Takeover
@@ -42,9 +42,11 @@
 from gapdrum.platform.rows import RowStore
 from gapdrum.stalls import CHECK_INTERVAL_MS, StallMonitor
 from gapdrum.timers import MS_PER_S, Timers
+from gapdrum.transport.http_addresses import HttpAddresses
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
-from gapdrum.transport.http_server import HttpLimits, HttpListener
 from gapdrum.transport.metrics_listener import open_metrics
+from gapdrum.transport.refusal_counts import WRITE_INTERVAL_MS
+from gapdrum.transport.request_reader import HttpLimits
 from gapdrum.zone_watch import ZoneWatch
 
 # The port advertised to agents where it differs from the listening port: behind a port mapping,
@@ -89,6 +91,7 @@
         self.zones = ZoneWatch(log)
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
+        self.client_limits = derive_client_limits(boot.memory_mb, boot.max_fds)
         self.links = AgentLinks(timers, log, self.sent, self.received)
         self.demand = RoomDemandPublisher(self.links, timers)
         self.dispatch = build_dispatch(
@@ -116,9 +119,10 @@
         self.job_api = self._build_job_api()
         self.stalls = StallMonitor(timers, log)
         self.limits = HttpLimits()
-        self.listener = HttpListener(self.job_api.handle, self.limits, timers)
-        self.readiness = HttpListener(self._show_readiness, HttpLimits(), timers)
-        self.control = HttpListener(self._reject_heartbeat, HttpLimits(), timers)
+        self.addresses = HttpAddresses(self.client_limits, self.job_api.refusals, timers)
+        self.listener = self.addresses.add_callers(self.job_api.handle, self.limits)
+        self.readiness = self.addresses.add(self._show_readiness)
+        self.control = self.addresses.add(self._reject_heartbeat)
         self._wire()
         self._add_gauges()
 
@@ -175,7 +179,6 @@
         self.configuration.is_expected = lambda: not self.operators.is_failing
         self.configuration_fetcher.is_store_unavailable = lambda: self.operators.is_failing
         self.links.configuration_value = lambda: self.configuration.value
-        self.listener.on_refused = self.job_api.refusals.count
         self.zones.on_change = self._apply_zone_drains
         self.lease.count_waiting = self.dispatch.count_waiting
         self.lease.view_agents = self._visible_capacity
@@ -333,7 +336,7 @@
         self.background.keep(self.operators.follow)
         self.background.keep(self._keep_lease)
         await self.listener.open(boot.callers.host, boot.callers.port)
-        await open_metrics(boot.host, self.log.measures, self.timers)
+        await open_metrics(boot.host, self.log.measures, self.addresses)
         self.stalls.check_start()
         self.timers.subscribe(CHECK_INTERVAL_MS, self.stalls.check)
         self.timers.subscribe(TICK_MS, self._tick)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -184,6 +184,13 @@
     "status",
     "count",
 )
+_add(
+    "connections_closed",
+    "Connections of one second were closed without a response: their peers left answers unread, or "
+    "sent no request while there were too many connections.",
+    "reason",
+    "count",
+)
 _add("queue_unknown", "No queue is configured for this host and path.", "path", "method", "version")
 _add(
     "job_submitted", "A caller submits a job; ``call`` is the caller's identifier of the call.",
--- a/src/gapdrum/http.py
+++ b/src/gapdrum/http.py
@@ -9,6 +9,7 @@
 import re
 import ssl
 import threading
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -17,6 +18,7 @@
 import attrs
 from loguru import logger
 
+from gapdrum.client_limits import ClientLimits, derive_client_limits
 from gapdrum.config import Address, Tls
 from gapdrum.exceptions import (
     Finding,
@@ -27,7 +29,8 @@
 )
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import JSON_TYPE, HttpRequest, HttpResponse
-from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.http_server import HttpListener
+from gapdrum.transport.request_reader import HttpLimits
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 32 * 1024
@@ -126,7 +129,14 @@
     So a slow sender delays no other request.
     """
 
-    def __init__(self, address: Address, router: Router, threads: int, tls: Tls | None = None):
+    def __init__(
+        self,
+        address: Address,
+        router: Router,
+        threads: int,
+        limits: ClientLimits,
+        tls: Tls | None = None,
+    ) -> None:
         self._address = address
         self._router = router
         self._tls = _build_context(tls) if tls is not None else None
@@ -134,10 +144,15 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, name="http", daemon=True)
         self._timers = Timers()
-        limits = HttpLimits(
+        http_limits = HttpLimits(
             MAX_HEADER_BYTES, MAX_BODY_BYTES, REQUEST_TIMEOUT_MS, CONNECTION_IDLE_MS
         )
-        self._listener = HttpListener(self._handle, limits, self._timers)
+        self._listener = HttpListener(
+            self._handle, http_limits, self._timers, limits.caller_connections
+        )
+        self._listener.on_refused = lambda status, code: self._count(f"refused {status} {code}")
+        self._listener.on_closed = lambda reason: self._count(f"closed {reason}")
+        self._counts: Counter[str] = Counter()
 
     def start(self) -> int:
         """Listen and serve; return the port. Raises OSError if the address is in use."""
@@ -161,6 +176,17 @@
         self._listener.close()
         self._timers.stop()
 
+    def _count(self, what: str) -> None:
+        """Count a request that no handler sees, or a closed connection; logged once a second."""
+        if not self._counts:
+            self._timers.call_after(MS_PER_S, self._log_counts)
+        self._counts[what] += 1
+
+    def _log_counts(self) -> None:
+        counts, self._counts = self._counts, Counter()
+        for what, count in counts.items():
+            logger.info("connections: {} {} times", what, count)
+
     def _handle(self, request: HttpRequest) -> Awaitable[HttpResponse]:
         return asyncio.get_running_loop().run_in_executor(self._pool, self._respond, request)
 
@@ -178,6 +204,11 @@
         return _encode_response(response)
 
 
+def build_client_limits(memory_mb: int, max_fds: int) -> ClientLimits:
+    """Return the limits of a process that serves the product's own interface."""
+    return derive_client_limits(memory_mb, max_fds)
+
+
 def _build_context(tls: Tls) -> ssl.SSLContext:
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(tls.certificate, tls.key)
--- a/src/gapdrum/platform/boot.py
+++ b/src/gapdrum/platform/boot.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from gapdrum.client_limits import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from gapdrum.core.endpoints import Endpoint, parse_endpoint
 
 SETTINGS_VARIABLE = "GAPDRUM_SETTINGS"
@@ -42,6 +43,8 @@
     machine_list: Endpoint | None
     seeds: tuple[Endpoint, ...] = ()
     far_factor: float = 1.0
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 def load_boot_settings(path: str | None = None) -> BootSettings:
@@ -60,6 +63,7 @@
     listen = document.get("listen", {})
     bounds = document["bounds"]
     platform = document["platform"]
+    machine = document.get("limits", {})
     return BootSettings(
         instance=document["node_name"],
         zone=document["zone"],
@@ -91,6 +95,9 @@
         far_factor=max(1.0, float(bounds.get("far_x", 1.0))),
         # ``seeds`` are the ``control`` addresses of some entries, which may be stale or down.
         seeds=tuple(parse_endpoint(text) for text in document.get("seeds", ())),
+        # ``limits`` are those of the process's machine.
+        memory_mb=int(machine.get("memory_mb", DEFAULT_MEMORY_MB)),
+        max_fds=int(machine.get("max_fds", DEFAULT_MAX_FDS)),
     )
 
 
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
+from gapdrum.client_limits import derive_client_limits
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.request_reader import (
@@ -19,11 +20,15 @@
 SWEEP_INTERVAL_MS = 250  # the longest delay until a connection's time-out is noticed
 DISCARD_S = 0.5  # a rejected sender may finish writing, so that it gets the response and no reset
 BACKLOG_CONNECTIONS = 512  # for bursts of new connections; a full backlog costs callers seconds
+ACCEPTED_PER_TURN = 32  # connections, before those above the limit are closed
 READ_BYTES = 16 * 1024  # read at a time, and ahead of the request that is being answered
 UNREAD_ANSWER_BYTES = 16 * 1024  # from which on a connection's next request waits
 # Of each connection, in the kernel. Received bytes that are not read yet use the machine's memory.
 KERNEL_BUFFER_BYTES = 32 * 1024
 REQUESTS_PER_TURN = 16  # of one connection, before others have their turn
+EVICTED_AT_ONCE = 16  # connections that are closed to make room for new ones
+REFUSED_CONNECTIONS = 32  # beyond the limit, until their refusal is written
+OVERLOAD_RETRY_S = 1
 NOTHING = memoryview(b"")
 GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -35,14 +40,21 @@
 
     ::
 
-        listener = HttpListener(handle, HttpLimits(), timers)
+        listener = HttpListener(handle, HttpLimits(), timers, max_connections=1_000)
         await listener.open("10.0.0.1", 8080)
     """
 
-    def __init__(self, handler: Handler, limits: HttpLimits, timers: Timers) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        timers: Timers,
+        max_connections: int | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
         self.timers = timers
+        self.max_connections = max_connections or derive_client_limits().caller_connections
         self.closing = False
         self.connections: set[_Connection] = set()
         # All connections read into it, as each copies what it keeps at once.
@@ -64,10 +76,11 @@
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Connection(self),
             sock=listening,
-            backlog=BACKLOG_CONNECTIONS,
+            backlog=ACCEPTED_PER_TURN,
             ssl=tls,
             ssl_handshake_timeout=handshake_s,
         )
+        listening.listen(BACKLOG_CONNECTIONS)  # asyncio has set its ``backlog``
         self.timers.subscribe(SWEEP_INTERVAL_MS, self._sweep)
         return listening.getsockname()[1]
 
@@ -88,6 +101,27 @@
         """Return how many connections have a request that is not answered yet."""
         return sum(connection.busy for connection in self.connections)
 
+    def admit(self, connection: "_Connection") -> bool:
+        """Add a new connection, and close others if there are too many.
+
+        Return whether its requests may be served: not if all others wait for answers.
+        """
+        if len(self.connections) >= self.max_connections:
+            self._evict()
+        has_room = len(self.connections) < self.max_connections
+        self.connections.add(connection)
+        return has_room
+
+    def _evict(self) -> None:
+        """Close connections that wait for no answer, those without a request first."""
+        ranked = [(one.eviction_rank(), one) for one in self.connections]
+        evictable = sorted(
+            ((rank, one) for rank, one in ranked if rank is not None), key=lambda pair: pair[0]
+        )
+        for _, connection in evictable[:EVICTED_AT_ONCE]:
+            self.on_closed("too_many_connections")
+            connection.abort()
+
     def _sweep(self) -> None:
         now_ms = self.timers.now_ms()
         for connection in list(self.connections):
@@ -128,7 +162,14 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         transport.set_write_buffer_limits(UNREAD_ANSWER_BYTES)
-        self._listener.connections.add(self)
+        if not self._listener.admit(self):
+            if len(self._listener.connections) > (
+                self._listener.max_connections + REFUSED_CONNECTIONS
+            ):
+                self._listener.on_closed("too_many_connections")
+                self.abort()
+                return
+            self._refuse(502, "too_many_connections", OVERLOAD_RETRY_S)
 
     def connection_lost(self, _error: Exception | None) -> None:
         self._listener.connections.discard(self)
@@ -273,7 +314,7 @@
         elif response.close or not keep_alive:
             self._close()
 
-    def _refuse(self, status: int, code: str) -> None:
+    def _refuse(self, status: int, code: str, retry_after_s: int = 0) -> None:
         """Reject a malformed request, and close the connection without a reset.
 
         Requests that were read before it are answered first. In this case the connection then
@@ -287,7 +328,11 @@
         self._listener.on_refused(status, code)
         if self.busy or self._waiting:
             return
-        self._transport.write(json_response(status, {"code": code}).encode(False))
+        document = {"code": code}
+        if retry_after_s:
+            document["retry_after_s"] = retry_after_s
+        response = json_response(status, document, retry_after_s=retry_after_s)
+        self._transport.write(response.encode(False))
         asyncio.get_running_loop().call_later(DISCARD_S, self._end)
 
     def _release(self) -> None:
@@ -355,6 +400,18 @@
 
     # Time-outs.
 
+    def eviction_rank(self) -> tuple[int, int] | None:
+        """Return the order in which connections make room for new ones, None if never."""
+        if self.busy:
+            return None
+        if self._refused or self._transport.is_closing():
+            return (0, self._idle_since_ms)
+        if self._unread_since_ms:
+            return (2, self._unread_since_ms)
+        if self._reading_since_ms:
+            return (3, self._reading_since_ms)
+        return (1, self._idle_since_ms)
+
     def enforce_timeouts(self, now_ms: int) -> None:
         """Close the connection if its peer is too slow or has been idle for too long."""
         limits = self._listener.limits
--- a/src/gapdrum/transport/metrics_listener.py
+++ b/src/gapdrum/transport/metrics_listener.py
@@ -3,15 +3,14 @@
 import os
 
 from gapdrum.process_metrics import CONTENT_TYPE, METRICS_PATH, ProcessMetrics
-from gapdrum.timers import Timers
+from gapdrum.transport.http_addresses import HttpAddresses
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse
-from gapdrum.transport.http_server import HttpLimits, HttpListener
 
 # Names the metrics port; ``deploy/system.toml`` sets it. If it is unset, nothing listens.
 PORT_VARIABLE = "GAPDRUM_METRICS_PORT"
 
 
-async def open_metrics(host: str, measures: ProcessMetrics, timers: Timers) -> None:
+async def open_metrics(host: str, measures: ProcessMetrics, addresses: HttpAddresses) -> None:
     """Listen on the metrics port, if one is set; raises OSError if it is in use."""
     port = os.environ.get(PORT_VARIABLE)
     if not port:
@@ -22,4 +21,4 @@
             return HttpResponse(404)
         return HttpResponse(200, measures.expose(), content_type=CONTENT_TYPE)
 
-    await HttpListener(show, HttpLimits(), timers).open(host, int(port))
+    await addresses.add(show).open(host, int(port))
--- a/src/gapdrum_standins/row_store.py
+++ b/src/gapdrum_standins/row_store.py
@@ -18,7 +18,8 @@
 
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
-from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.http_server import HttpListener
+from gapdrum.transport.request_reader import HttpLimits
 
 TRANSACTION_MS = 5
 MAX_ENTRIES = 100
--- a/src/gapdrum_standins/run_host.py
+++ b/src/gapdrum_standins/run_host.py
@@ -25,7 +25,8 @@
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_client import HttpClient, NoReplyError, NotSentError
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
-from gapdrum.transport.http_server import HttpLimits, HttpListener
+from gapdrum.transport.http_server import HttpListener
+from gapdrum.transport.request_reader import HttpLimits
 
 LEASE_MAX_MS = 1_000
 SWEEP_INTERVAL_MS = 5
