Account for what all connections of a process hold, and relieve the largest

What callers saw: an entry that ran out of memory while clients sent many bodies at once, each just short of its end.

Cause: each request had a limit, all of them together had none. A request that waits for its job's end also kept its encoded body.

Change: ClientBuffers counts received bytes, with what their objects take, requests that are not answered yet, and answers that are not read, of all addresses of a process. Beyond an eighth of the memory, connections with the most unfinished bytes are refused with 502 and Retry-After, or closed if they leave answers unread, until three quarters of it are used. Ordinary requests are small and complete at once, so they come last. A job's body is dropped once it is decoded.

--- a/src/gapdrum/client_limits.py
+++ b/src/gapdrum/client_limits.py
@@ -9,10 +9,13 @@
 DEFAULT_MEMORY_MB = 168
 DEFAULT_MAX_FDS = 4_096
 
-# Share of the memory.
+# Shares of the memory: received bytes and unread answers, and connections.
+BUFFER_SHARE = 1 / 8
 CONNECTION_SHARE = 1 / 4
 # Memory of one connection: its objects, and received bytes that wait in the kernel.
 CONNECTION_BYTES = 32 * 1024
+# Several requests at every limit fit into the buffers of any machine.
+MIN_LARGEST_REQUESTS = 4
 
 FILE_DESCRIPTORS = 200  # reserved for files
 # Shares of the sockets; the others belong to known agents, and to the process's own calls.
@@ -26,10 +29,12 @@
 class ClientLimits:
     """Limits on what all clients of a process together make it hold.
 
+    ``buffer_bytes`` counts requests that are not answered yet and answers that are not read;
     ``caller_connections`` is for the address of callers, ``other_connections`` for each other
     HTTP address.
     """
 
+    buffer_bytes: int
     caller_connections: int
     other_connections: int
 
@@ -37,10 +42,11 @@
 def derive_client_limits(
     memory_mb: int = DEFAULT_MEMORY_MB,
     max_fds: int = DEFAULT_MAX_FDS,
+    largest_request_bytes: int = 0,
 ) -> ClientLimits:
     """Return the limits of a process on a machine with so much memory and so many descriptors.
 
-    ::
+    A few requests of the most bytes are within any limits::
 
         derive_client_limits(memory_mb=300, max_fds=4_100)
     """
@@ -48,6 +54,9 @@
     sockets = max(0, min(max_fds, _find_descriptor_limit(max_fds)) - FILE_DESCRIPTORS)
     by_memory = int(memory_bytes * CONNECTION_SHARE) // CONNECTION_BYTES
     return ClientLimits(
+        buffer_bytes=max(
+            int(memory_bytes * BUFFER_SHARE), MIN_LARGEST_REQUESTS * largest_request_bytes
+        ),
         caller_connections=max(MIN_CONNECTIONS, min(by_memory, int(sockets * CALLER_SHARE))),
         other_connections=max(
             MIN_CONNECTIONS, min(MAX_OTHER_CONNECTIONS, int(sockets * OTHER_SHARE))
--- a/src/gapdrum/entry/job_api.py
+++ b/src/gapdrum/entry/job_api.py
@@ -146,7 +146,7 @@
             queue=queue.name,
             configuration=self._configuration.current.version,
         )
-        job = decode_job(request.body)
+        job = decode_job(request.take_body())
         known = job_id in self._dispatch.jobs or self._ended_jobs.known_state(job_id) is not None
         if known and not job.answered_at_end:
             self._log.write("job_known", request=job_id, queue=queue.name, store_ms=0)
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -253,6 +253,7 @@
         self.limits.max_body_bytes = configuration.max_body_bytes
         self.limits.header_timeout_ms = configuration.header_timeout_ms
         self.limits.idle_timeout_ms = configuration.idle_timeout_ms
+        self.addresses.fit_request(configuration.max_header_bytes + configuration.max_body_bytes)
         self.dispatch.apply_configuration(configuration, self.timers.now_ms())
 
     def _apply_zone_drains(self) -> None:
--- a/src/gapdrum/http.py
+++ b/src/gapdrum/http.py
@@ -28,6 +28,7 @@
     RefusedError,
 )
 from gapdrum.timers import MS_PER_S, Timers
+from gapdrum.transport.client_buffers import ClientBuffers
 from gapdrum.transport.http_messages import JSON_TYPE, HttpRequest, HttpResponse
 from gapdrum.transport.http_server import HttpListener
 from gapdrum.transport.request_reader import HttpLimits
@@ -147,8 +148,9 @@
         http_limits = HttpLimits(
             MAX_HEADER_BYTES, MAX_BODY_BYTES, REQUEST_TIMEOUT_MS, CONNECTION_IDLE_MS
         )
+        buffers = ClientBuffers(limits.buffer_bytes)
         self._listener = HttpListener(
-            self._handle, http_limits, self._timers, limits.caller_connections
+            self._handle, http_limits, self._timers, buffers, limits.caller_connections
         )
         self._listener.on_refused = lambda status, code: self._count(f"refused {status} {code}")
         self._listener.on_closed = lambda reason: self._count(f"closed {reason}")
@@ -206,7 +208,7 @@
 
 def build_client_limits(memory_mb: int, max_fds: int) -> ClientLimits:
     """Return the limits of a process that serves the product's own interface."""
-    return derive_client_limits(memory_mb, max_fds)
+    return derive_client_limits(memory_mb, max_fds, MAX_HEADER_BYTES + MAX_BODY_BYTES)
 
 
 def _build_context(tls: Tls) -> ssl.SSLContext:
--- a/src/gapdrum/transport/http_messages.py
+++ b/src/gapdrum/transport/http_messages.py
@@ -11,7 +11,7 @@
 JSON_TYPE = "application/json"
 
 
-@attrs.frozen
+@attrs.define
 class HttpRequest:
     """A complete request; header names are in lower case.
 
@@ -26,6 +26,11 @@
     received_ms: int
     closed: asyncio.Future
 
+    def take_body(self) -> bytes:
+        """Return the body, and hold it no longer: a decoded request may wait for long."""
+        body, self.body = self.body, b""
+        return body
+
 
 @attrs.frozen
 class HttpResponse:
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -9,6 +9,7 @@
 
 from gapdrum.client_limits import derive_client_limits
 from gapdrum.timers import MS_PER_S, Timers
+from gapdrum.transport.client_buffers import ClientBuffers, default_buffers
 from gapdrum.transport.http_messages import HttpRequest, HttpResponse, json_response
 from gapdrum.transport.request_reader import (
     HttpLimits,
@@ -38,9 +39,9 @@
 class HttpListener:
     """Accepts connections at one address and passes complete requests to a handler.
 
-    ::
+    All listeners of a process share its ``buffers``::
 
-        listener = HttpListener(handle, HttpLimits(), timers, max_connections=1_000)
+        listener = HttpListener(handle, HttpLimits(), timers, buffers, max_connections=1_000)
         await listener.open("10.0.0.1", 8080)
     """
 
@@ -49,11 +50,13 @@
         handler: Handler,
         limits: HttpLimits,
         timers: Timers,
+        buffers: ClientBuffers | None = None,
         max_connections: int | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.timers = timers
+        self.buffers = buffers if buffers is not None else default_buffers()
         self.max_connections = max_connections or derive_client_limits().caller_connections
         self.closing = False
         self.connections: set[_Connection] = set()
@@ -144,6 +147,8 @@
         self._unparsed = NOTHING
         self._waiting: deque[ReceivedRequest] = deque()
         self._answering: asyncio.Future | None = None
+        self._answered: HttpRequest | None = None
+        self._answered_bytes = 0  # held by the request that is being answered, beside its body
         self._refused = False
         self._discarded_bytes = 0
         self._reading_paused = False
@@ -176,6 +181,7 @@
         self._waiting.clear()
         self._refused = True
         self._release()
+        self._listener.buffers.charge(self, 0)
         if not self._closed.done():
             self._closed.set_result(None)
 
@@ -231,6 +237,7 @@
         finally:
             self._turning = False
         self._adjust_reading()
+        self._charge()
 
     def _schedule_turn(self) -> None:
         if not self._turn_pending:
@@ -271,7 +278,8 @@
 
     def _start(self, received: ReceivedRequest) -> None:
         self.busy = True
-        request = HttpRequest(
+        self._answered_bytes = received.held_bytes - len(received.body)
+        request = self._answered = HttpRequest(
             received.method,
             received.target,
             received.headers,
@@ -300,7 +308,8 @@
 
     def _answer(self, response: HttpResponse, keep_alive: bool) -> None:
         self.busy = False
-        self._answering = None
+        self._answering = self._answered = None
+        self._answered_bytes = 0
         self._idle_since_ms = self._listener.timers.now_ms()
         if self._transport.is_closing():
             return
@@ -394,10 +403,38 @@
         poll.register(connection.fileno(), GONE_EVENTS)
         return bool(poll.poll(0))
 
+    # Buffers.
+
+    def _held_by_reading(self) -> int:
+        reading = self._reader.held_bytes if self._reader is not None else 0
+        return reading + len(self._unparsed)
+
     def _count_unread(self) -> int:
         """Return the bytes of answers that this process still holds."""
         return 0 if self._closed.done() else self._transport.get_write_buffer_size()
 
+    def _charge(self) -> None:
+        held = self._held_by_reading() + self._answered_bytes
+        if self._answered is not None:
+            held += len(self._answered.body)
+        held += sum(request.held_bytes for request in self._waiting)
+        if not self._closed.done():
+            self._listener.buffers.charge(self, held + self._count_unread())
+
+    def droppable_bytes(self) -> int:
+        """Return what ``drop_buffers`` would free; see ``Holder``."""
+        return self._held_by_reading() + self._count_unread()
+
+    def drop_buffers(self) -> None:
+        """Reject the request that is being received, or end the connection; see ``Holder``."""
+        if self._count_unread() > self._held_by_reading():
+            self._listener.on_closed("answers_unread")
+            self.abort()
+        else:
+            # Not a 503, after which callers give a job up: it may have been submitted before.
+            self._refuse(502, "too_many_bytes", OVERLOAD_RETRY_S)
+        self._charge()
+
     # Time-outs.
 
     def eviction_rank(self) -> tuple[int, int] | None:
@@ -436,7 +473,9 @@
         unread_bytes = self._count_unread()
         if not unread_bytes or unread_bytes < self._unread_bytes or not self._unread_since_ms:
             self._unread_since_ms = now_ms if unread_bytes else 0
-        self._unread_bytes = unread_bytes
+        if unread_bytes != self._unread_bytes or self.busy:
+            self._unread_bytes = unread_bytes
+            self._charge()
         if now_ms - (self._unread_since_ms or now_ms) <= self._listener.limits.idle_timeout_ms:
             return False
         self._listener.on_closed("answers_unread")
