Limit what a stream costs before its peer has introduced itself

What callers saw: nothing yet: connections to an entry's stream port took its memory and descriptors.

Cause: any number of streams was accepted, and each took frames of 8 MB from whoever sent them. A frame of small arrays takes 56 times its size once it is decoded.

Change: until its first message a stream takes frames of 16 KB, and 5 s. The number of such streams is limited by the machine's descriptors; a new one beyond it closes the oldest, as agents and peers introduce themselves at once. Closed ones are counted.

--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -552,6 +552,9 @@
     def send(self, message):
         self.answers.append(encode(message))
 
+    def allow_large_frames(self):
+        pass
+
     async def __aiter__(self):
         for message in Decoder().feed(encode(self.message)):
             yield message
--- a/src/gapdrum/client_limits.py
+++ b/src/gapdrum/client_limits.py
@@ -20,6 +20,7 @@
 FILE_DESCRIPTORS = 200  # reserved for files
 # Shares of the sockets; the others belong to known agents, and to the process's own calls.
 CALLER_SHARE = 1 / 2
+STRANGER_SHARE = 1 / 8
 OTHER_SHARE = 1 / 16
 MAX_OTHER_CONNECTIONS = 64
 MIN_CONNECTIONS = 8
@@ -31,12 +32,13 @@
 
     ``buffer_bytes`` counts requests that are not answered yet and answers that are not read;
     ``caller_connections`` is for the address of callers, ``other_connections`` for each other
-    HTTP address.
+    HTTP address, and ``stranger_streams`` for streams whose peer has not introduced itself.
     """
 
     buffer_bytes: int
     caller_connections: int
     other_connections: int
+    stranger_streams: int
 
 
 def derive_client_limits(
@@ -61,6 +63,7 @@
         other_connections=max(
             MIN_CONNECTIONS, min(MAX_OTHER_CONNECTIONS, int(sockets * OTHER_SHARE))
         ),
+        stranger_streams=max(MIN_CONNECTIONS, int(sockets * STRANGER_SHARE)),
     )
 
 
--- a/src/gapdrum/codec.py
+++ b/src/gapdrum/codec.py
@@ -70,9 +70,13 @@
     """
 
     def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=max_frame_bytes, strict_map_key=True, use_list=True
-        )
+        self._unpacker = _build_unpacker(max_frame_bytes)
+
+    def allow_large_frames(self) -> None:
+        """Allow frames of ``MAX_FRAME_BYTES`` from here on."""
+        unpacker = _build_unpacker(MAX_FRAME_BYTES)
+        unpacker.feed(self._unpacker.read_bytes(MAX_FRAME_BYTES))
+        self._unpacker = unpacker
 
     def feed(self, chunk: bytes) -> Iterator[Any]:
         """Yield each message that the chunk completes; raises FrameError on an invalid frame."""
@@ -90,6 +94,10 @@
             yield decode(frame)
 
 
+def _build_unpacker(max_frame_bytes: int) -> msgpack.Unpacker:
+    return msgpack.Unpacker(max_buffer_size=max_frame_bytes, strict_map_key=True, use_list=True)
+
+
 def _build_packer(message_class: type) -> Callable[[Any], tuple]:
     """Return a function that returns the field values of a message, rows as tuples."""
     fields = attrs.fields(message_class)
--- a/src/gapdrum/entries.py
+++ b/src/gapdrum/entries.py
@@ -54,7 +54,9 @@
         )
         self.settings_store = SettingsStore(self.committer, self.settings, timers)
         self.client_limits = build_client_limits(config.memory_mb, config.max_fds)
-        self.links = AgentLinks(config.stream_token, self.metrics)
+        self.links = AgentLinks(
+            config.stream_token, self.metrics, self.client_limits.stranger_streams
+        )
         self.dispatcher = Dispatcher(
             self.owner,
             config.zone,
--- a/src/gapdrum/entry/links.py
+++ b/src/gapdrum/entry/links.py
@@ -10,18 +10,27 @@
 from gapdrum.entry.receipts import ReceiptSender
 from gapdrum.event_log import EventLog
 from gapdrum.exceptions import FrameError, StreamClosedError
-from gapdrum.streams import Stream
+from gapdrum.streams import StrangerStreams, Stream
 from gapdrum.timers import Timers
 from gapdrum.zone_watch import ZoneWatch
 
 # A stream without an AgentBeat for this long is closed; the agent reconnects.
 STREAM_TIMEOUT_MS = 2_000
+DEFAULT_STRANGERS = 64  # streams without a greeting
 
 
 class AgentLinks:
     """The streams of all agents; passes their messages on to the dispatch."""
 
-    def __init__(self, timers: Timers, log: EventLog, sent: Counter, received: Counter) -> None:
+    def __init__(
+        self,
+        timers: Timers,
+        log: EventLog,
+        sent: Counter,
+        received: Counter,
+        max_strangers: int = DEFAULT_STRANGERS,
+    ) -> None:
+        self.strangers = StrangerStreams(max_strangers)
         self._timers = timers
         self._log = log
         self._sent = sent
@@ -64,7 +73,7 @@
             self.send(agent, message)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        stream = Stream(reader, writer, self._sent, self._received)
+        stream = self.strangers.accept(reader, writer, self._sent, self._received)
         try:
             await self._serve(stream)
         except FrameError as error:
@@ -78,7 +87,7 @@
 
     async def _serve(self, stream: Stream) -> None:
         messages = aiter(stream)
-        greeting = await anext(messages, None)
+        greeting = await self.strangers.receive_introduction(stream, messages)
         if isinstance(greeting, orders.JobCancelled):
             self.on_cancelled(greeting)
             return
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -92,7 +92,9 @@
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
         self.client_limits = derive_client_limits(boot.memory_mb, boot.max_fds)
-        self.links = AgentLinks(timers, log, self.sent, self.received)
+        self.links = AgentLinks(
+            timers, log, self.sent, self.received, self.client_limits.stranger_streams
+        )
         self.demand = RoomDemandPublisher(self.links, timers)
         self.dispatch = build_dispatch(
             boot.zone,
@@ -120,6 +122,7 @@
         self.stalls = StallMonitor(timers, log)
         self.limits = HttpLimits()
         self.addresses = HttpAddresses(self.client_limits, self.job_api.refusals, timers)
+        self.links.strangers.on_closed = self.job_api.refusals.count_closed
         self.listener = self.addresses.add_callers(self.job_api.handle, self.limits)
         self.readiness = self.addresses.add(self._show_readiness)
         self.control = self.addresses.add(self._reject_heartbeat)
--- a/src/gapdrum/events.py
+++ b/src/gapdrum/events.py
@@ -187,7 +187,7 @@
 _add(
     "connections_closed",
     "Connections of one second were closed without a response: their peers left answers unread, or "
-    "sent no request while there were too many connections.",
+    "sent no request while there were too many connections or strange streams.",
     "reason",
     "count",
 )
--- a/src/gapdrum/links.py
+++ b/src/gapdrum/links.py
@@ -24,16 +24,21 @@
 from gapdrum.metrics import Metrics
 from gapdrum.peers import serve_peer
 from gapdrum.settings import dump_tree, load_tree
-from gapdrum.streams import Stream
+from gapdrum.streams import StrangerStreams, Stream
 
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
+DEFAULT_STRANGERS = 64  # streams without a first message
 
 
 class AgentLinks:
     """The streams of all connected agents; passes their messages to the dispatcher."""
 
-    def __init__(self, token: str, metrics: Metrics) -> None:
+    def __init__(
+        self, token: str, metrics: Metrics, max_strangers: int = DEFAULT_STRANGERS
+    ) -> None:
+        self._strangers = StrangerStreams(max_strangers)
+        self._strangers.on_closed = lambda reason: metrics.stream_errors.labels(reason).inc()
         self._token = token.encode()
         self._metrics = metrics
         self._streams: dict[AgentKey, Stream] = {}
@@ -84,7 +89,7 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one incoming stream until it ends; an error closes only this stream."""
-        stream = Stream(reader, writer, self._metrics.sent, self._metrics.received)
+        stream = self._strangers.accept(reader, writer, self._metrics.sent, self._metrics.received)
         try:
             await self._serve(stream)
         except FrameError as error:
@@ -97,7 +102,7 @@
 
     async def _serve(self, stream: Stream) -> None:
         messages = aiter(stream)
-        first = await anext(messages, None)
+        first = await self._strangers.receive_introduction(stream, messages)
         if isinstance(first, AgentHello):
             self._check_token(first.token)
             await self._serve_agent(stream, messages, first)
--- a/src/gapdrum/streams.py
+++ b/src/gapdrum/streams.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
-from gapdrum.codec import Decoder, encode, message_name
+from gapdrum.codec import MAX_FRAME_BYTES, Decoder, encode, message_name
 from gapdrum.exceptions import FrameError, StreamClosedError
 
 READ_BYTES = 64 * 1024
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2
+# Of a peer that has not introduced itself.
+INTRODUCTION_BYTES = 16 * 1024
+INTRODUCTION_TIMEOUT_S = 5
 
 
 class Stream:
@@ -29,7 +32,9 @@
         writer: asyncio.StreamWriter,
         sent: Counter,
         received: Counter,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
+        self._decoder = Decoder(max_frame_bytes)
         self._reader = reader
         self._writer = writer
         self._sent = sent
@@ -58,15 +63,18 @@
 
     async def __aiter__(self) -> AsyncIterator[object]:
         """Yield messages until the peer closes; raises FrameError on an invalid frame."""
-        decoder = Decoder()
         while not self.closed:
             chunk = await self._read()
             if not chunk:
                 return
-            for message in decoder.feed(chunk):
+            for message in self._decoder.feed(chunk):
                 self._received[message_name(message)] += 1
                 yield message
 
+    def allow_large_frames(self) -> None:
+        """Allow frames of ``MAX_FRAME_BYTES`` from here on: the peer is known."""
+        self._decoder.allow_large_frames()
+
     def close(self) -> None:
         """Close the stream; messages that were sent before are still delivered if possible."""
         self.closed = True
@@ -88,6 +96,51 @@
             return b""
 
 
+class StrangerStreams:
+    """Accepted streams whose peers have not introduced themselves; their number is limited.
+
+    A new one beyond the limit closes the oldest, as processes introduce themselves at once::
+
+        strangers = StrangerStreams(64)
+        stream = strangers.accept(reader, writer, sent, received)
+        introduction = await strangers.receive_introduction(stream, messages)
+    """
+
+    def __init__(self, max_streams: int) -> None:
+        self._max_streams = max_streams
+        self._streams: dict[Stream, None] = {}
+        # Called for each stream that is closed as there are too many.
+        self.on_closed: Callable[[str], None] = lambda _reason: None
+
+    def accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        sent: Counter,
+        received: Counter,
+    ) -> Stream:
+        """Return the stream of a new connection."""
+        while len(self._streams) >= self._max_streams:
+            oldest = next(iter(self._streams))
+            del self._streams[oldest]
+            oldest.close()
+            self.on_closed("too_many_strangers")
+        stream = Stream(reader, writer, sent, received, INTRODUCTION_BYTES)
+        self._streams[stream] = None
+        return stream
+
+    async def receive_introduction(self, stream: Stream, messages: AsyncIterator) -> object:
+        """Return a stream's first message, None if it closes; raises FrameError without one."""
+        try:
+            first = await asyncio.wait_for(anext(messages, None), INTRODUCTION_TIMEOUT_S)
+        except TimeoutError as error:
+            raise FrameError("the peer has not introduced itself in time") from error
+        finally:
+            self._streams.pop(stream, None)
+        stream.allow_large_frames()
+        return first
+
+
 async def open_stream(
     host: str,
     port: int,
@@ -105,4 +158,4 @@
     return Stream(reader, writer, sent, received)
 
 
-__all__ = ["FrameError", "Stream", "open_stream"]
+__all__ = ["FrameError", "Stream", "StrangerStreams", "open_stream"]
