Limit the open tasks of an entry

What callers saw: an entry that ran out of memory: a request of 100 bytes opens 10,000 tasks, and each takes over 1 KB.

Cause: a job's tasks were limited, those of all jobs together only by the wait that is estimated for a new job. Jobs that state no work have none.

Change: an entry refuses a job at once, with 429 and Retry-After, beyond a number of open tasks that follows from the memory of its machine; jobs that are being stored count. One job of the most tasks is within it on any machine. Jobs that are taken over are not refused.

--- a/features/steps/ended_job_steps.py
+++ b/features/steps/ended_job_steps.py
@@ -36,8 +36,10 @@
 from gapdrum.entry.group_commit import GroupCommitWriter
 from gapdrum.entry.job_api import JobApi
 from gapdrum.entry.job_ends import PROGRESS_DELAY_MS, JobEndRecorder
+from gapdrum.entry.open_tasks import OpenTaskLimit
 from gapdrum.entry.ownership import CONFIRM_AFTER_MS, OwnershipChecker
 from gapdrum.exceptions import StoreError, StoreOutcomeUnknownError
+from gapdrum.platform.submissions import MAX_TASKS
 
 PLACE = Place("side-1", "i-1")
 FORMER, OWNER = "edge-1/life", "edge-2/life"
@@ -110,6 +112,7 @@
         self.api = JobApi(
             None, self.dispatch, None, None, SimpleNamespace(has_ended=lambda _job: False),
             self.recorder, self.ended_jobs, store, SimpleNamespace(valid=True), log,
+            OpenTaskLimit(MAX_TASKS, lambda: 0),
         )  # fmt: skip
         greeting = orders.AgentGreeting(PLACE.agent, "life-1", "plaine-nord", 1)
         self.view = self.dispatch.fleet.agent_joined(greeting, 1_000)
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -25,6 +25,7 @@
 from gapdrum.entry.configuration_watch import ConfigurationWatch
 from gapdrum.entry.job_api import JobApi
 from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.open_tasks import OpenTaskLimit
 from gapdrum.entry.peer_configuration import PeerConfigurationFetcher
 from gapdrum.entry.waiting_callers import WaitingCallers
 from gapdrum.event_log import EventLog
@@ -32,6 +33,7 @@
 from gapdrum.losses import summarize_losses
 from gapdrum.operator_feed import TableUpdate
 from gapdrum.platform.operator_table import CONFIGURATION_ROW
+from gapdrum.platform.submissions import MAX_TASKS
 from gapdrum.timelines import LogLine
 from gapdrum.transport import http_server
 from gapdrum.transport.http_messages import HttpRequest
@@ -117,7 +119,7 @@
     context.front = JobApi(
         context.configuration, context.dispatch, acceptor, admission, context.callers,
         None, SimpleNamespace(known_state=lambda _job: None), SimpleNamespace(up=True),
-        context.lease, context.log,
+        context.lease, context.log, OpenTaskLimit(MAX_TASKS, lambda: 0),
     )  # fmt: skip
 
 
--- a/features/steps/run_ownership_steps.py
+++ b/features/steps/run_ownership_steps.py
@@ -20,9 +20,11 @@
 from gapdrum.core.runner_models import EndedRun, RunnerSnapshot, RunningTask
 from gapdrum.entry.admission import Overload
 from gapdrum.entry.job_api import JobApi
+from gapdrum.entry.open_tasks import OpenTaskLimit
 from gapdrum.entry.waiting_callers import Caller, WaitingCallers
 from gapdrum.exceptions import StreamClosedError
 from gapdrum.platform.runner_calls import RunnerRejectedError
+from gapdrum.platform.submissions import MAX_TASKS
 from gapdrum.transport.http_client import NoReplyError
 from gapdrum.transport.http_messages import HttpRequest
 
@@ -147,6 +149,7 @@
         SimpleNamespace(current=SimpleNamespace(version=1)), dispatch, None, admission,
         context.callers, None, SimpleNamespace(known_state=lambda _job: None),
         SimpleNamespace(up=True), lease, SimpleNamespace(write=lambda *_a, **_k: None),
+        OpenTaskLimit(MAX_TASKS, lambda: 0),
     )  # fmt: skip
     if state == "leaving":
         context.front.leave(PlannedShutdown(timers.now_ms() + 100, base.RESUBMIT_MS))
--- a/src/gapdrum/client_limits.py
+++ b/src/gapdrum/client_limits.py
@@ -9,11 +9,13 @@
 DEFAULT_MEMORY_MB = 168
 DEFAULT_MAX_FDS = 4_096
 
-# Shares of the memory: received bytes and unread answers, and connections.
+# Shares of the memory: received bytes and unread answers, open tasks, and connections.
 BUFFER_SHARE = 1 / 8
+TASK_SHARE = 1 / 3
 CONNECTION_SHARE = 1 / 4
 # Memory of one connection: its objects, and received bytes that wait in the kernel.
 CONNECTION_BYTES = 32 * 1024
+TASK_BYTES = 1_536  # of one open task, with its attempts
 # Several requests at every limit fit into the buffers of any machine.
 MIN_LARGEST_REQUESTS = 4
 
@@ -39,16 +41,18 @@
     caller_connections: int
     other_connections: int
     stranger_streams: int
+    open_tasks: int
 
 
 def derive_client_limits(
     memory_mb: int = DEFAULT_MEMORY_MB,
     max_fds: int = DEFAULT_MAX_FDS,
     largest_request_bytes: int = 0,
+    largest_job_tasks: int = 0,
 ) -> ClientLimits:
     """Return the limits of a process on a machine with so much memory and so many descriptors.
 
-    A few requests of the most bytes are within any limits::
+    One job of the most tasks, and a few requests of the most bytes, are within any limits::
 
         derive_client_limits(memory_mb=300, max_fds=4_100)
     """
@@ -64,6 +68,7 @@
             MIN_CONNECTIONS, min(MAX_OTHER_CONNECTIONS, int(sockets * OTHER_SHARE))
         ),
         stranger_streams=max(MIN_CONNECTIONS, int(sockets * STRANGER_SHARE)),
+        open_tasks=max(int(memory_bytes * TASK_SHARE) // TASK_BYTES, largest_job_tasks),
     )
 
 
--- a/src/gapdrum/core/dispatch.py
+++ b/src/gapdrum/core/dispatch.py
@@ -31,6 +31,7 @@
     fleet: Fleet
     placer: Placer
     configuration: Configuration | None = None  # the newest one
+    open_tasks: int = 0  # of all jobs
 
     @property
     def durations(self) -> TaskDurations:
@@ -41,6 +42,8 @@
 
     def add_job(self, job: Job, now_ms: int) -> None:
         """Own a new job, or one that was taken over, and schedule its placement."""
+        former = self.jobs.get(job.job_id)
+        self.open_tasks += len(job.tasks) - (len(former.tasks) if former is not None else 0)
         self.jobs[job.job_id] = job
         self._follow_configuration(job, now_ms)
         self.placer.enqueue(job)
@@ -72,6 +75,7 @@
         job = self.jobs.pop(job_id, None)
         self.placer.waiting.discard(job_id)
         if job is not None:
+            self.open_tasks -= len(job.tasks)
             for task in job.tasks:
                 self.fleet.unassign(task)
             self.effects.note("job_dropped", request=job_id, epoch=job.epoch, reason=reason)
--- a/src/gapdrum/entry/job_api.py
+++ b/src/gapdrum/entry/job_api.py
@@ -16,6 +16,7 @@
 from gapdrum.entry.ended_jobs import EndedJobs
 from gapdrum.entry.job_ends import JobEndRecorder
 from gapdrum.entry.lease import Lease
+from gapdrum.entry.open_tasks import OpenTaskLimit
 from gapdrum.entry.store_access import StoreAccess
 from gapdrum.entry.waiting_callers import Caller, WaitingCallers
 from gapdrum.event_log import EventLog
@@ -58,6 +59,7 @@
         store: StoreAccess,
         lease: Lease,
         log: EventLog,
+        open_tasks: OpenTaskLimit,
     ) -> None:
         self._configuration = configuration
         self._dispatch = dispatch
@@ -69,6 +71,7 @@
         self._store = store
         self._lease = lease
         self._log = log
+        self._open_tasks = open_tasks
         self.refusals = RefusalCounts(log)
         self._shutdown: PlannedShutdown | None = None
 
@@ -158,7 +161,8 @@
             return refusal
         if job.answered_at_end:
             return await self._run_to_end(request, queue, job_id, job)
-        acceptance = await self._acceptor.accept(job_id, queue, job.spec, job.steps)
+        with self._open_tasks.storing(job.steps):
+            acceptance = await self._acceptor.accept(job_id, queue, job.spec, job.steps)
         if acceptance is Acceptance.ACCEPTED:
             return json_response(200, {})
         if acceptance is Acceptance.REFUSED:
@@ -190,6 +194,9 @@
             return self._log_refusal(job_id, queue, 503, "lease_not_held", RETRY_AFTER_S)
         if job.answered_at_end and self._admission.is_unschedulable(queue, job.steps):
             return self._log_refusal(job_id, queue, 503, "zones_drained", RETRY_AFTER_S)
+        if not self._open_tasks.has_room(job.steps):
+            retry_after_s = _spread_retry_s(0)
+            return self._log_refusal(job_id, queue, 429, "too_many_open_tasks", retry_after_s)
         overload = self._admission.check_overload(queue, job.steps)
         if overload is not None:
             self._log.write(
--- a/src/gapdrum/entry/program.py
+++ b/src/gapdrum/entry/program.py
@@ -25,6 +25,7 @@
 from gapdrum.entry.job_ends import PROGRESS_INTERVAL_MS, JobEndRecorder
 from gapdrum.entry.lease import Lease
 from gapdrum.entry.links import AgentLinks
+from gapdrum.entry.open_tasks import OpenTaskLimit
 from gapdrum.entry.ownership import CHECK_INTERVAL_MS as OWNERSHIP_INTERVAL_MS
 from gapdrum.entry.ownership import OwnershipChecker
 from gapdrum.entry.peer_configuration import FETCH_INTERVAL_MS, PeerConfigurationFetcher
@@ -40,6 +41,7 @@
 from gapdrum.pauses import TICK_MS
 from gapdrum.platform.boot import BootSettings, load_boot_settings
 from gapdrum.platform.rows import RowStore
+from gapdrum.platform.submissions import MAX_TASKS
 from gapdrum.stalls import CHECK_INTERVAL_MS, StallMonitor
 from gapdrum.timers import MS_PER_S, Timers
 from gapdrum.transport.http_addresses import HttpAddresses
@@ -91,7 +93,9 @@
         self.zones = ZoneWatch(log)
         address = EntryAddress("", boot.zone, boot.host, _advertised_port(boot))
         self.lease = Lease(boot.instance, address, self.store, timers, log)
-        self.client_limits = derive_client_limits(boot.memory_mb, boot.max_fds)
+        self.client_limits = derive_client_limits(
+            boot.memory_mb, boot.max_fds, largest_job_tasks=MAX_TASKS
+        )
         self.links = AgentLinks(
             timers, log, self.sent, self.received, self.client_limits.stranger_streams
         )
@@ -155,6 +159,7 @@
             self.store,
             self.lease,
             self.log,
+            OpenTaskLimit(self.client_limits.open_tasks, lambda: self.dispatch.open_tasks),
         )
 
     def _add_gauges(self) -> None:
