Limit the runners that an agent follows

What callers saw: nothing yet: whoever reached an agent's control address could name any number of runners, which the agent then polled.

Cause: each heartbeat with a new name at another address got a controller with polls of its own, until its runner had refused some connections.

Change: beyond sixteen, heartbeats of others are answered 503 and logged. An agent has one runner, and former ones for the seconds until their end is known.

--- a/src/gapdrum/agent/runner_registry.py
+++ b/src/gapdrum/agent/runner_registry.py
@@ -29,6 +29,8 @@
 LIST_TIMEOUT_MS = 500
 # All agents may start at once, and share the call rate that the list allows.
 LIST_RETRY_MS = 500
+# One runner, and former ones whose end is not known yet.
+MAX_RUNNERS = 16
 
 Identify = Callable[[Endpoint, int], Awaitable[str]]
 
@@ -89,6 +91,9 @@
             self._log.write("heartbeat_rejected", runner=runner_id, reason=str(error))
             return json_response(400, {"code": "malformed_heartbeat"})
         present = self._controller_at(heartbeat.address)
+        if runner_id not in self._controllers and len(self._controllers) >= MAX_RUNNERS:
+            self._log.write("heartbeat_rejected", runner=runner_id, reason="too_many_runners")
+            return json_response(503, {"code": "too_many_runners"})
         if runner_id in self._controllers or present is None:
             self._ensure_controller(runner_id, heartbeat.address).apply_heartbeat(heartbeat)
             return json_response(200, {})
