Bound what clients' texts take in the log and the metrics

What callers saw: nothing yet: a page of metrics that grew with each malformed request, and log lines of up to 16 KB that waited for a slow reader.

Cause: a reason may contain the text of a parser's error, with the place in the body, and each reason had a line of its own. Lines were limited in number, not in length.

Change: beyond 1,000 pairs of event and reason, further reasons count as "other". The fields of a line of over 8 KB are cut, and lines wait up to 4 MB; what is dropped is counted as before.

--- a/src/gapdrum/event_log.py
+++ b/src/gapdrum/event_log.py
@@ -20,6 +20,12 @@
 FLUSH_INTERVAL_MS = 50
 MAX_TRACE_LENGTH = 2_000
 MAX_REASON_LENGTH = 60  # bounds the counter's label; reasons are codes or short texts
+# Reasons may contain what a client sent; further ones are counted as OTHER_REASON.
+MAX_EVENT_LABELS = 1_000
+OTHER_REASON = "other"
+MAX_LINE_BYTES = 8_192  # longer fields are cut to MAX_FIELD_LENGTH
+MAX_FIELD_LENGTH = 200
+MAX_WAITING_BYTES = 4 * 1024 * 1024
 # Writes of up to this size to a pipe are atomic (PIPE_BUF), so no line is split.
 FLUSH_BYTES = 4_096
 
@@ -42,6 +48,7 @@
         self._instance = instance
         self._timers = timers
         self._lines: deque[bytes] = deque()
+        self._waiting_bytes = 0
         self._remaining = MAX_LINES_PER_S
         self._partial = b""
         self._flush_soon: CoalescedCallback | None = None  # set by open()
@@ -57,12 +64,17 @@
     def write(self, event: str, **fields: Any) -> None:
         """Count an event and queue its line, unless the rate limit or the buffer is exhausted."""
         self._count(event, fields)
-        if self._remaining <= 0 or len(self._lines) >= MAX_WAITING_LINES:
+        is_full = len(self._lines) >= MAX_WAITING_LINES or self._waiting_bytes >= MAX_WAITING_BYTES
+        if self._remaining <= 0 or is_full:
             self.dropped[event] += 1
             return
         self._remaining -= 1
-        line = {"t_ms": self._timers.wall_ms(), "at": self._instance, "event": event, **fields}
-        self._lines.append(_encode(line).encode() + b"\n")
+        head = {"t_ms": self._timers.wall_ms(), "at": self._instance, "event": event}
+        line = _encode({**head, **fields}).encode() + b"\n"
+        if len(line) > MAX_LINE_BYTES:
+            line = _encode({**head, **_shorten(fields)}).encode() + b"\n"
+        self._lines.append(line)
+        self._waiting_bytes += len(line)
         self._schedule_flush()
 
     def _schedule_flush(self) -> None:
@@ -71,7 +83,11 @@
 
     def _count(self, event: str, fields: dict[str, Any]) -> None:
         reason = fields.get("reason", fields.get("end", fields.get("state", "")))
-        self.measures.events[event, str(reason)[:MAX_REASON_LENGTH]] += 1
+        events = self.measures.events
+        label = event, str(reason)[:MAX_REASON_LENGTH]
+        if label not in events and len(events) >= MAX_EVENT_LABELS:
+            label = event, OTHER_REASON
+        events[label] += 1
         for kind, field in LATENCIES:
             if kind == event:
                 self.measures.observe_latency(f"{event}_{field.removesuffix('_ms')}", fields[field])
@@ -98,6 +114,7 @@
             except OSError:
                 self._lines.clear()  # standard output is closed, so the error can't be logged
                 self._partial = b""
+                self._waiting_bytes = 0
                 return
             self._partial = chunk[written:]
 
@@ -106,10 +123,19 @@
         size = 0
         while self._lines and (not parts or size + len(self._lines[0]) <= FLUSH_BYTES):
             parts.append(self._lines.popleft())
+            self._waiting_bytes -= len(parts[-1])
             size += len(parts[-1])
         return b"".join(parts)
 
 
+def _shorten(fields: dict[str, Any]) -> dict[str, Any]:
+    """Cut the values of a line that is too long."""
+    return {
+        name: value if isinstance(value, int | float) else str(value)[:MAX_FIELD_LENGTH]
+        for name, value in fields.items()
+    }
+
+
 def write_loop_errors(log: EventLog) -> None:
     """Write errors that the event loop reports to the log instead of standard error."""
 
