Refuse large requests while those that wait for answers fill the buffers

What callers saw: an entry that ran out of memory while clients that exceed no limit of a request waited for their jobs, each with a head of many small fields.

Cause: a request is held until it is answered, and its header fields take ten times their size. Relief drops only what is unfinished.

Change: while the buffers are full of requests that wait, another one of over 16 KB in memory is refused at once with 502 and Retry-After; ordinary ones are served on.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -59,6 +59,15 @@
     And an ordinary request to an entry's readiness is answered
     And the process lives, within its memory and descriptors
 
+  # Guards against requests that hold much while they are answered.
+  Scenario: many callers that wait, with many small header fields, cost a bounded amount
+    Given a platform on machines of 128 MB and 700 descriptors
+    When 550 clients send a waiting job behind many small header fields to an entry's callers
+    Then the process lives, within its memory and descriptors
+    And an ordinary request to an entry's callers is answered
+    And an ordinary job is served
+    And the process lives, within its memory and descriptors
+
   # Guards against bounds for each form or each address alone.
   Scenario: crowds of several forms at several addresses
     Given a platform on machines of 128 MB and 700 descriptors
--- a/src/gapdrum/transport/client_buffers.py
+++ b/src/gapdrum/transport/client_buffers.py
@@ -38,6 +38,11 @@
         self._relieving = False
         self._relief_bytes = limit_bytes  # from which on connections are relieved
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether more is held than the limit."""
+        return self.used_bytes > self.limit_bytes
+
     def charge(self, holder: Holder, held_bytes: int) -> None:
         """Set what a connection holds; relieve the largest if all hold too much."""
         known = self._held.pop(holder, 0)
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -30,6 +30,7 @@
 EVICTED_AT_ONCE = 16  # connections that are closed to make room for new ones
 REFUSED_CONNECTIONS = 32  # beyond the limit, until their refusal is written
 OVERLOAD_RETRY_S = 1
+LARGE_REQUEST_BYTES = 16 * 1024  # such requests are refused while the buffers are full
 NOTHING = memoryview(b"")
 GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -252,6 +253,10 @@
             self._parse()
         if not self._waiting or self.busy:
             return False
+        if self._waiting[0].held_bytes > LARGE_REQUEST_BYTES and self._is_without_room():
+            self._waiting.clear()
+            self._refuse(502, "too_many_bytes", OVERLOAD_RETRY_S)
+            return False
         self._start(self._waiting.popleft())
         return True
 
@@ -421,6 +426,11 @@
         if not self._closed.done():
             self._listener.buffers.charge(self, held + self._count_unread())
 
+    def _is_without_room(self) -> bool:
+        """Tell whether the buffers are full though all unfinished requests were dropped."""
+        self._charge()
+        return self._listener.buffers.is_full
+
     def droppable_bytes(self) -> int:
         """Return what ``drop_buffers`` would free; see ``Holder``."""
         return self._held_by_reading() + self._count_unread()
--- a/tools/client_crowd.py
+++ b/tools/client_crowd.py
@@ -188,6 +188,18 @@
     yield _post(f"/flags/{number:016x}", document)
 
 
+@form("a waiting job behind many small header fields")
+def _send_many_fields(number: int) -> Iterator[bytes]:
+    document = {
+        "spec": json.dumps({"run_ms": 60_000}),
+        "steps": [{"count": 1, "cpu": 1}],
+        "best_effort": True,
+    }
+    head, _, body = _post(f"/flags/{number:016x}", document).partition(b"\r\n\r\n")
+    fields = b"".join(b"%x:\r\n" % value for value in range(2_200))
+    yield head + b"\r\n" + fields + b"\r\n" + body
+
+
 @form("jobs with as many findings as fit")
 def _send_findings(number: int) -> Iterator[bytes]:
     names = {f"{value:x}": 0 for value in range(25_000)}
