Let clients exceed limits in the soak, beside faults of processes

A profile "clients": crowds of all forms connect to any address and stay until their process is gone, while processes are killed, stopped and frozen, singly, in series and together, and ordinary callers go on. The promises are checked as before, and the peak memory and the descriptors of each process.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,12 @@
     Then no promise is violated
     And callers have cancelled jobs
 
+  # Guards against clients that cost others their answers: crowds that exceed limits stay connected while
+  # processes are killed, stopped, frozen and cut off.
+  Scenario: the promises hold while clients exceed limits, and processes fail
+    When the soak runs seed 9700 for 20 s with clients only, 3 entries, 4 agents and 8 callers
+    Then no promise is violated
+
   # Guards against what only an owner knows of a job: routes change while agents are cut off, tasks fail or
   # are done again, jobs are cancelled elsewhere, and their owners are lost after the last change.
   Scenario: the promises hold while routes change, and agents and owners are lost
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,7 +7,8 @@
 delayed, silenced, cut in one direction or reset; the store is unavailable, rejects some processes,
 loses answers or executes calls late; runners leave calls unanswered or execute them late. Operators
 rename, remove and move routes. Callers disconnect, reach their deadline, resubmit as soon as they
-may, and cancel durable jobs.
+may, and cancel durable jobs. Other clients exceed limits, and stay connected until their process
+is gone.
 
 The checks use what callers and runners observed: no task runs at two runners at once, however
 briefly; no runner's capacity is exceeded; a durable task is not started again after a "done" end
@@ -30,8 +31,9 @@
 import sys
 import time
 
+from client_crowd import count_descriptors, read_peak_mb
 from local_system import Process, wait_for
-from platform_system import ZONES, PlatformSystem, RunnerPace
+from platform_system import ZONES, MachineLimits, PlatformSystem, RunnerPace
 from soak_callers import HOT_RACK, Callers, SubmittedJob
 from soak_checks import (
     check_runs,
@@ -46,6 +48,8 @@
 # Runners differ in speed, and part of the jobs have their data on one rack.
 PACES = tuple(RunnerPace(speed, HOT_RACK if speed == 1.0 else "r2") for speed in (1.0, 0.6, 1.6))
 FAR_FACTOR = 3.0
+KINDS = ("", "outages", "rejections", "changes", "clients")
+MACHINE = MachineLimits(memory_mb=168, max_fds=1_024)  # where clients exceed limits
 END_TIMEOUT_S = 40
 PROCESSES_LIMIT = 300
 PROCESS_MB = 50  # of an entry, an agent or a stand-in
@@ -67,6 +71,7 @@
     ) -> None:
         rng = random.Random(seed)
         proxies = Proxies()
+        self._machine = MACHINE if only == "clients" else None
         self.seconds = seconds
         self._only = only
         self.system = PlatformSystem(
@@ -77,6 +82,7 @@
             planted=planted,
             paces=PACES,
             far_factor=FAR_FACTOR,
+            machine=self._machine,
         )
         self._callers = Callers(self.system, [rng.random() for _ in range(callers)])
         self._faults = Faults(seed, rng, self.system, proxies)
@@ -98,8 +104,9 @@
                 self._callers.start()
                 self._faults.inject(self.seconds, self._callers, self._only)
                 self._faults.recover()
-                violations = self._check_drain()
+                violations = self._check_drain() + self._check_limits()
             finally:
+                self._faults.close_crowds()
                 self._callers.stop()
                 self._faults.end()
             self._callers.join()
@@ -134,6 +141,17 @@
             if row["how"] == "started" and row["wall_ms"] > drained_ms
         ]
 
+    def _check_limits(self) -> list[str]:
+        """Check the peak memory and the descriptors of each process, with all crowds connected."""
+        if self._machine is None:
+            return []
+        violations = []
+        for process in [*self.system.entries, *self.system.agents]:
+            peak_mb, descriptors = read_peak_mb(process), count_descriptors(process)
+            if peak_mb > self._machine.memory_mb or descriptors > self._machine.max_fds:
+                violations.append(f"{process.name}: {peak_mb:.0f} MB, {descriptors} descriptors")
+        return violations
+
     def _check_durable(self) -> list[str]:
         """Check that each accepted durable job ends in the same state at all entries."""
         violations = []
@@ -187,7 +205,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--planted", default="", help="a mechanism of planted.py to disable")
-    parser.add_argument("--only", default="", choices=("", "outages", "rejections", "changes"))
+    parser.add_argument("--only", default="", choices=KINDS)
     parser.add_argument("--entries", type=int, default=ENTRIES)
     parser.add_argument("--agents", type=int, default=AGENTS)
     parser.add_argument("--callers", type=int, default=CALLERS)
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -8,7 +8,8 @@
 
 import msgpack
 import urllib3
-from local_system import Process, find_port
+from client_crowd import Crowd
+from local_system import HOST, Process, find_port
 from platform_system import QUEUES, UPSTREAM, ZONES, PlatformSystem
 from proxy import MODES, ONE_WAY, PASS, REJECTIONS, SILENT, Proxy
 from soak_callers import Burst, Callers
@@ -25,6 +26,24 @@
 # Jobs are open, and fail or are cancelled, while tasks of them are done again.
 OPEN_BURST = Burst(5, (400, 800, 1_200), (0.0, 0.0, 0.3, 0.6), 0.6, (2.5, 6.0))
 AWAY_UPSTREAM = "away-desk"  # it has no runners
+# Forms of clients that exceed limits, for any HTTP address.
+CROWD_FORMS = (
+    "many small header fields",
+    "a header field without end",
+    "empty lines without end",
+    "a body that stops short",
+    "large chunks that stop short",
+    "small chunks that stop short",
+    "many small trailer fields",
+    "requests ahead, answers unread",
+    "requests ahead for metrics, answers unread",
+    "nothing",
+    "half a request line",
+)
+STREAM_FORMS = ("a frame that stops short", "a frame of many small arrays", "nothing")
+CROWD_CLIENTS = (5, 60)
+CROWD_SEND_S = 2.0
+OPEN_CROWDS = 8  # older ones are closed
 # Writes whose single answers the store loses, by their table.
 LOST_TABLES = ("open", "progress", "ended", "leases")
 
@@ -74,6 +93,8 @@
         self._reset_random = random.Random(f"resets {seed}")
         self._rejection_random = random.Random(f"rejections {seed}")
         self._change_random = random.Random(f"changes {seed}")
+        self._crowd_random = random.Random(f"clients {seed}")
+        self._crowds: list[Crowd] = []
         self._version = 1
         self._outages = Outages(
             seed, proxies.streams, proxies.stores, lambda one: self._kill_all([one]), self._start
@@ -94,6 +115,12 @@
         ``only`` names one kind of fault to inject alone, as the others hide most of what it brings
         about: they make tasks start again themselves.
         """
+        if only == "clients":
+            crowds = threading.Thread(target=self._inject_clients, args=(seconds,))
+            crowds.start()
+            self._inject_together(seconds, callers, (self._inject_combined,))
+            crowds.join()
+            return
         if only:
             kinds = {
                 "outages": self._inject_outages,
@@ -102,10 +129,17 @@
             }
             kinds[only](seconds, callers)
             return
-        threads = [
-            threading.Thread(target=inject, args=(seconds, callers))
-            for inject in (self._inject_combined, self._inject_resets, self._inject_outages)
-        ]
+        kinds = (self._inject_combined, self._inject_resets, self._inject_outages)
+        self._inject_together(seconds, callers, kinds)
+
+    def _inject_together(
+        self,
+        seconds: float,
+        callers: Callers,
+        kinds: Iterable[Callable[[float, Callers], None]],
+    ) -> None:
+        """Inject single faults, and other kinds beside them."""
+        threads = [threading.Thread(target=inject, args=(seconds, callers)) for inject in kinds]
         for thread in threads:
             thread.start()
         try:
@@ -227,6 +261,35 @@
             return "the store did not accept a drain"  # the store is silent or unavailable
         return f"drain {' '.join(zones) or 'nothing'}"
 
+    # Clients that exceed limits
+
+    def _inject_clients(self, seconds: float) -> None:
+        """Let crowds connect anywhere; they stay until their process is gone, or the soak ends."""
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s and not self._ended.is_set():
+            port, form = self._draw_crowd()
+            clients = self._crowd_random.randint(*CROWD_CLIENTS)
+            self._record(f"{clients} clients send {form} to port {port}")
+            crowd = Crowd((HOST, port), form, clients)
+            self._crowds.append(crowd)
+            crowd.send(CROWD_SEND_S)
+            if len(self._crowds) > OPEN_CROWDS:
+                self._crowds.pop(0).close()
+            time.sleep(self._crowd_random.uniform(0.2, 1.0))
+
+    def _draw_crowd(self) -> tuple[int, str]:
+        system, rng = self._system, self._crowd_random
+        if rng.random() < 0.1:
+            return rng.choice(system.streams_ports), rng.choice(STREAM_FORMS)
+        ports = [process.port for process in self._processes]
+        ports += [*system.ready_ports, *system.metrics_ports.values()]
+        return rng.choice(ports), rng.choice(CROWD_FORMS)
+
+    def close_crowds(self) -> None:
+        """Close the connections of all crowds."""
+        for crowd in self._crowds:
+            crowd.close()
+
     # Combined faults: in series, or at several processes at once
 
     def _inject_combined(self, seconds: float, callers: Callers) -> None:
