Test that received bytes which wait in the kernel fit into a process's memory

They count as the process's memory where it runs, and grow while it is not run. An entry is suspended while 200 clients send without end; what the kernel holds for it, and its peak, must fit into 128 MB.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -127,6 +127,23 @@
     Then the lines that wait take at most 8 MB
     And the lines that were dropped are counted
 
+  # Guards against received bytes that wait in the kernel, which count as a process's memory, while it is not
+  # run.
+  Scenario Outline: what a process has not read yet is bounded: <form>
+    Given a platform on machines of 128 MB and 700 descriptors
+    When the entry is suspended while 200 clients send <form>
+    Then what it had not read fits into its memory
+    And the process lives, within its memory and descriptors
+    And an ordinary job is served
+
+    Examples:
+      | form                          |
+      | a header field without end    |
+      | a request line without end    |
+      | empty lines without end       |
+      | a chunk extension without end |
+      | a trailer field without end   |
+
   # Guards against limits that ordinary callers meet.
   Scenario Outline: a request at a limit is served in calm: <request>
     Given a platform on machines of 128 MB and 700 descriptors
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -22,6 +22,7 @@
 REST_CHECK_S = 1.0
 REST_LIMIT_S = 60
 ANSWER_TIMEOUT_S = 60
+LISTENING = "0A"  # the state of a listening socket, as the kernel lists it
 
 
 @given("a platform on machines of {memory_mb:d} MB and {max_fds:d} descriptors")
@@ -138,6 +139,39 @@
     wait_for_rest(entry)
 
 
+@when("the entry is suspended while {clients:d} clients send {form}")
+def send_while_suspended(context, clients, form):
+    process = context.crowded = context.system.entries[0]
+    port = process.port
+    process.signal(signal.SIGSTOP)
+    try:
+        crowd = Crowd((HOST, port), form, clients)
+        context.add_cleanup(crowd.close)
+        crowd.send()
+        context.unread_mb = read_unread_mb(port)
+    finally:
+        process.signal(signal.SIGCONT)
+    wait_for_rest(process)
+
+
+def read_unread_mb(port):
+    """Return what the kernel holds for the connections to a port."""
+    unread_bytes = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, _, state, queues = line.split()[:5]
+        if state != LISTENING and int(local.partition(":")[2], 16) == port:
+            unread_bytes += int(queues.partition(":")[2], 16)
+    return unread_bytes / 2**20
+
+
+@then("what it had not read fits into its memory")
+def unread_fits(context):
+    peak_mb = read_peak_mb(context.crowded)
+    assert context.unread_mb + peak_mb <= context.machine.memory_mb, (
+        f"{context.unread_mb:.0f} MB unread, {peak_mb:.0f} MB"
+    )
+
+
 @then("its metrics page has at most 2,000 lines")
 def metrics_are_short(context):
     lines = context.system.metrics("entry-0").count("\n")
