Read no more than an introduction before its peer is known

What callers saw: nothing; found by reading the change. An agent that sends large messages right after its greeting could have been cut off.

Cause: up to 64 KB were read at once into a decoder that takes 16 KB before the introduction.

Change: a stream reads as much at a time as it may decode, until its peer has introduced itself.

Evidence: the test failed before with FrameError, "the frame exceeds the size limit", and passes.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -127,6 +127,12 @@
     Then the lines that wait take at most 8 MB
     And the lines that were dropped are counted
 
+  # Guards against a limit on introductions that cuts off known agents.
+  Scenario: a peer that sends large frames at once after its introduction is understood
+    Given a stream whose peer sends its introduction and 3 frames of 40,000 bytes in one write
+    When the introduction is received, and the frames after it
+    Then all 4 messages have arrived
+
   # Guards against received bytes that wait in the kernel, which count as a process's memory, while it is not
   # run.
   Scenario Outline: what a process has not read yet is bounded: <form>
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -1,11 +1,14 @@
 """Steps in which a crowd of clients exceeds limits at one address of a process."""
 
+import asyncio
 import json
 import os
 import signal
 import socket
 import time
+from collections import Counter
 from pathlib import Path
+from types import SimpleNamespace
 
 import urllib3
 from behave import given, then, when
@@ -15,7 +18,10 @@
 from platform_steps import start_platform
 from platform_system import CALLER_HOST, MachineLimits
 
+from gapdrum.codec import encode
+from gapdrum.core import orders
 from gapdrum.event_log import EventLog
+from gapdrum.streams import StrangerStreams
 
 # Clients may stay connected and unfinished for longer than a scenario takes.
 PATIENT = {"max_body_bytes": 262_144, "header_timeout_ms": 60_000, "idle_timeout_ms": 60_000}
@@ -172,6 +178,33 @@
     )
 
 
+@given("a stream whose peer sends its introduction and 3 frames of 40,000 bytes in one write")
+def large_frames(context):
+    large = orders.ConfigurationTold(b"x" * 40_000)
+    context.frames = encode(orders.ConfigurationAsked()) + encode(large) * 3
+
+
+@when("the introduction is received, and the frames after it")
+def receive_large_frames(context):
+    async def receive():
+        reader = asyncio.StreamReader()
+        reader.feed_data(context.frames)
+        reader.feed_eof()
+        writer = SimpleNamespace(is_closing=lambda: False, close=lambda: None)
+        strangers = StrangerStreams(1)
+        stream = strangers.accept(reader, writer, Counter(), Counter())
+        messages = aiter(stream)
+        introduction = await strangers.receive_introduction(stream, messages)
+        return [introduction, *[message async for message in messages]]
+
+    context.messages = asyncio.run(receive())
+
+
+@then("all 4 messages have arrived")
+def all_arrived(context):
+    assert len(context.messages) == 4, context.messages
+
+
 @then("its metrics page has at most 2,000 lines")
 def metrics_are_short(context):
     lines = context.system.metrics("entry-0").count("\n")
--- a/src/gapdrum/streams.py
+++ b/src/gapdrum/streams.py
@@ -35,6 +35,8 @@
         max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
         self._decoder = Decoder(max_frame_bytes)
+        # What follows an introduction, and arrives with it, may exceed the introduction's limit.
+        self._read_bytes = min(READ_BYTES, max_frame_bytes)
         self._reader = reader
         self._writer = writer
         self._sent = sent
@@ -74,6 +76,7 @@
     def allow_large_frames(self) -> None:
         """Allow frames of ``MAX_FRAME_BYTES`` from here on: the peer is known."""
         self._decoder.allow_large_frames()
+        self._read_bytes = READ_BYTES
 
     def close(self) -> None:
         """Close the stream; messages that were sent before are still delivered if possible."""
@@ -91,7 +94,7 @@
 
     async def _read(self) -> bytes:
         try:
-            return await self._reader.read(READ_BYTES)
+            return await self._reader.read(self._read_bytes)
         except OSError:
             return b""
 
