Close recently used connections last when there are too many

What callers saw: nothing yet; found by a new test. Of 32 callers that connected at once, 16 were disconnected before their requests were read.

Cause: beyond the limit up to sixteen connections were closed at once, so that the next ones need not look for others. Those that had just connected counted as idle like any other.

Change: one is closed for each new connection; more only if they were not used for a second.

Evidence: "a caller beyond the limit of connections is told at once to come back" failed before: 18 of 32 jobs began, 16 connections closed. It passes, as do the crowds of idle connections.

Two more tests hold for the code as it was: a caller that leaves is noticed though its connection is not read, and a connection whose peer reads nothing is closed.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -127,6 +127,25 @@
     Then the lines that wait take at most 8 MB
     And the lines that were dropped are counted
 
+  # Guards against runs that go on for a caller that has gone: its connection is not read meanwhile.
+  Scenario: a caller that leaves is noticed though what it has sent ahead is not read
+    Given a platform on machines of 128 MB and 700 descriptors
+    When a caller sends a waiting job of 30,000 ms, and 1,000 requests behind it, and leaves
+    Then the entry notices that the caller has gone
+
+  # Guards against connections that stay for ever, as their peers read nothing.
+  Scenario: a connection whose peer reads no answers is closed in the end
+    Given a platform on machines of 128 MB and 700 descriptors, that closes idle connections after 500 ms
+    When 20 clients send requests ahead, answers unread to an entry's callers
+    Then the entry closes connections for "answers_unread"
+
+  # Guards against a refusal that promises more than is known: the request was not read.
+  Scenario: a caller beyond the limit of connections is told at once to come back
+    Given a platform on machines of 128 MB and 264 descriptors
+    When 32 callers wait for jobs of 20000 ms
+    And one more caller connects
+    Then it is answered 502 "too_many_connections", with Retry-After and without "not_run"
+
   # Guards against a limit on introductions that cuts off known agents.
   Scenario: a peer that sends large frames at once after its introduction is understood
     Given a stream whose peer sends its introduction and 3 frames of 40,000 bytes in one write
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -178,6 +178,79 @@
     )
 
 
+@given(
+    "a platform on machines of {memory_mb:d} MB and {max_fds:d} descriptors, that closes idle "
+    "connections after {idle_ms:d} ms"
+)
+def start_impatient_platform(context, memory_mb, max_fds, idle_ms):
+    context.machine = MachineLimits(memory_mb, max_fds)
+    limits = {**PATIENT, "idle_timeout_ms": idle_ms}
+    start_platform(context, 1, 1, machine=context.machine, http_limits=limits)
+    context.crowds = []
+
+
+def connect_caller(context, number, run_ms, more=b""):
+    """Connect a caller that submits a waiting job, and sends more behind it."""
+    document = {
+        "spec": json.dumps({"run_ms": run_ms}),
+        "steps": [{"count": 1, "cpu": 1}],
+        "best_effort": True,
+    }
+    body = json.dumps(document).encode()
+    head = head_of(f"/flags/{number:016x}", (f"Content-Length: {len(body)}",))
+    connection = socket.create_connection((HOST, context.system.entries[0].port))
+    context.add_cleanup(connection.close)
+    connection.sendall(head + body + more)
+    return connection
+
+
+@when("a caller sends a waiting job of 30,000 ms, and 1,000 requests behind it, and leaves")
+def leave_behind_requests(context):
+    connection = connect_caller(context, 1, 30_000, head_of("/flags/", (), "GET") * 1_000)
+    wait_for(lambda: context.system.events("entry-0", "task_started"), "the job is at work")
+    connection.close()
+
+
+@then("the entry notices that the caller has gone")
+def caller_noticed(context):
+    wait_for(lambda: context.system.events("entry-0", "caller_gone"), "the caller has gone")
+
+
+@then('the entry closes connections for "{reason}"')
+def connections_closed(context, reason):
+    def closed():
+        lines = context.system.events("entry-0", "connections_closed")
+        return any(line["reason"] == reason for line in lines)
+
+    wait_for(closed, f"connections are closed: {reason}")
+
+
+@when("{callers:d} callers wait for jobs of {run_ms:d} ms")
+def callers_wait(context, callers, run_ms):
+    for number in range(1, callers + 1):
+        connect_caller(context, number, run_ms)
+
+    def begun():
+        return len(context.system.events("entry-0", "job_begun")) >= callers
+
+    wait_for(begun, "all jobs have begun")
+
+
+@when("one more caller connects")
+def one_more(context):
+    with socket.create_connection((HOST, context.system.entries[0].port)) as connection:
+        connection.settimeout(ANSWER_TIMEOUT_S)
+        context.refusal = connection.recv(65_536)
+
+
+@then('it is answered 502 "{code}", with Retry-After and without "not_run"')
+def refused_with_retry(context, code):
+    head, _, body = context.refusal.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 502 ") and b"\r\nretry-after: " in head, context.refusal
+    document = json.loads(body)
+    assert document["code"] == code and "not_run" not in document, document
+
+
 @given("a stream whose peer sends its introduction and 3 frames of 40,000 bytes in one write")
 def large_frames(context):
     large = orders.ConfigurationTold(b"x" * 40_000)
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -28,6 +28,9 @@
 KERNEL_BUFFER_BYTES = 32 * 1024
 REQUESTS_PER_TURN = 16  # of one connection, before others have their turn
 EVICTED_AT_ONCE = 16  # connections that are closed to make room for new ones
+# A connection that was used so recently is closed only if there is no other: its request may be
+# on its way.
+RECENTLY_USED_MS = 1_000
 REFUSED_CONNECTIONS = 32  # beyond the limit, until their refusal is written
 OVERLOAD_RETRY_S = 1
 LARGE_REQUEST_BYTES = 16 * 1024  # such requests are refused while the buffers are full
@@ -122,7 +125,10 @@
         evictable = sorted(
             ((rank, one) for rank, one in ranked if rank is not None), key=lambda pair: pair[0]
         )
-        for _, connection in evictable[:EVICTED_AT_ONCE]:
+        recent_ms = self.timers.now_ms() - RECENTLY_USED_MS
+        for number, ((_, since_ms), connection) in enumerate(evictable[:EVICTED_AT_ONCE]):
+            if number and since_ms > recent_ms:
+                continue
             self.on_closed("too_many_connections")
             connection.abort()
 
