--- a/features/soak.feature
+++ b/features/soak.feature
@@ -38,6 +38,12 @@
     When the soak runs seed 9700 for 20 s with clients only, 3 entries, 4 agents and 8 callers
     Then no promise is violated
 
+  # Guards against outcomes that an agent drops as it comes back from a suspension, though its entry has
+  # taken its new stream.
+  Scenario: no outcome is lost while clients exceed limits, and agents are suspended beside failed streams
+    When the soak runs seed 9824 for 30 s with clients only, 2 entries, 3 agents and 6 callers
+    Then no promise is violated
+
   # Guards against what only an owner knows of a job: routes change while agents are cut off, tasks fail or
   # are done again, jobs are cancelled elsewhere, and their owners are lost after the last change.
   Scenario: the promises hold while routes change, and agents and owners are lost
