Answer a large request that is refused after what follows it was dropped

What callers saw: nothing yet; found by reading the change. A connection could stay open without an answer.

Cause: while the buffers are full, relief may drop what a connection has sent behind its request, and marks it as refused. The request itself was refused next, which did nothing for a refused connection: no response, no end, and no time-out.

Change: writing a refusal is a function of its own, which this case calls.

Evidence: the new test failed before, with nothing written and the connection open; it passes.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -146,6 +146,14 @@
     And one more caller connects
     Then it is answered 502 "too_many_connections", with Retry-After and without "not_run"
 
+  # Guards against a connection that stays open without an answer: relief reaches what follows its request,
+  # and then the request itself is refused.
+  Scenario: a large request with more behind it is refused with an answer while the buffers are full
+    Given buffers that are full of requests which wait for answers
+    When a caller sends a body of 20,000 bytes and half a request behind it
+    Then it is answered 502 "too_many_bytes", with Retry-After and without "not_run"
+    And its connection is closed
+
   # Guards against a limit on introductions that cuts off known agents.
   Scenario: a peer that sends large frames at once after its introduction is understood
     Given a stream whose peer sends its introduction and 3 frames of 40,000 bytes in one write
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -22,6 +22,10 @@
 from gapdrum.core import orders
 from gapdrum.event_log import EventLog
 from gapdrum.streams import StrangerStreams
+from gapdrum.transport import http_server
+from gapdrum.transport.client_buffers import ClientBuffers
+from gapdrum.transport.http_server import HttpListener
+from gapdrum.transport.request_reader import HttpLimits
 
 # Clients may stay connected and unfinished for longer than a scenario takes.
 PATIENT = {"max_body_bytes": 262_144, "header_timeout_ms": 60_000, "idle_timeout_ms": 60_000}
@@ -251,6 +255,62 @@
     assert document["code"] == code and "not_run" not in document, document
 
 
+class RecordingTransport:
+    """Records what is written, and whether the connection is closed; its peer reads at once."""
+
+    def __init__(self):
+        self.written = b""
+        self.closed = False
+
+    def write(self, data):
+        self.written += data
+
+    def close(self):
+        self.closed = True
+
+    def is_closing(self):
+        return self.closed
+
+    def set_write_buffer_limits(self, _high):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+class WaitingRequest:
+    """A request that waits for its answer, so that nothing of it can be dropped."""
+
+    def droppable_bytes(self):
+        return 0
+
+
+@given("buffers that are full of requests which wait for answers")
+def full_buffers(context):
+    context.buffers = ClientBuffers(100_000)
+    context.buffers.charge(WaitingRequest(), 100_000)
+
+
+@when("a caller sends a body of 20,000 bytes and half a request behind it")
+def send_large_behind(context):
+    async def send():
+        listener = HttpListener(None, HttpLimits(), ManualTimers(), context.buffers)
+        connection = http_server._Connection(listener)
+        context.transport = RecordingTransport()
+        connection.connection_made(context.transport)
+        head = head_of("/flags/", ("Content-Length: 20000",))
+        connection.data_received(head + b"x" * 20_000 + b"GET /fl")
+        await asyncio.sleep(2 * http_server.DISCARD_S)
+
+    asyncio.run(send())
+    context.refusal = context.transport.written
+
+
+@then("its connection is closed")
+def connection_closed(context):
+    assert context.transport.closed
+
+
 @given("a stream whose peer sends its introduction and 3 frames of 40,000 bytes in one write")
 def large_frames(context):
     large = orders.ConfigurationTold(b"x" * 40_000)
--- a/src/gapdrum/transport/http_server.py
+++ b/src/gapdrum/transport/http_server.py
@@ -261,7 +261,10 @@
             return False
         if self._waiting[0].held_bytes > LARGE_REQUEST_BYTES and self._is_without_room():
             self._waiting.clear()
-            self._refuse(502, "too_many_bytes", OVERLOAD_RETRY_S)
+            if self._refused:  # what follows the request was dropped first
+                self._write_refusal(502, "too_many_bytes", OVERLOAD_RETRY_S)
+            else:
+                self._refuse(502, "too_many_bytes", OVERLOAD_RETRY_S)
             return False
         self._start(self._waiting.popleft())
         return True
@@ -346,8 +349,11 @@
         self._reading_since_ms = 0
         self._release()
         self._listener.on_refused(status, code)
-        if self.busy or self._waiting:
-            return
+        if not self.busy and not self._waiting:
+            self._write_refusal(status, code, retry_after_s)
+
+    def _write_refusal(self, status: int, code: str, retry_after_s: int) -> None:
+        """Write a refusal, and close the connection once its peer may have read it."""
         document = {"code": code}
         if retry_after_s:
             document["retry_after_s"] = retry_after_s
