Let both tests of single connections use one stand-in for a transport

It stood twice, in the steps of refusals and of clients. No check changes; refusals.feature passes, as does the scenario of clients that uses it.

--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -13,6 +13,7 @@
 import urllib3
 from behave import given, then, when
 from client_crowd import Crowd, count_descriptors, read_peak_mb
+from connection_model import FakeTransport
 from core_model import ManualTimers
 from local_system import HOST, wait_for
 from platform_steps import start_platform
@@ -255,29 +256,6 @@
     assert document["code"] == code and "not_run" not in document, document
 
 
-class RecordingTransport:
-    """Records what is written, and whether the connection is closed; its peer reads at once."""
-
-    def __init__(self):
-        self.written = b""
-        self.closed = False
-
-    def write(self, data):
-        self.written += data
-
-    def close(self):
-        self.closed = True
-
-    def is_closing(self):
-        return self.closed
-
-    def set_write_buffer_limits(self, _high):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 class WaitingRequest:
     """A request that waits for its answer, so that nothing of it can be dropped."""
 
@@ -296,7 +274,7 @@
     async def send():
         listener = HttpListener(None, HttpLimits(), ManualTimers(), context.buffers)
         connection = http_server._Connection(listener)
-        context.transport = RecordingTransport()
+        context.transport = FakeTransport()
         connection.connection_made(context.transport)
         head = head_of("/flags/", ("Content-Length: 20000",))
         connection.data_received(head + b"x" * 20_000 + b"GET /fl")
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -11,6 +11,7 @@
 import msgpack
 from behave import given, then, when
 from caller_deadline_steps import FakeDispatch
+from connection_model import FakeTransport
 from core_model import ManualTimers
 from platform_core_steps import JOB, OWNER, QUEUE
 from platform_system import RESUBMIT_MS
@@ -77,31 +78,6 @@
         return Committed(1)
 
 
-class FakeTransport:
-    """Records what is written to a caller's connection, and whether it is closed."""
-
-    def __init__(self):
-        self.written = b""
-        self.closed = False
-
-    def write(self, data):
-        self.written += data
-
-    def close(self):
-        self.closed = True
-
-    abort = close
-
-    def is_closing(self):
-        return self.closed
-
-    def set_write_buffer_limits(self, _high):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 def build_entry(context):
     """Build an entry's HTTP API, with a store that answers and a dispatch that runs nothing."""
     context.timers = ManualTimers()
