--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -446,7 +446,7 @@
     def give_up(number: int, _frame: object) -> None:
         raise CaseError(f"signal {number}")
 
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
         signal.signal(number, give_up)
     signal.alarm(LONGEST_S)
     try:
